--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test check format bench slopes fuzz lock
+
+setup: $(STAMP)
+
+$(STAMP): requirements/lock.txt pyproject.toml
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --require-hashes -r requirements/lock.txt
+	$(PY) -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+lock:
+	$(VENV)/bin/pip-compile --quiet --generate-hashes --allow-unsafe --strip-extras --no-emit-index-url \
+	    --no-emit-find-links --no-header --extra dev --output-file requirements/lock.txt pyproject.toml
+
+format: setup
+	$(VENV)/bin/black --quiet src tests
+	$(VENV)/bin/ruff check --quiet --fix src tests
+
+check: setup
+	$(VENV)/bin/black --quiet --check src tests
+	$(VENV)/bin/ruff check --quiet src tests
+	$(VENV)/bin/mypy
+
+test: setup
+	$(PY) -m pytest
+
+demo: setup
+	$(VENV)/bin/currantbarrow demo --output build/demo
--- /dev/null
+++ b/src/currantbarrow/classes/change.py
@@ -0,0 +1,56 @@
+"""Change classes through the log, and tell who won a race."""
+
+from __future__ import annotations
+
+import random
+
+from currantbarrow.classes.state import ClassState
+from currantbarrow.exceptions import ClassConflict, ConfigurationError
+from currantbarrow.logservice import (
+    CLASS_STREAM,
+    ClassChanged,
+    ClassDefinition,
+    LogFollower,
+    append_once,
+)
+from currantbarrow.types import Clock, LogService
+
+__all__ = ["change_class"]
+
+APPEND_GIVE_UP_MS = 5000.0
+MAX_TARGET_MS = 3_600_000.0
+
+
+async def change_class(
+    name: str,
+    based_on: int,
+    definition: ClassDefinition | None,
+    operator: str,
+    *,
+    record_id: str,
+    state: ClassState,
+    follower: LogFollower,
+    log: LogService,
+    clock: Clock,
+    rng: random.Random,
+) -> int:
+    """Append a change and return the revision it made; raise ClassConflict when it lost."""
+    if not name or (definition is not None and not 0 < definition.target_ms <= MAX_TARGET_MS):
+        raise ConfigurationError(f"a target lies between 0 and {MAX_TARGET_MS:.0f} ms")
+    if definition is None and state.find(name) is None:
+        raise ConfigurationError(f"there is no class named {name}")
+    record = ClassChanged(record_id, name, based_on, definition, clock.wall_ms(), operator)
+    offset = await append_once(
+        log,
+        CLASS_STREAM,
+        record,
+        from_offset=state.offset + 1,
+        clock=clock,
+        rng=rng,
+        give_up_ms=APPEND_GIVE_UP_MS,
+    )
+    await follower.wait_beyond(offset)
+    if not state.outcome(record_id):
+        present = state.revision_of(name)
+        raise ClassConflict(f"{name} is at revision {present}, not {based_on}")
+    return state.revision_of(name)
--- /dev/null
+++ b/src/currantbarrow/classes/state.py
@@ -0,0 +1,94 @@
+"""Reduce the class stream to the classes in force."""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+
+import msgspec
+
+from currantbarrow.logservice import ClassChanged, ClassDefinition, Record
+
+__all__ = ["ClassRevision", "ClassState"]
+
+REMEMBERED_RECORDS = 1024
+HISTORY_PER_CLASS = 20
+
+
+class ClassRevision(msgspec.Struct, frozen=True):
+    """Hold one accepted revision of a class; a removed class has no definition."""
+
+    revision: int
+    definition: ClassDefinition | None
+    at_ms: int = 0
+    operator: str = ""
+
+
+class _Dump(msgspec.Struct):
+    history: dict[str, list[ClassRevision]]
+    outcomes: list[tuple[str, bool]]
+
+
+class ClassState:
+    """Hold the classes in force; a revision follows from its record's offset."""
+
+    __slots__ = ("_history", "_outcomes", "offset")
+
+    def __init__(self) -> None:
+        self.offset = -1
+        self._history: dict[str, list[ClassRevision]] = {}
+        # The outcome by record id settles lost replies and makes second copies harmless.
+        self._outcomes: collections.OrderedDict[str, bool] = collections.OrderedDict()
+
+    def apply(self, offset: int, record: Record) -> None:
+        """Accept a change when it is based on the class's present revision."""
+        if not isinstance(record, ClassChanged) or record.record_id in self._outcomes:
+            return
+        accepted = record.based_on == self.revision_of(record.name)
+        self._outcomes[record.record_id] = accepted
+        while len(self._outcomes) > REMEMBERED_RECORDS:
+            self._outcomes.popitem(last=False)
+        if accepted:
+            # Offsets start at 0, and revision 0 means that the class never was.
+            revision = ClassRevision(offset + 1, record.definition, record.at_ms, record.operator)
+            history = self._history.setdefault(record.name, [])
+            history.append(revision)
+            del history[:-HISTORY_PER_CLASS]
+
+    def revision_of(self, name: str) -> int:
+        """Return the present revision of a class, 0 for one that never was."""
+        history = self._history.get(name)
+        return history[-1].revision if history else 0
+
+    def find(self, name: str) -> ClassRevision | None:
+        """Return the revision of a class in force, None when there is none."""
+        history = self._history.get(name)
+        if not history or history[-1].definition is None:
+            return None
+        return history[-1]
+
+    def names(self) -> list[str]:
+        """Return the names of the classes in force."""
+        return sorted(name for name in self._history if self.find(name) is not None)
+
+    def history(self, name: str) -> list[ClassRevision]:
+        """Return the latest revisions of a class, oldest first."""
+        return list(self._history.get(name, ()))
+
+    def outcome(self, record_id: str) -> bool | None:
+        """Tell whether a change was accepted, None when it is not known here."""
+        return self._outcomes.get(record_id)
+
+    def dump(self) -> Any:
+        """Return the state as plain data for a snapshot."""
+        return msgspec.to_builtins(_Dump(self._history, list(self._outcomes.items())))
+
+    def load(self, offset: int, plain: Any) -> bool:
+        """Take over a snapshot that is newer than this state; tell whether it was."""
+        if offset <= self.offset:
+            return False
+        dump = msgspec.convert(plain, _Dump)
+        self._history = dump.history
+        self._outcomes = collections.OrderedDict(dump.outcomes)
+        self.offset = offset
+        return True
--- /dev/null
+++ b/src/currantbarrow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Give operators a command line."""
--- /dev/null
+++ b/src/currantbarrow/cluster/__init__.py
@@ -0,0 +1,18 @@
+"""Agree on members and owners of shards through the log."""
+
+from currantbarrow.cluster.balance import balance_shards, choose_panel
+from currantbarrow.cluster.lease import Lease, majority
+from currantbarrow.cluster.panel import PanelMember
+from currantbarrow.cluster.state import Assignment, ClusterState, Departure, Member
+
+__all__ = [
+    "Assignment",
+    "ClusterState",
+    "Departure",
+    "Lease",
+    "Member",
+    "PanelMember",
+    "balance_shards",
+    "choose_panel",
+    "majority",
+]
--- /dev/null
+++ b/src/currantbarrow/cluster/balance.py
@@ -0,0 +1,54 @@
+"""Work out who should own what and who should sit on the panel."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+from collections.abc import Sequence
+
+from currantbarrow.cluster.state import Assignment, Member
+from currantbarrow.jobs import SHARD_COUNT
+
+__all__ = ["balance_shards", "choose_panel"]
+
+PANEL_SIZE = 5
+
+
+def balance_shards(assignment: Assignment, alive: Sequence[str]) -> list[str]:
+    """Return an owner for each shard: even shares, with as few moves as possible."""
+    if not alive:
+        return list(assignment.owners)
+    names = sorted(alive)
+    share, extra = divmod(SHARD_COUNT, len(names))
+    held: dict[str, list[int]] = {name: [] for name in names}
+    free: list[int] = []
+    for shard in range(SHARD_COUNT):
+        owner = assignment.owner_of(shard)
+        held.get(owner, free).append(shard)
+    # Those who hold most keep the larger shares, so that nothing moves without need.
+    by_held = sorted(names, key=lambda name: (-len(held[name]), name))
+    quota = {name: share + (rank < extra) for rank, name in enumerate(by_held)}
+    for name in names:
+        free.extend(held[name][quota[name] :])
+        del held[name][quota[name] :]
+    spare = iter(free)
+    for name in names:
+        held[name].extend(itertools.islice(spare, quota[name] - len(held[name])))
+    owner_by_shard = {shard: name for name, shards in held.items() for shard in shards}
+    return [owner_by_shard[shard] for shard in range(SHARD_COUNT)]
+
+
+def choose_panel(current: Sequence[str], sides: Sequence[Member]) -> list[str]:
+    """Return a panel that keeps its living members and spreads over data centres and racks."""
+    by_incarnation = {side.incarnation: side for side in sides}
+    panel = [member for member in current if member in by_incarnation]
+    while len(panel) < min(PANEL_SIZE, len(sides)):
+        centres = collections.Counter(by_incarnation[member].data_centre for member in panel)
+        racks = collections.Counter(by_incarnation[member].rack for member in panel)
+        rest = [side for side in sides if side.incarnation not in panel]
+        best = min(
+            rest,
+            key=lambda side: (centres[side.data_centre], racks[side.rack], side.incarnation),
+        )
+        panel.append(best.incarnation)
+    return sorted(panel)
--- /dev/null
+++ b/src/currantbarrow/cluster/lease.py
@@ -0,0 +1,82 @@
+"""Hold the lease of an owner, confirmed by a majority of the panel."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from currantbarrow.exceptions import LinkError
+from currantbarrow.protocol import Caller, Confirm, Confirmed
+from currantbarrow.types import Clock, Metrics
+
+__all__ = ["Lease", "majority"]
+
+RENEW_INTERVAL_MS = 500.0
+CONFIRM_TIMEOUT_MS = 500.0
+
+
+def majority(count: int) -> int:
+    """Return how many members of a panel make a majority."""
+    return count // 2 + 1
+
+
+class Lease:
+    """Renew a lease at the panel of the newest version known."""
+
+    __slots__ = ("_clock", "_duration_ms", "_metrics", "_owner", "_panel", "_until_ms", "_was_held")
+
+    def __init__(
+        self,
+        owner: str,
+        duration_ms: float,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        panel: Callable[[], tuple[int, Sequence[Caller | None]]],
+    ) -> None:
+        self._owner = owner
+        self._duration_ms = duration_ms
+        self._clock = clock
+        self._metrics = metrics
+        self._panel = panel
+        self._until_ms = 0.0
+        self._was_held = False
+
+    def held(self) -> bool:
+        """Tell whether starts are allowed now, by this process's own clock."""
+        return self._clock.monotonic_ms() < self._until_ms
+
+    async def run(self, on_gain: Callable[[], None]) -> None:
+        """Renew until cancelled; call back when the lease is gained after a lapse."""
+        while True:
+            await self.renew()
+            if self.held() and not self._was_held:
+                on_gain()
+            self._was_held = self.held()
+            self._metrics.gauge("entry.lease_held", float(self._was_held))
+            await self._clock.sleep_ms(RENEW_INTERVAL_MS)
+
+    async def renew(self) -> None:
+        """Ask the panel once; the lease counts from before the question was sent."""
+        version, callers = self._panel()
+        if not callers:
+            return
+        asked_ms = self._clock.monotonic_ms()
+        answers = await asyncio.gather(*(self._ask(caller, version) for caller in callers))
+        if sum(answers) >= majority(len(callers)):
+            self._until_ms = max(self._until_ms, asked_ms + self._duration_ms)
+        else:
+            self._metrics.incr("entry.lease_not_confirmed")
+
+    async def _ask(self, caller: Caller | None, version: int) -> bool:
+        if caller is None:
+            return False
+        try:
+            reply = await caller.call(
+                lambda call_id: Confirm(call_id, version, self._owner),
+                Confirmed,
+                CONFIRM_TIMEOUT_MS,
+            )
+        except LinkError:
+            return False
+        return reply.accepted
--- /dev/null
+++ b/src/currantbarrow/entry/dispatch.py
@@ -0,0 +1,445 @@
+"""Start the tasks of accepted jobs on workers, and bring their results together."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+
+from currantbarrow.entry.sides import SidePeer, SidePool
+from currantbarrow.exceptions import LinkError
+from currantbarrow.jobs import JobAnswer, JobRequest, JobStatus, TaskAnswer, TaskRun, TaskState
+from currantbarrow.jobs.table import Job, JobTable
+from currantbarrow.observe import EventRing
+from currantbarrow.policy import AdmissionQuestion, Policies, QueuedTask, WorkerView
+from currantbarrow.protocol import (
+    Cancel,
+    QueryTasks,
+    Refused,
+    Result,
+    Start,
+    TaskReference,
+    TaskResult,
+    TaskStates,
+)
+from currantbarrow.types import Clock, Metrics
+
+__all__ = ["Dispatcher"]
+
+QUERY_TIMEOUT_MS = 1000.0
+# A side process that stays away longer than this leaves its tasks with unknown outcome.
+LOST_AFTER_MS = 2500.0
+
+TaskKey = tuple[bytes, int]
+
+
+class _Sent:
+    """Hold a task that was handed to a side process."""
+
+    __slots__ = ("job", "peer", "task")
+
+    def __init__(self, task: QueuedTask, job: Job, peer: SidePeer) -> None:
+        self.task = task
+        self.job = job
+        self.peer = peer
+
+
+class Dispatcher:
+    """Own accepted jobs from admission to answer."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        events: EventRing,
+        policies: Policies,
+        table: JobTable,
+        may_start: Callable[[], bool],
+        epoch: Callable[[], int],
+    ) -> None:
+        self.policies = policies
+        self.table = table
+        self.pool: SidePool | None = None
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._events = events
+        self._may_start = may_start
+        self._epoch = epoch
+        self._sent: dict[TaskKey, _Sent] = {}
+        self._background: set[asyncio.Task[None]] = set()
+
+    def submit(self, job: Job, target_ms: float) -> JobAnswer | None:
+        """Let a job in and queue its tasks, or return the refusal."""
+        request = job.request
+        costs = [
+            self.policies.estimator.estimate_ms(
+                request.customer, request.job_class, task.declared_ms
+            )
+            for task in request.tasks
+        ]
+        refusal = self._refuse(request, target_ms, costs)
+        if refusal is not None:
+            return refusal
+        job.target_ms = target_ms
+        self.table.add(job)
+        self._event("job_accepted", job)
+        for index, cost_ms in enumerate(costs):
+            self.policies.queue.add(self._queued(job, index, cost_ms))
+        self.pump()
+        return None
+
+    def adopt(self, job: Job, target_ms: float) -> None:
+        """Take over a job from another owner and go on with it."""
+        job.target_ms = target_ms
+        self.table.add(job)
+        self._event("job_adopted", job)
+        by_side: dict[str, list[QueuedTask]] = {}
+        for index, entry in enumerate(job.tasks):
+            if entry.answer is not None:
+                continue
+            task = self._queued(job, index, self._estimate(job, index))
+            if entry.side:
+                by_side.setdefault(entry.side, []).append(task)
+            else:
+                self.policies.queue.add(task)
+        for side, tasks in by_side.items():
+            self._attach(job, side, tasks)
+        self.pump()
+
+    def cancel(self, job: Job) -> None:
+        """Drop a job's waiting tasks, stop its running ones and answer at once."""
+        if job.answer is None:
+            self._metrics.incr("entry.job_cancelled")
+            self._fail(job, "cancelled", "the caller cancelled the job")
+
+    def forget(self, job: Job) -> None:
+        """Let go of a job that another owner goes on with."""
+        self.policies.queue.discard(job.job_id)
+        for index in range(len(job.tasks)):
+            sent = self._sent.pop((job.job_id, index), None)
+            if sent is not None:
+                sent.peer.view.outstanding -= sent.task.size_slots
+        self.table.remove(job.job_id)
+        job.move()
+
+    def pump(self) -> None:
+        """Start waiting tasks while workers have room."""
+        if self.pool is None or not len(self.policies.queue) or not self._may_start():
+            return
+        now_ms = self._clock.monotonic_ms()
+        workers = [
+            view
+            for view in self.pool.views()
+            if self.policies.health.usable(view.incarnation, now_ms)
+        ]
+        batches: dict[str, list[TaskRun]] = {}
+        while True:
+            task = self.policies.queue.take(now_ms)
+            if task is None:
+                break
+            worker = self.policies.placement.choose(task, workers)
+            if worker is None:
+                self.policies.queue.requeue(task)
+                break
+            batches.setdefault(worker.incarnation, []).append(self._assign(task, worker))
+        for incarnation, runs in batches.items():
+            self._send(incarnation, runs)
+
+    def side_up(self, peer: SidePeer) -> None:
+        """Ask a side process that is back about the tasks that were left with it."""
+        self._events.record("side_up", detail=peer.member.name)
+        left = [sent for sent in self._sent.values() if sent.peer is peer]
+        if left:
+            self._spawn(self._settle(peer, left))
+
+    def side_down(self, peer: SidePeer) -> None:
+        """Give a side process a while to come back."""
+        self._events.record("side_down", detail=peer.member.name)
+        self._metrics.incr("entry.side_down")
+        self._spawn(self._lose_later(peer))
+
+    def side_gone(self, peer: SidePeer) -> None:
+        """Give up the tasks that were left with a side process that is gone."""
+        self._lose(peer)
+
+    def load_changed(self, peer: SidePeer) -> None:
+        """Use room that a worker has now."""
+        self.pump()
+
+    def results_came(self, peer: SidePeer, message: Result) -> None:
+        """Take in results."""
+        for result in message.results:
+            self._take_result(peer, result)
+
+    def starts_refused(self, peer: SidePeer, message: Refused) -> None:
+        """Queue refused tasks again; a refusal proves that they did not start."""
+        self._metrics.incr("entry.starts_refused", len(message.tasks))
+        for reference in message.tasks:
+            sent = self._sent.get((reference.job_id, reference.index))
+            if sent is None or sent.peer is not peer or sent.task.attempt != reference.attempt:
+                self._metrics.incr("entry.late_refusal")
+                continue
+            self._unsend(sent)
+            self._retry(sent, message)
+
+    def stop(self) -> None:
+        """End the work in the background."""
+        for task in self._background:
+            task.cancel()
+
+    def _refuse(
+        self, request: JobRequest, target_ms: float, costs: list[float]
+    ) -> JobAnswer | None:
+        question = AdmissionQuestion(
+            request.customer,
+            request.job_class,
+            target_ms,
+            costs,
+            max(task.size_slots for task in request.tasks),
+            self._clock.monotonic_ms(),
+            self.policies.queue,
+            self.pool.views() if self.pool else [],
+        )
+        refusal = self.policies.admission.decide(question)
+        if refusal is None:
+            return None
+        self._metrics.incr(f"entry.job_refused.{refusal.code}")
+        tasks = [TaskAnswer(TaskState.NOT_RUN) for _ in request.tasks]
+        return JobAnswer(
+            JobStatus.REFUSED, tasks, refusal.code, refusal.reason, refusal.retry_after_ms, True
+        )
+
+    def _queued(self, job: Job, index: int, cost_ms: float) -> QueuedTask:
+        request = job.request
+        task = QueuedTask(
+            job.job_id,
+            index,
+            customer=request.customer,
+            job_class=request.job_class,
+            arrived_ms=job.accepted_ms,
+            target_ms=job.target_ms,
+            cost_ms=cost_ms,
+            size_slots=request.tasks[index].size_slots,
+            job_tasks=len(request.tasks),
+        )
+        task.attempt = job.tasks[index].attempt
+        return task
+
+    def _estimate(self, job: Job, index: int) -> float:
+        request = job.request
+        return self.policies.estimator.estimate_ms(
+            request.customer, request.job_class, request.tasks[index].declared_ms
+        )
+
+    def _assign(self, task: QueuedTask, worker: WorkerView) -> TaskRun:
+        job = self.table.find(task.job_id)
+        if job is None or self.pool is None:
+            raise LookupError("a queued task has no job")
+        task.attempt += 1
+        entry = job.tasks[task.index]
+        entry.attempt = task.attempt
+        entry.side = worker.incarnation
+        worker.outstanding += task.size_slots
+        self._sent[task.job_id, task.index] = _Sent(task, job, self.pool.peers[worker.incarnation])
+        waited_ms = self._clock.monotonic_ms() - task.arrived_ms
+        return TaskRun(
+            task.job_id,
+            task.index,
+            task.attempt,
+            task.job_class,
+            task.customer,
+            job.request.tasks[task.index].payload,
+            task.target_ms - task.cost_ms - waited_ms,
+            self.policies.stragglers.stop_after_ms(task.customer, task.job_class, task.cost_ms),
+            task.size_slots,
+        )
+
+    def _send(self, incarnation: str, runs: list[TaskRun]) -> None:
+        if self.pool is None:
+            return
+        peer = self.pool.peers[incarnation]
+        try:
+            if peer.link is None:
+                raise LinkError("the link is down")
+            peer.link.post(Start(self._epoch(), peer.stamp_ms, runs))
+        except LinkError:
+            # Nothing left this process, so the tasks surely did not start.
+            for run in runs:
+                sent = self._sent[run.job_id, run.index]
+                self._unsend(sent)
+                self._requeue_later(sent, 0.0)
+            return
+        self._metrics.incr("entry.tasks_sent", len(runs))
+        for run in runs:
+            self._events.record(
+                "task_sent",
+                job=run.job_id.hex(),
+                task=run.index,
+                job_class=run.job_class,
+                detail=peer.member.name,
+            )
+
+    def _unsend(self, sent: _Sent) -> None:
+        """Take back a task that surely did not start."""
+        del self._sent[sent.task.job_id, sent.task.index]
+        sent.peer.view.outstanding -= sent.task.size_slots
+        sent.job.tasks[sent.task.index].side = ""
+
+    def _retry(self, sent: _Sent, message: Refused) -> None:
+        if sent.job.answer is not None:
+            return
+        now_ms = self._clock.monotonic_ms()
+        delay_ms = self.policies.retry.delay_ms(message.reason, sent.task.attempt, now_ms)
+        if delay_ms is None:
+            self._fail(sent.job, "not_started", f"no worker took a task: {message.reason}")
+            return
+        self._metrics.incr("entry.task_retried")
+        self._requeue_later(sent, delay_ms)
+
+    def _requeue_later(self, sent: _Sent, delay_ms: float) -> None:
+        if delay_ms <= 0:
+            self._requeue(sent)
+        else:
+            self._spawn(self._requeue_after(sent, delay_ms))
+
+    async def _requeue_after(self, sent: _Sent, delay_ms: float) -> None:
+        await self._clock.sleep_ms(delay_ms)
+        self._requeue(sent)
+        self.pump()
+
+    def _requeue(self, sent: _Sent) -> None:
+        if sent.job.answer is None and self.table.find(sent.job.job_id) is sent.job:
+            self.policies.queue.requeue(sent.task)
+
+    def _take_result(self, peer: SidePeer, result: TaskResult) -> None:
+        sent = self._sent.get((result.job_id, result.index))
+        if sent is None or sent.peer is not peer:
+            # It may be late, a second copy, or of a job that has its answer.
+            self._metrics.incr("entry.late_result")
+            return
+        del self._sent[result.job_id, result.index]
+        peer.view.outstanding -= sent.task.size_slots
+        self._learn(sent, result)
+        answer = TaskAnswer(result.state, result.value, result.error)
+        if not sent.job.end_task(result.index, answer):
+            return
+        if result.state is not TaskState.DONE:
+            self._fail(sent.job, "task_failed", result.error)
+        elif sent.job.open_tasks == 0:
+            self._finish(sent.job, sent.job.complete())
+
+    def _learn(self, sent: _Sent, result: TaskResult) -> None:
+        task = sent.task
+        ok = result.state is TaskState.DONE
+        declared_ms = sent.job.request.tasks[task.index].declared_ms
+        if ok:
+            self.policies.estimator.record(
+                task.customer, task.job_class, declared_ms, result.run_ms
+            )
+        self.policies.queue.ended(task.customer, task.job_class, task.cost_ms, result.run_ms)
+        self.policies.health.ended(
+            sent.peer.member.incarnation,
+            task.customer,
+            task.job_class,
+            ok,
+            self._clock.monotonic_ms(),
+        )
+
+    def _finish(self, job: Job, answer: JobAnswer) -> None:
+        self._metrics.incr(f"entry.job_{answer.status}")
+        self._metrics.timing("entry.response", self._clock.monotonic_ms() - job.accepted_ms)
+        self._event(f"job_{answer.status}", job, answer.code)
+        job.finish(answer)
+
+    def _fail(self, job: Job, code: str, reason: str) -> None:
+        """Answer a job that cannot complete: waiting tasks are dropped, others stopped."""
+        self.policies.queue.discard(job.job_id)
+        answer = job.fail(code, reason)
+        by_side: dict[str, list[TaskReference]] = {}
+        for index in range(len(job.tasks)):
+            sent = self._sent.get((job.job_id, index))
+            if sent is not None:
+                reference = TaskReference(job.job_id, index, sent.task.attempt)
+                by_side.setdefault(sent.peer.member.incarnation, []).append(reference)
+        for incarnation, references in by_side.items():
+            self._post(incarnation, Cancel(references))
+        self._finish(job, answer)
+
+    def _post(self, incarnation: str, message: Cancel) -> None:
+        peer = self.pool.peers.get(incarnation) if self.pool else None
+        if peer is None or peer.link is None:
+            return
+        try:
+            peer.link.post(message)
+        except LinkError:
+            self._metrics.incr("entry.cancel_not_sent")
+
+    def _attach(self, job: Job, side: str, tasks: list[QueuedTask]) -> None:
+        peer = self.pool.peers.get(side) if self.pool else None
+        if peer is None:
+            for task in tasks:
+                job.end_task(task.index, TaskAnswer(TaskState.UNKNOWN))
+            self._fail(job, "outcome_unknown", "the worker of a started task is gone")
+            return
+        for task in tasks:
+            peer.view.outstanding += task.size_slots
+            self._sent[job.job_id, task.index] = _Sent(task, job, peer)
+        if peer.up:
+            left = [self._sent[job.job_id, task.index] for task in tasks]
+            self._spawn(self._settle(peer, left))
+        else:
+            self._spawn(self._lose_later(peer))
+
+    async def _settle(self, peer: SidePeer, left: list[_Sent]) -> None:
+        """Ask what became of tasks, and go on accordingly."""
+        references = [
+            TaskReference(sent.task.job_id, sent.task.index, sent.task.attempt) for sent in left
+        ]
+        if peer.caller is None:
+            return
+        try:
+            states = await peer.caller.call(
+                lambda call_id: QueryTasks(call_id, references), TaskStates, QUERY_TIMEOUT_MS
+            )
+        except LinkError:
+            if peer.link is not None:
+                await peer.link.close()
+            return
+        for result in states.ended:
+            self._take_result(peer, result)
+        for reference in states.never:
+            sent = self._sent.get((reference.job_id, reference.index))
+            if sent is not None and sent.peer is peer and sent.task.attempt == reference.attempt:
+                self._unsend(sent)
+                self._requeue(sent)
+        self.pump()
+
+    async def _lose_later(self, peer: SidePeer) -> None:
+        since_ms = peer.down_since_ms
+        await self._clock.sleep_ms(LOST_AFTER_MS)
+        if not peer.up and peer.down_since_ms == since_ms:
+            self._lose(peer)
+
+    def _lose(self, peer: SidePeer) -> None:
+        """Answer the jobs with tasks at a side process that may or may not have run them."""
+        lost = [sent for sent in self._sent.values() if sent.peer is peer]
+        for sent in lost:
+            self._sent.pop((sent.task.job_id, sent.task.index), None)
+            peer.view.outstanding -= sent.task.size_slots
+            if sent.job.end_task(sent.task.index, TaskAnswer(TaskState.UNKNOWN)):
+                self._metrics.incr("entry.task_unknown")
+                reason = "the worker of a started task cannot be reached"
+                self._fail(sent.job, "outcome_unknown", reason)
+
+    def _event(self, kind: str, job: Job, detail: str = "") -> None:
+        self._events.record(
+            kind, job=job.job_id.hex(), job_class=job.request.job_class, detail=detail
+        )
+
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
--- /dev/null
+++ b/src/currantbarrow/entry/node.py
@@ -0,0 +1,461 @@
+"""Be an entry process: wire its parts together and serve the links that others open."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Coroutine
+
+import msgspec
+
+from currantbarrow.classes import ClassState, change_class
+from currantbarrow.cluster import ClusterState, Lease, Member
+from currantbarrow.entry.dispatch import Dispatcher
+from currantbarrow.entry.handover import build_handovers, take_handover
+from currantbarrow.entry.ownership import Ownership, OwnershipOptions
+from currantbarrow.entry.peers import EntryPool
+from currantbarrow.entry.router import Router
+from currantbarrow.entry.sides import SidePool
+from currantbarrow.entry.steward import Steward
+from currantbarrow.exceptions import (
+    CurrantbarrowError,
+    JobUnknown,
+    LinkError,
+    LogServiceError,
+)
+from currantbarrow.jobs import JobAnswer, JobRequest, shard_of
+from currantbarrow.jobs.table import JobTable
+from currantbarrow.logservice import CLASS_STREAM, CLUSTER_STREAM, ClassDefinition, LogFollower
+from currantbarrow.observe import EventRing, logger
+from currantbarrow.policy import Policies
+from currantbarrow.protocol import (
+    Caller,
+    CancelJob,
+    Failure,
+    Forward,
+    Forwarded,
+    Handover,
+    HandoverDone,
+    Heartbeat,
+    Hello,
+    JobShown,
+    Message,
+    Role,
+    ShowJob,
+)
+from currantbarrow.types import Clock, Link, LogService, Metrics, Network
+
+__all__ = ["EntryNode", "EntryOptions"]
+
+HEARTBEAT_MS = 1000.0
+HANDOVER_TIMEOUT_MS = 2000.0
+HANDOVER_TRIES = 3
+DRAIN_LOOK_MS = 20.0
+
+
+class EntryOptions(msgspec.Struct, frozen=True):
+    """Set what an entry process needs to know of itself."""
+
+    name: str
+    incarnation: str
+    link_address: str
+    data_centre: str = ""
+    rack: str = ""
+    token: str = ""
+    operator_address: str = ""
+    lease_ms: float = 3000.0
+    permission_ms: float = 2000.0
+    skew_ms: float = 1000.0
+    window_ms: float = 600_000.0
+    drain_ms: float = 20_000.0
+
+
+class MemberRow(msgspec.Struct, frozen=True):
+    """Show one member as an entry process sees it."""
+
+    member: Member
+    up: bool
+    shards: int
+    on_panel: bool
+    slots: int
+    used_slots: int
+
+
+class EntryNode:
+    """Own shards, dispatch their jobs, and pass other jobs on to their owners."""
+
+    def __init__(
+        self,
+        options: EntryOptions,
+        *,
+        clock: Clock,
+        network: Network,
+        log: LogService,
+        rng: random.Random,
+        metrics: Metrics,
+        events: EventRing,
+        policies: Policies,
+    ) -> None:
+        self.options = options
+        self.cluster = ClusterState()
+        self.classes = ClassState()
+        self.events = events
+        self.metrics = metrics
+        self.draining = False
+        self._clock = clock
+        self._network = network
+        self._log = log
+        self._rng = rng
+        self._links: dict[str, Link] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._background: set[asyncio.Task[None]] = set()
+        self._handovers = 0
+        self._waiting = 0
+        self._hello = Hello(
+            Role.ENTRY,
+            options.name,
+            options.incarnation,
+            options.token,
+            options.data_centre,
+            options.rack,
+        )
+        self._build(policies)
+
+    def _build(self, policies: Policies) -> None:
+        options = self.options
+        self.cluster_follower = self._follow(CLUSTER_STREAM, self.cluster)
+        self.class_follower = self._follow(CLASS_STREAM, self.classes)
+        self.dispatcher = Dispatcher(
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self.metrics,
+            events=self.events,
+            policies=policies,
+            table=JobTable(self._clock, options.window_ms),
+            may_start=self._may_start,
+            epoch=lambda: self.ownership.version,
+        )
+        self.sides = SidePool(
+            self._hello,
+            clock=self._clock,
+            network=self._network,
+            rng=self._rng,
+            metrics=self.metrics,
+            listener=self.dispatcher,
+        )
+        self.dispatcher.pool = self.sides
+        self.entries = EntryPool(
+            self._hello,
+            clock=self._clock,
+            network=self._network,
+            rng=self._rng,
+            on_change=lambda: None,
+        )
+        times = OwnershipOptions(
+            lease_ms=options.lease_ms,
+            permission_ms=options.permission_ms,
+            skew_ms=options.skew_ms,
+            window_ms=options.window_ms,
+        )
+        self.ownership = Ownership(
+            options.incarnation,
+            self.cluster,
+            times,
+            clock=self._clock,
+            metrics=self.metrics,
+            events=self.events,
+            pool=self.sides,
+            give_up=self._give_up,
+            is_reachable=lambda owner: self.entries.down_for_ms(owner) == 0.0,
+        )
+        self.lease = Lease(
+            options.incarnation,
+            options.lease_ms,
+            clock=self._clock,
+            metrics=self.metrics,
+            panel=self._panel,
+        )
+        self.router = Router(
+            options.incarnation,
+            times,
+            clock=self._clock,
+            metrics=self.metrics,
+            cluster=self.cluster,
+            classes=self.classes,
+            ownership=self.ownership,
+            entries=self.entries,
+            dispatcher=self.dispatcher,
+        )
+
+    async def start(self) -> None:
+        """Listen for links, follow the log and take part."""
+        address = await self._network.listen(self.options.link_address, self._hello, self._serve)
+        member = Member(
+            Role.ENTRY,
+            self.options.name,
+            self.options.incarnation,
+            address,
+            self.options.data_centre,
+            self.options.rack,
+            self._clock.wall_ms(),
+            self.options.operator_address,
+        )
+        self.cluster_follower.on_change(self._cluster_changed)
+        self.steward = Steward(
+            member,
+            follower=self.cluster_follower,
+            state=self.cluster,
+            log=self._log,
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self.metrics,
+            events=self.events,
+            sides=self.sides,
+            entries=self.entries,
+            ownership=self.ownership,
+        )
+        self._tasks = [
+            asyncio.create_task(self.cluster_follower.run()),
+            asyncio.create_task(self.class_follower.run()),
+            asyncio.create_task(self.steward.run()),
+            asyncio.create_task(self.lease.run(self.dispatcher.pump)),
+            asyncio.create_task(self._beat()),
+        ]
+
+    async def drain(self) -> None:
+        """Give all shards away, wait for the last answers, and stop."""
+        self.draining = True
+        logger.info("draining")
+        self.events.record("draining")
+        deadline_ms = self._clock.monotonic_ms() + self.options.drain_ms
+        with contextlib.suppress(LogServiceError, TimeoutError):
+            await self.steward.announce_draining()
+        while self._is_busy() and self._clock.monotonic_ms() < deadline_ms:
+            await self._clock.sleep_ms(DRAIN_LOOK_MS)
+        with contextlib.suppress(LogServiceError, TimeoutError):
+            await self.steward.announce_left()
+        await self.kill()
+
+    async def kill(self) -> None:
+        """End at once, as a crash does."""
+        for task in [*self._tasks, *self._background]:
+            task.cancel()
+        self.ownership.stop()
+        self.dispatcher.stop()
+        await self.sides.stop()
+        await self.entries.stop()
+        await self._network.stop()
+
+    async def submit(self, request: JobRequest) -> JobAnswer:
+        """Return the answer to a caller's job; raise JobInvalid, JobConflict or OwnershipError."""
+        self._waiting += 1
+        try:
+            return await self.router.submit(request)
+        finally:
+            self._waiting -= 1
+
+    def submit_in_background(self, request: JobRequest) -> None:
+        """Let a job in whose caller comes back for the answer."""
+        self._spawn(self._submit_and_forget(request))
+
+    async def _submit_and_forget(self, request: JobRequest) -> None:
+        try:
+            await self.submit(request)
+        except CurrantbarrowError as error:
+            self.metrics.incr(f"entry.background_job_failed.{error.code}")
+
+    async def change_class(
+        self, name: str, based_on: int, definition: ClassDefinition | None, operator: str
+    ) -> int:
+        """Change a class and return its new revision; raise ConfigurationError."""
+        return await change_class(
+            name,
+            based_on,
+            definition,
+            operator,
+            record_id=f"{self.options.incarnation}-class-{self._rng.getrandbits(64):016x}",
+            state=self.classes,
+            follower=self.class_follower,
+            log=self._log,
+            clock=self._clock,
+            rng=self._rng,
+        )
+
+    def describe_members(self) -> list[MemberRow]:
+        """Return all members as this process sees them."""
+        rows = []
+        for member in self.cluster.members.values():
+            peer = self.sides.peers.get(member.incarnation)
+            is_entry = member.role is Role.ENTRY
+            up = (
+                self.entries.down_for_ms(member.incarnation) == 0.0
+                if is_entry
+                else bool(peer and peer.up)
+            )
+            rows.append(
+                MemberRow(
+                    member,
+                    up,
+                    len(self.cluster.assignment.shards_of(member.incarnation)),
+                    member.incarnation in self.cluster.assignment.panel,
+                    peer.view.slots if peer else 0,
+                    peer.view.outstanding + peer.view.others if peer else 0,
+                )
+            )
+        return sorted(rows, key=lambda row: (row.member.role, row.member.name))
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return not self.draining and self.cluster.assignment.version > 0
+
+    def _follow(self, stream: str, state: ClusterState | ClassState) -> LogFollower:
+        return LogFollower(stream, state, self._log, self._clock, self._rng, self.metrics)
+
+    def _may_start(self) -> bool:
+        return self.lease.held()
+
+    def _panel(self) -> tuple[int, list[Caller | None]]:
+        assignment = self.cluster.assignment
+        peers = [self.sides.peers.get(side) for side in assignment.panel]
+        return assignment.version, [peer.caller if peer else None for peer in peers]
+
+    def _cluster_changed(self) -> None:
+        self.sides.sync(self.cluster.by_role(Role.SIDE))
+        self.entries.sync(self.cluster.by_role(Role.ENTRY))
+        version = self.ownership.version
+        self.ownership.sync()
+        if self.ownership.version != version:
+            self._spawn(self.lease.renew())
+
+    def _is_busy(self) -> bool:
+        owns = any(owner == self.options.incarnation for owner in self.cluster.assignment.owners)
+        alone = len([m for m in self.cluster.by_role(Role.ENTRY) if not m.draining]) == 0
+        open_jobs = bool(self.dispatcher.table.open_jobs())
+        return open_jobs or self._handovers > 0 or self._waiting > 0 or (owns and not alone)
+
+    async def _serve(self, link: Link) -> None:
+        """Handle the messages of one link until it closes."""
+        peer = link.peer.incarnation
+        self._links[peer] = link
+        try:
+            link.post(Heartbeat())
+            while True:
+                self._handle(link, await link.receive())
+        except LinkError:
+            if self._links.get(peer) is link:
+                del self._links[peer]
+
+    def _handle(self, link: Link, message: Message) -> None:
+        match message:
+            case Forward():
+                self._spawn(self._answer_forward(link, message))
+            case CancelJob():
+                self._spawn(self._answer_cancel(link, message))
+            case ShowJob():
+                self._spawn(self._answer_show(link, message))
+            case Handover():
+                link.post(self._take_handover(link, message))
+            case Heartbeat():
+                pass
+            case _:
+                self.metrics.incr("entry.unexpected_message")
+
+    async def _answer_forward(self, link: Link, call: Forward) -> None:
+        self._waiting += 1
+        try:
+            answer = await self.router.submit(call.request, call.hops)
+            reply: Forwarded | Failure = Forwarded(call.call_id, answer)
+        except CurrantbarrowError as error:
+            reply = Failure(call.call_id, error.code, str(error))
+        finally:
+            self._waiting -= 1
+        with contextlib.suppress(LinkError):
+            link.post(reply)
+
+    async def _answer_cancel(self, link: Link, call: CancelJob) -> None:
+        try:
+            answer = await self.router.cancel(call.customer, call.key, call.created_at_ms)
+            reply: JobShown | Failure = JobShown(call.call_id, answer is not None, answer)
+        except CurrantbarrowError as error:
+            reply = Failure(call.call_id, error.code, str(error))
+        with contextlib.suppress(LinkError):
+            link.post(reply)
+
+    async def _answer_show(self, link: Link, call: ShowJob) -> None:
+        try:
+            answer = await self.router.show(call.customer, call.key, call.created_at_ms)
+            reply: JobShown | Failure = JobShown(call.call_id, True, answer)
+        except JobUnknown:
+            reply = JobShown(call.call_id, False)
+        except CurrantbarrowError as error:
+            reply = Failure(call.call_id, error.code, str(error))
+        with contextlib.suppress(LinkError):
+            link.post(reply)
+
+    def _take_handover(self, link: Link, call: Handover) -> HandoverDone:
+        targets = {
+            name: revision.definition.target_ms
+            for name in self.classes.names()
+            if (revision := self.classes.find(name)) and revision.definition
+        }
+        return take_handover(
+            call, link.peer.incarnation, self.ownership, self.dispatcher, self._clock, targets
+        )
+
+    def _give_up(self, lost: set[int]) -> None:
+        """Send the table of shards that were ready to their next owners."""
+        assignment = self.cluster.assignment
+        ready = self.ownership.ready_shards(lost)
+        jobs = self.dispatcher.table.in_shards(lost)
+        groups: dict[tuple[str, int], set[int]] = {}
+        for shard in sorted(ready):
+            key = (assignment.owner_of(shard), assignment.since[shard])
+            groups.setdefault(key, set()).add(shard)
+        for (owner, since), shards in groups.items():
+            mine = [job for job in jobs if shard_of(job.job_id) in shards]
+            parts = build_handovers(self.ownership, mine, shards, since, self._clock.monotonic_ms())
+            self._spawn(self._hand_over(owner, parts))
+        for job in jobs:
+            self.dispatcher.forget(job)
+
+    async def _hand_over(self, owner: str, parts: list[Handover]) -> None:
+        self._handovers += 1
+        try:
+            for part in parts:
+                await self._hand_part(owner, part)
+        except LinkError:
+            # The next owner will ask the side processes instead.
+            self.metrics.incr("entry.handover_failed")
+        finally:
+            self._handovers -= 1
+
+    async def _hand_part(self, owner: str, part: Handover) -> None:
+        for remaining in reversed(range(HANDOVER_TRIES)):
+            try:
+                peer = self.entries.peers.get(owner)
+                if peer is None:
+                    raise LinkError("the next owner is not known")
+                await peer.require_caller().call(
+                    lambda call_id: msgspec.structs.replace(part, call_id=call_id),
+                    HandoverDone,
+                    HANDOVER_TIMEOUT_MS,
+                )
+                return
+            except LinkError:
+                if not remaining:
+                    raise
+                await self._clock.sleep_ms(DRAIN_LOOK_MS)
+
+    async def _beat(self) -> None:
+        while True:
+            await self._clock.sleep_ms(HEARTBEAT_MS)
+            self.dispatcher.table.expire()
+            for link in list(self._links.values()):
+                with contextlib.suppress(LinkError):
+                    link.post(Heartbeat())
+
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
--- /dev/null
+++ b/src/currantbarrow/entry/ownership.py
@@ -0,0 +1,311 @@
+"""Own shards: gain them by handover or takeover, and give them up."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from currantbarrow.cluster import Assignment, ClusterState, majority
+from currantbarrow.entry.sides import SidePeer, SidePool
+from currantbarrow.exceptions import LinkError, OwnershipError
+from currantbarrow.jobs import shard_of
+from currantbarrow.observe import EventRing, logger
+from currantbarrow.protocol import (
+    Caller,
+    CloseVersion,
+    Confirmed,
+    Fence,
+    FencedTasks,
+    Role,
+)
+from currantbarrow.types import Clock, Metrics
+
+__all__ = ["Ownership", "OwnershipOptions", "RecoveredTasks"]
+
+FENCE_TIMEOUT_MS = 1000.0
+CLOSE_TIMEOUT_MS = 1000.0
+RETRY_MS = 200.0
+
+RecoveredTasks = dict[int, str]
+
+
+class OwnershipOptions:
+    """Set the times that ownership rests on, in milliseconds."""
+
+    __slots__ = ("handover_wait_ms", "lease_ms", "permission_ms", "skew_ms", "window_ms")
+
+    def __init__(
+        self,
+        *,
+        lease_ms: float = 3000.0,
+        permission_ms: float = 2000.0,
+        skew_ms: float = 1000.0,
+        handover_wait_ms: float = 2000.0,
+        window_ms: float = 600_000.0,
+    ) -> None:
+        self.lease_ms = lease_ms
+        self.permission_ms = permission_ms
+        self.skew_ms = skew_ms
+        self.handover_wait_ms = handover_wait_ms
+        self.window_ms = window_ms
+
+
+class _OwnedShard:
+    """Hold one shard of this owner and what is uncertain about it."""
+
+    __slots__ = ("certain_from_ms", "ready", "recovered", "since")
+
+    def __init__(self, since: int) -> None:
+        self.since = since
+        self.ready = asyncio.Event()
+        # Keys created before this wall clock time may have run without this owner knowing.
+        self.certain_from_ms = 0.0
+        self.recovered: dict[bytes, RecoveredTasks] = {}
+
+
+class Ownership:
+    """Follow the assignment in the log and make this process fit to own its shards."""
+
+    def __init__(
+        self,
+        owner: str,
+        state: ClusterState,
+        options: OwnershipOptions,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        events: EventRing,
+        pool: SidePool,
+        give_up: Callable[[set[int]], None],
+        is_reachable: Callable[[str], bool],
+    ) -> None:
+        self._owner = owner
+        self._state = state
+        self._options = options
+        self._clock = clock
+        self._metrics = metrics
+        self._events = events
+        self._pool = pool
+        self._give_up = give_up
+        self._is_reachable = is_reachable
+        self._version = 0
+        self._shards: dict[int, _OwnedShard] = {}
+        self._background: set[asyncio.Task[None]] = set()
+        self.closed_version = 0
+
+    @property
+    def version(self) -> int:
+        """Return the version of the assignment that this process acts on."""
+        return self._version
+
+    def owns(self, shard: int) -> bool:
+        """Tell whether a shard is this process's, ready or not."""
+        return shard in self._shards
+
+    def is_settled(self) -> bool:
+        """Tell whether all shards of this process can be worked on."""
+        return all(owned.ready.is_set() for owned in self._shards.values())
+
+    async def wait_ready(self, shard: int, timeout_ms: float) -> None:
+        """Wait until a shard can be worked on; raise OwnershipError."""
+        owned = self._shards.get(shard)
+        if owned is None:
+            raise OwnershipError("the shard belongs to another entry")
+        try:
+            await asyncio.wait_for(owned.ready.wait(), timeout_ms / 1000)
+        except TimeoutError as error:
+            raise OwnershipError("the shard is being taken over") from error
+        if self._shards.get(shard) is not owned:
+            raise OwnershipError("the shard belongs to another entry")
+
+    def recovered(self, shard: int, job_id: bytes) -> RecoveredTasks | None:
+        """Return the started tasks of a job of an earlier owner, by side process."""
+        return self._shards[shard].recovered.get(job_id)
+
+    def is_certain(self, shard: int, created_at_ms: float) -> bool:
+        """Tell whether a key that is not known here surely never ran."""
+        return created_at_ms > self._shards[shard].certain_from_ms
+
+    def certain_from_ms(self, shards: Iterable[int]) -> float:
+        """Return the time from which on keys of all these shards are certain."""
+        return max((self._shards[shard].certain_from_ms for shard in shards), default=0.0)
+
+    def expects_handover(self, shard: int, former: str, since: int) -> bool:
+        """Tell whether a shard waits for the table of just this former owner."""
+        owned = self._shards.get(shard)
+        if owned is None or owned.ready.is_set() or owned.since != since:
+            return False
+        return self._state.assignment.former[shard] == former
+
+    def add_recovered(self, job_id: bytes, sides: RecoveredTasks) -> None:
+        """Remember which tasks of a job an earlier owner has started."""
+        owned = self._shards.get(shard_of(job_id))
+        if owned is not None:
+            owned.recovered.setdefault(job_id, {}).update(sides)
+
+    def recovered_in(self, shards: Iterable[int]) -> dict[bytes, RecoveredTasks]:
+        """Return the recovered tasks of shards, for the next owner."""
+        found: dict[bytes, RecoveredTasks] = {}
+        for shard in shards:
+            found.update(self._shards[shard].recovered)
+        return found
+
+    def ready_shards(self, shards: Iterable[int]) -> set[int]:
+        """Return those of the shards that are ready."""
+        return {shard for shard in shards if self._shards[shard].ready.is_set()}
+
+    def make_ready(self, shards: Iterable[int], certain_from_ms: float) -> None:
+        """Let work begin on shards, with what is uncertain about older keys."""
+        for shard in shards:
+            owned = self._shards.get(shard)
+            if owned is not None and not owned.ready.is_set():
+                owned.certain_from_ms = max(owned.certain_from_ms, certain_from_ms)
+                owned.ready.set()
+
+    def sync(self) -> None:
+        """Act on a new assignment."""
+        assignment = self._state.assignment
+        if assignment.version == self._version:
+            return
+        self._version = assignment.version
+        self.closed_version = max(self.closed_version, assignment.closed_version)
+        mine = assignment.shards_of(self._owner)
+        # A shard that went to another owner and came back between two looks is both
+        # lost and gained; the version that gave it tells.
+        lost = {
+            shard
+            for shard, owned in self._shards.items()
+            if shard not in mine or assignment.since[shard] != owned.since
+        }
+        if lost:
+            self._events.record("shards_lost", detail=str(len(lost)))
+            self._give_up(lost)
+            for shard in lost:
+                del self._shards[shard]
+        gained = mine - set(self._shards)
+        if gained:
+            self._events.record("shards_gained", detail=str(len(gained)))
+            self._gain(gained, assignment)
+
+    def stop(self) -> None:
+        """End the work in the background."""
+        for task in self._background:
+            task.cancel()
+
+    def _gain(self, gained: set[int], assignment: Assignment) -> None:
+        by_owner: dict[str, set[int]] = {}
+        for shard in sorted(gained):
+            self._shards[shard] = _OwnedShard(assignment.since[shard])
+            by_owner.setdefault(assignment.former[shard], set()).add(shard)
+        for former, shards in by_owner.items():
+            task = asyncio.create_task(self._acquire(former, shards, self._version))
+            self._background.add(task)
+            task.add_done_callback(self._background.discard)
+
+    async def _acquire(self, former: str, shards: set[int], version: int) -> None:
+        """Make shards ready: at once, by handover, or by takeover."""
+        if not former:
+            self.make_ready(shards, 0.0)
+            return
+        if former in self._state.members and self._is_reachable(former):
+            try:
+                async with asyncio.timeout(self._options.handover_wait_ms / 1000):
+                    await asyncio.gather(*(self._shards[shard].ready.wait() for shard in shards))
+                return
+            except TimeoutError:
+                self._metrics.incr("entry.handover_missed")
+        await self._take_over(shards, version)
+
+    async def _take_over(self, shards: set[int], version: int) -> None:
+        began_ms = self._clock.monotonic_ms()
+        closing = asyncio.create_task(self._close_versions(version))
+        sides = [member.incarnation for member in self._state.by_role(Role.SIDE)]
+        replies = await asyncio.gather(*(self._fence(side, shards, version) for side in sides))
+        certain_from_ms = self._last_departure_ms()
+        for side, reply in zip(sides, replies, strict=True):
+            if reply is None:
+                self._metrics.incr("entry.fence_silent")
+            else:
+                self._take_ledger(side, reply, shards)
+        if None in replies:
+            # A silent side process may still take starts of the old owner, until the
+            # lease and the start permissions that it may hold have run out.
+            closed_ms = await closing
+            until_ms = closed_ms + self._options.lease_ms + self._options.permission_ms
+            await self._clock.sleep_ms(max(0.0, until_ms - self._clock.monotonic_ms()))
+            certain_from_ms = self._clock.wall_ms() + self._options.skew_ms
+        still_mine = [shard for shard in shards if self._is_since(shard, version)]
+        self.make_ready(still_mine, certain_from_ms)
+        took_ms = self._clock.monotonic_ms() - began_ms
+        self._metrics.timing("entry.takeover", took_ms)
+        self._events.record("takeover", detail=f"{len(shards)} shards in {took_ms:.0f} ms")
+        logger.info("took over %d shards in %.0f ms", len(shards), took_ms)
+
+    async def _fence(self, side: str, shards: set[int], version: int) -> FencedTasks | None:
+        deadline_ms = self._clock.monotonic_ms() + FENCE_TIMEOUT_MS
+        while self._clock.monotonic_ms() < deadline_ms:
+            peer = self._pool.peers.get(side)
+            if peer is not None and peer.caller is not None:
+                try:
+                    return await peer.caller.call(
+                        lambda call_id: Fence(call_id, version, sorted(shards)),
+                        FencedTasks,
+                        FENCE_TIMEOUT_MS,
+                    )
+                except LinkError:
+                    pass
+            await self._clock.sleep_ms(RETRY_MS)
+        return None
+
+    async def _close_versions(self, version: int) -> float:
+        """Close all versions before one at their panels; return when that was done."""
+        open_versions = {
+            old: panel
+            for old, panel in self._state.panels.items()
+            if self.closed_version < old < version and panel
+        }
+        for old, panel in sorted(open_versions.items()):
+            while not await self._close_version(old, panel):
+                self._metrics.incr("entry.close_without_majority")
+                await self._clock.sleep_ms(RETRY_MS)
+        self.closed_version = max(self.closed_version, version - 1)
+        return self._clock.monotonic_ms()
+
+    async def _close_version(self, version: int, panel: tuple[str, ...]) -> bool:
+        answers = await asyncio.gather(*(self._ask_close(side, version) for side in panel))
+        return sum(answers) >= majority(len(panel))
+
+    async def _ask_close(self, side: str, version: int) -> bool:
+        caller = self._caller_of(side)
+        if caller is None:
+            return False
+        try:
+            await caller.call(
+                lambda call_id: CloseVersion(call_id, version), Confirmed, CLOSE_TIMEOUT_MS
+            )
+        except LinkError:
+            return False
+        return True
+
+    def _caller_of(self, side: str) -> Caller | None:
+        peer: SidePeer | None = self._pool.peers.get(side)
+        return peer.caller if peer is not None else None
+
+    def _take_ledger(self, side: str, reply: FencedTasks, shards: set[int]) -> None:
+        for started in reply.jobs:
+            if shard_of(started.job_id) in shards:
+                self.add_recovered(started.job_id, dict.fromkeys(started.indexes, side))
+
+    def _is_since(self, shard: int, version: int) -> bool:
+        owned = self._shards.get(shard)
+        return owned is not None and owned.since == version
+
+    def _last_departure_ms(self) -> float:
+        """Return the time before which a departed worker may have run anything."""
+        horizon_ms = self._clock.wall_ms() - self._options.window_ms
+        departed = [
+            departure.at_ms
+            for departure in self._state.departures
+            if departure.role is Role.SIDE and departure.at_ms > horizon_ms
+        ]
+        return max(departed) + self._options.skew_ms if departed else 0.0
--- /dev/null
+++ b/src/currantbarrow/entry/peers.py
@@ -0,0 +1,127 @@
+"""Keep links to the other entry processes, for calls to the owners of shards."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+from currantbarrow.cluster import Member
+from currantbarrow.exceptions import LinkClosed, LinkError
+from currantbarrow.protocol import Caller, Hello, Reply
+from currantbarrow.types import Clock, Link, Network
+
+__all__ = ["EntryPeer", "EntryPool"]
+
+RECONNECT_FIRST_MS = 50.0
+RECONNECT_LIMIT_MS = 1000.0
+SILENCE_LIMIT_MS = 2500.0
+
+
+class EntryPeer:
+    """Hold the link that this process opened to one other entry process."""
+
+    __slots__ = ("caller", "down_since_ms", "link", "member")
+
+    def __init__(self, member: Member, now_ms: float) -> None:
+        self.member = member
+        self.link: Link | None = None
+        self.caller: Caller | None = None
+        self.down_since_ms: float | None = now_ms
+
+    def require_caller(self) -> Caller:
+        """Return the caller of the open link; raise LinkClosed."""
+        if self.caller is None:
+            raise LinkClosed(f"no link to {self.member.name}")
+        return self.caller
+
+
+class EntryPool:
+    """Run one task for each other entry process that is a member."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        *,
+        clock: Clock,
+        network: Network,
+        rng: random.Random,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.peers: dict[str, EntryPeer] = {}
+        self._hello = hello
+        self._clock = clock
+        self._network = network
+        self._rng = rng
+        self._on_change = on_change
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def sync(self, members: Iterable[Member]) -> None:
+        """Open links to new members and drop those that left."""
+        wanted = {
+            member.incarnation: member
+            for member in members
+            if member.incarnation != self._hello.incarnation
+        }
+        for incarnation in [known for known in self.peers if known not in wanted]:
+            peer = self.peers.pop(incarnation)
+            self._tasks.pop(incarnation).cancel()
+            self._close(peer)
+        for incarnation, member in wanted.items():
+            if incarnation not in self.peers:
+                peer = EntryPeer(member, self._clock.monotonic_ms())
+                self.peers[incarnation] = peer
+                self._tasks[incarnation] = asyncio.create_task(self._run(peer))
+
+    def down_for_ms(self, incarnation: str) -> float:
+        """Return how long the link to a peer has been down, 0 while it is open."""
+        peer = self.peers.get(incarnation)
+        if peer is None or peer.down_since_ms is None:
+            return 0.0
+        return self._clock.monotonic_ms() - peer.down_since_ms
+
+    async def stop(self) -> None:
+        """Close all links."""
+        for task in self._tasks.values():
+            task.cancel()
+        links = [peer.link for peer in self.peers.values() if peer.link is not None]
+        await asyncio.gather(*(link.close() for link in links))
+
+    async def _run(self, peer: EntryPeer) -> None:
+        """Connect, take replies until the link closes, and connect again."""
+        delay_ms = RECONNECT_FIRST_MS
+        while True:
+            try:
+                link = await self._network.connect(peer.member.address, self._hello)
+            except LinkError:
+                await self._clock.sleep_ms(self._rng.uniform(0.5, 1.0) * delay_ms)
+                delay_ms = min(delay_ms * 2, RECONNECT_LIMIT_MS)
+                continue
+            if link.peer.incarnation != peer.member.incarnation:
+                await link.close()
+                await self._clock.sleep_ms(RECONNECT_LIMIT_MS)
+                continue
+            delay_ms = RECONNECT_FIRST_MS
+            peer.link, peer.caller, peer.down_since_ms = link, Caller(link), None
+            self._on_change()
+            try:
+                await self._receive(peer.caller, link)
+            except (LinkError, TimeoutError):
+                await link.close()
+            self._close(peer)
+            self._on_change()
+
+    async def _receive(self, caller: Caller, link: Link) -> None:
+        while True:
+            async with asyncio.timeout(SILENCE_LIMIT_MS / 1000):
+                message = await link.receive()
+            if isinstance(message, Reply):
+                caller.settle(message)
+
+    def _close(self, peer: EntryPeer) -> None:
+        if peer.caller is not None:
+            peer.caller.close()
+        peer.link = None
+        peer.caller = None
+        if peer.down_since_ms is None:
+            peer.down_since_ms = self._clock.monotonic_ms()
--- /dev/null
+++ b/src/currantbarrow/entry/router.py
@@ -0,0 +1,200 @@
+"""Bring each submission to the owner of its shard, and its answer back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from currantbarrow.classes import ClassState
+from currantbarrow.cluster import ClusterState
+from currantbarrow.entry.dispatch import Dispatcher
+from currantbarrow.entry.ownership import Ownership, OwnershipOptions
+from currantbarrow.entry.peers import EntryPool
+from currantbarrow.exceptions import JobInvalid, JobUnknown, LinkError, OwnershipError
+from currantbarrow.jobs import (
+    JobAnswer,
+    JobRequest,
+    JobStatus,
+    TaskAnswer,
+    TaskState,
+    make_job_id,
+    shard_of,
+)
+from currantbarrow.jobs.table import Job
+from currantbarrow.protocol import CancelJob, Forward, Forwarded, JobShown, ShowJob
+from currantbarrow.types import Clock, Metrics
+
+__all__ = ["Router"]
+
+# How long a submission may look for an owner before the caller is told to come back.
+OWNER_WAIT_MS = 8000.0
+OWNER_RETRY_MS = 50.0
+FORWARD_TIMEOUT_MS = 120_000.0
+CONTROL_TIMEOUT_MS = 2000.0
+MAX_HOPS = 2
+
+
+class Router:
+    """Answer submissions, whichever entry owns them."""
+
+    def __init__(
+        self,
+        owner: str,
+        options: OwnershipOptions,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        cluster: ClusterState,
+        classes: ClassState,
+        ownership: Ownership,
+        entries: EntryPool,
+        dispatcher: Dispatcher,
+    ) -> None:
+        self._owner = owner
+        self._options = options
+        self._clock = clock
+        self._metrics = metrics
+        self._cluster = cluster
+        self._classes = classes
+        self._ownership = ownership
+        self._entries = entries
+        self._dispatcher = dispatcher
+
+    async def submit(self, request: JobRequest, hops: int = 0) -> JobAnswer:
+        """Return the answer to a job; raise JobInvalid, JobConflict or OwnershipError."""
+        self._check(request)
+        job_id = make_job_id(request)
+        shard = shard_of(job_id)
+        deadline_ms = self._clock.monotonic_ms() + OWNER_WAIT_MS
+        while True:
+            try:
+                return await self._submit_once(request, job_id, shard, hops)
+            except (OwnershipError, LinkError) as error:
+                # The key makes it safe to ask again: the owner joins a second copy to the first.
+                if hops or self._clock.monotonic_ms() > deadline_ms:
+                    raise OwnershipError(str(error)) from error
+            self._metrics.incr("entry.owner_retry")
+            await self._clock.sleep_ms(OWNER_RETRY_MS)
+
+    async def cancel(self, customer: str, key: str, created_at_ms: int) -> JobAnswer | None:
+        """Cancel a job; return its answer, None when the cancel came before the job."""
+        job_id, owner = self._locate(customer, key, created_at_ms)
+        if owner != self._owner:
+            shown = await self._ask_owner(
+                owner, lambda call_id: CancelJob(call_id, customer, key, created_at_ms)
+            )
+            return shown.answer
+        await self._ownership.wait_ready(shard_of(job_id), CONTROL_TIMEOUT_MS)
+        job = self._dispatcher.table.find(job_id)
+        if job is None:
+            self._dispatcher.table.cancel_early(job_id)
+            return None
+        self._dispatcher.cancel(job)
+        return job.answer
+
+    async def show(self, customer: str, key: str, created_at_ms: int) -> JobAnswer | None:
+        """Return a job's answer, None while it is open; raise JobUnknown."""
+        job_id, owner = self._locate(customer, key, created_at_ms)
+        if owner != self._owner:
+            shown = await self._ask_owner(
+                owner, lambda call_id: ShowJob(call_id, customer, key, created_at_ms)
+            )
+            if not shown.known:
+                raise JobUnknown("no job is known for the key")
+            return shown.answer
+        await self._ownership.wait_ready(shard_of(job_id), CONTROL_TIMEOUT_MS)
+        job = self._dispatcher.table.find(job_id)
+        if job is None:
+            raise JobUnknown("no job is known for the key")
+        return job.answer
+
+    def _check(self, request: JobRequest) -> None:
+        now_ms = self._clock.wall_ms()
+        if request.created_at_ms > now_ms + self._options.skew_ms:
+            raise JobInvalid("the key's creation time is in the future", field="created_at_ms")
+        if self._classes.find(request.job_class) is None:
+            message = f"there is no class named {request.job_class}"
+            raise JobInvalid(message, field="class", code="class_unknown")
+
+    async def _submit_once(
+        self, request: JobRequest, job_id: bytes, shard: int, hops: int
+    ) -> JobAnswer:
+        owner = self._cluster.assignment.owner_of(shard)
+        if owner == self._owner:
+            await self._ownership.wait_ready(shard, OWNER_WAIT_MS)
+            return await self._submit_here(request, job_id, shard)
+        peer = self._entries.peers.get(owner)
+        if peer is None or hops >= MAX_HOPS:
+            raise OwnershipError("the owner of the shard cannot be reached")
+        reply = await peer.require_caller().call(
+            lambda call_id: Forward(call_id, request, hops + 1), Forwarded, FORWARD_TIMEOUT_MS
+        )
+        return reply.answer
+
+    async def _submit_here(self, request: JobRequest, job_id: bytes, shard: int) -> JobAnswer:
+        job = self._dispatcher.table.find_same(job_id, request)
+        if job is not None:
+            self._metrics.incr("entry.job_joined")
+            return await asyncio.shield(job.future)
+        oldest_ms = self._clock.wall_ms() - self._options.window_ms
+        if request.created_at_ms <= oldest_ms:
+            return self._refuse_unknown(request, "key_expired", "the key is older than the window")
+        if self._dispatcher.table.is_cancelled(job_id):
+            return self._refuse_cancelled(request)
+        started = self._ownership.recovered(shard, job_id)
+        certain = self._ownership.is_certain(shard, request.created_at_ms)
+        if started is None and not certain:
+            self._metrics.incr("entry.outcome_unknown")
+            reason = "the job's former owner is gone, and it may have started the job"
+            return self._refuse_unknown(request, "outcome_unknown", reason)
+        job = Job(job_id, request, self._clock.monotonic_ms())
+        target_ms = self._target_ms(request.job_class)
+        if started is not None:
+            self._recover(job, started, certain, target_ms)
+        else:
+            refusal = self._dispatcher.submit(job, target_ms)
+            if refusal is not None:
+                return refusal
+        return await asyncio.shield(job.future)
+
+    def _recover(self, job: Job, started: dict[int, str], certain: bool, target_ms: float) -> None:
+        """Go on with a job that a former owner had started."""
+        self._metrics.incr("entry.job_recovered")
+        for index, entry in enumerate(job.tasks):
+            entry.side = started.get(index, "")
+            if not entry.side and not certain:
+                job.end_task(index, TaskAnswer(TaskState.UNKNOWN))
+        if any(entry.answer is not None for entry in job.tasks):
+            self._dispatcher.table.add(job)
+            job.finish(job.fail("outcome_unknown", "some tasks may have been started"))
+            return
+        self._dispatcher.adopt(job, target_ms)
+
+    def _target_ms(self, job_class: str) -> float:
+        revision = self._classes.find(job_class)
+        return revision.definition.target_ms if revision and revision.definition else 0.0
+
+    @staticmethod
+    def _refuse_unknown(request: JobRequest, code: str, reason: str) -> JobAnswer:
+        """Answer that nothing was started now, and that earlier runs are not known."""
+        tasks = [TaskAnswer(TaskState.UNKNOWN) for _ in request.tasks]
+        return JobAnswer(JobStatus.FAILED, tasks, code, reason)
+
+    @staticmethod
+    def _refuse_cancelled(request: JobRequest) -> JobAnswer:
+        tasks = [TaskAnswer(TaskState.NOT_RUN) for _ in request.tasks]
+        reason = "the caller cancelled the job before it came"
+        return JobAnswer(JobStatus.REFUSED, tasks, "cancelled", reason, 0, True)
+
+    def _locate(self, customer: str, key: str, created_at_ms: int) -> tuple[bytes, str]:
+        job_id = make_job_id(JobRequest(key, created_at_ms, customer, "", []))
+        return job_id, self._cluster.assignment.owner_of(shard_of(job_id))
+
+    async def _ask_owner(self, owner: str, build: Callable[[int], CancelJob | ShowJob]) -> JobShown:
+        peer = self._entries.peers.get(owner)
+        if peer is None:
+            raise OwnershipError("the owner of the shard cannot be reached")
+        try:
+            return await peer.require_caller().call(build, JobShown, CONTROL_TIMEOUT_MS)
+        except LinkError as error:
+            raise OwnershipError(str(error)) from error
--- /dev/null
+++ b/src/currantbarrow/entry/sides.py
@@ -0,0 +1,202 @@
+"""Keep one link to each side process, and a view of the worker behind it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Iterable
+from typing import Protocol
+
+from currantbarrow.cluster import Member
+from currantbarrow.exceptions import LinkError
+from currantbarrow.policy import WorkerView
+from currantbarrow.protocol import (
+    Caller,
+    Heartbeat,
+    Hello,
+    Load,
+    Message,
+    Refused,
+    Reply,
+    Result,
+)
+from currantbarrow.types import Clock, Link, Metrics, Network
+
+__all__ = ["SideListener", "SidePeer", "SidePool"]
+
+RECONNECT_FIRST_MS = 50.0
+RECONNECT_LIMIT_MS = 1000.0
+SILENCE_LIMIT_MS = 3500.0
+
+
+class SideListener(Protocol):
+    """Be told what happens on the links to side processes."""
+
+    def side_up(self, peer: SidePeer) -> None:
+        """Take note of a link that opened."""
+
+    def side_down(self, peer: SidePeer) -> None:
+        """Take note of a link that closed."""
+
+    def side_gone(self, peer: SidePeer) -> None:
+        """Take note that an incarnation will not come back."""
+
+    def results_came(self, peer: SidePeer, message: Result) -> None:
+        """Take in results."""
+
+    def starts_refused(self, peer: SidePeer, message: Refused) -> None:
+        """Take in refusals."""
+
+    def load_changed(self, peer: SidePeer) -> None:
+        """Take note of a worker's new load."""
+
+
+class SidePeer:
+    """Hold the link to one incarnation of a side process and its worker's view."""
+
+    __slots__ = ("caller", "down_since_ms", "link", "member", "stamp_ms", "view")
+
+    def __init__(self, member: Member, now_ms: float) -> None:
+        self.member = member
+        self.view = WorkerView(member.name, member.incarnation, member.data_centre, member.rack)
+        self.link: Link | None = None
+        self.caller: Caller | None = None
+        self.stamp_ms = 0.0
+        self.down_since_ms = now_ms
+
+    @property
+    def up(self) -> bool:
+        """Tell whether the link is open."""
+        return self.link is not None and not self.link.closed
+
+    def take_load(self, load: Load, now_ms: float) -> None:
+        """Bring the view up to date; an older report than the last is ignored."""
+        if load.clock_ms < self.stamp_ms:
+            return
+        view = self.view
+        self.stamp_ms = load.clock_ms
+        view.slots = load.slots
+        view.leaving = load.leaving
+        view.queued = load.queued
+        view.others = max(0, load.running + load.queued - view.outstanding)
+        view.reported_ms = now_ms
+
+
+class SidePool:
+    """Run one task for each side process that is a member."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        *,
+        clock: Clock,
+        network: Network,
+        rng: random.Random,
+        metrics: Metrics,
+        listener: SideListener,
+    ) -> None:
+        self.peers: dict[str, SidePeer] = {}
+        self._hello = hello
+        self._clock = clock
+        self._network = network
+        self._rng = rng
+        self._metrics = metrics
+        self._listener = listener
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def sync(self, members: Iterable[Member]) -> None:
+        """Open links to new members and drop those that left."""
+        wanted = {member.incarnation: member for member in members}
+        for incarnation in [known for known in self.peers if known not in wanted]:
+            self._drop(incarnation)
+        for incarnation, member in wanted.items():
+            if incarnation not in self.peers:
+                peer = SidePeer(member, self._clock.monotonic_ms())
+                self.peers[incarnation] = peer
+                self._tasks[incarnation] = asyncio.create_task(self._run(peer))
+
+    def views(self) -> list[WorkerView]:
+        """Return the workers that can be reached and take work."""
+        return [
+            peer.view
+            for peer in self.peers.values()
+            if peer.up and peer.view.slots and not peer.view.leaving
+        ]
+
+    async def stop(self) -> None:
+        """Close all links."""
+        for task in self._tasks.values():
+            task.cancel()
+        links = [peer.link for peer in self.peers.values() if peer.link is not None]
+        await asyncio.gather(*(link.close() for link in links))
+
+    def _drop(self, incarnation: str) -> None:
+        peer = self.peers.pop(incarnation)
+        self._tasks.pop(incarnation).cancel()
+        self._close(peer)
+        self._listener.side_gone(peer)
+
+    async def _run(self, peer: SidePeer) -> None:
+        """Connect, handle messages until the link closes, and connect again."""
+        delay_ms = RECONNECT_FIRST_MS
+        while True:
+            try:
+                link = await self._network.connect(peer.member.address, self._hello)
+            except LinkError:
+                await self._clock.sleep_ms(self._rng.uniform(0.5, 1.0) * delay_ms)
+                delay_ms = min(delay_ms * 2, RECONNECT_LIMIT_MS)
+                continue
+            if link.peer.incarnation != peer.member.incarnation:
+                # The host was replaced; its new incarnation registers by itself.
+                await link.close()
+                await self._clock.sleep_ms(RECONNECT_LIMIT_MS)
+                continue
+            delay_ms = RECONNECT_FIRST_MS
+            self._open(peer, link)
+            with contextlib.suppress(LinkError, TimeoutError):
+                await self._receive(peer, link)
+            await link.close()
+            self._close(peer)
+            self._listener.side_down(peer)
+
+    async def _receive(self, peer: SidePeer, link: Link) -> None:
+        while True:
+            # A side process that is alive sends a heartbeat every second, so silence
+            # means a link that is cut without either end having been told.
+            async with asyncio.timeout(SILENCE_LIMIT_MS / 1000):
+                message = await link.receive()
+            self._handle(peer, message)
+
+    def _handle(self, peer: SidePeer, message: Message) -> None:
+        now_ms = self._clock.monotonic_ms()
+        match message:
+            case Result():
+                self._listener.results_came(peer, message)
+                peer.take_load(message.load, now_ms)
+                self._listener.load_changed(peer)
+            case Refused():
+                self._listener.starts_refused(peer, message)
+                peer.take_load(message.load, now_ms)
+                self._listener.load_changed(peer)
+            case Heartbeat(load=load) if load is not None:
+                peer.take_load(load, now_ms)
+                self._listener.load_changed(peer)
+            case Reply():
+                if peer.caller is not None:
+                    peer.caller.settle(message)
+            case _:
+                self._metrics.incr("entry.unexpected_message")
+
+    def _open(self, peer: SidePeer, link: Link) -> None:
+        peer.link = link
+        peer.caller = Caller(link)
+        peer.stamp_ms = 0.0
+        self._listener.side_up(peer)
+
+    def _close(self, peer: SidePeer) -> None:
+        if peer.caller is not None:
+            peer.caller.close()
+        peer.link = None
+        peer.caller = None
+        peer.down_since_ms = self._clock.monotonic_ms()
--- /dev/null
+++ b/src/currantbarrow/load/__init__.py
@@ -0,0 +1,1 @@
+"""Generate load and report on it."""
--- /dev/null
+++ b/src/currantbarrow/load/runner.py
@@ -0,0 +1,87 @@
+"""Send planned jobs to an entry at their times, whatever comes back."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from currantbarrow.load.report import LoadReport
+from currantbarrow.load.workload import PlannedJob
+
+__all__ = ["run_load"]
+
+TOTAL_TIMEOUT_S = 60.0
+RESUBMIT_AFTER_S = 0.05
+CANCEL_AFTER_S = 0.05
+HTTP_OK = 200
+
+
+class _Answer(msgspec.Struct):
+    status: str = "refused"
+    tasks: list[Any] = []
+    code: str = ""
+
+
+async def run_load(
+    jobs: Iterable[PlannedJob], entry_urls: Sequence[str], report: LoadReport, seed: int
+) -> None:
+    """Run an open loop: a job is sent at its time, however many are unanswered."""
+    rng = random.Random(seed)
+    timeout = aiohttp.ClientTimeout(total=TOTAL_TIMEOUT_S)
+    connector = aiohttp.TCPConnector(limit=0)
+    began_s = time.monotonic()
+    async with (
+        aiohttp.ClientSession(timeout=timeout, connector=connector) as session,
+        asyncio.TaskGroup() as group,
+    ):
+        for job in jobs:
+            await asyncio.sleep(max(0.0, began_s + job.at_s - time.monotonic()))
+            group.create_task(_send(session, job, rng.choice(entry_urls), report))
+            if job.resubmit:
+                group.create_task(_resubmit(session, job, rng.choice(entry_urls)))
+            if job.cancel:
+                group.create_task(_cancel(session, job, rng.choice(entry_urls)))
+
+
+async def _send(
+    session: aiohttp.ClientSession, job: PlannedJob, url: str, report: LoadReport
+) -> None:
+    began_s = time.monotonic()
+    answer = await _post(session, job, url)
+    response_ms = (time.monotonic() - began_s) * 1000
+    report.note(job, answer.status, answer.code, len(answer.tasks), response_ms)
+
+
+async def _resubmit(session: aiohttp.ClientSession, job: PlannedJob, url: str) -> None:
+    await asyncio.sleep(RESUBMIT_AFTER_S)
+    await _post(session, job, url)
+
+
+async def _cancel(session: aiohttp.ClientSession, job: PlannedJob, url: str) -> None:
+    await asyncio.sleep(CANCEL_AFTER_S)
+    params = {"customer": job.customer}
+    async with session.delete(f"{url}/v1/jobs/{job.key}", params=params) as response:
+        await response.read()
+
+
+async def _post(session: aiohttp.ClientSession, job: PlannedJob, url: str) -> _Answer:
+    tasks = [
+        {"payload": {"run_ms": run_ms}, "declared_ms": run_ms, "idempotent": job.idempotent}
+        for run_ms in job.run_ms
+    ]
+    body = {"key": job.key, "customer": job.customer, "class": job.job_class, "tasks": tasks}
+    try:
+        async with session.post(f"{url}/v1/jobs", data=msgspec.json.encode(body)) as response:
+            content = await response.read()
+    except (aiohttp.ClientError, TimeoutError) as error:
+        return _Answer("no answer", [], type(error).__name__)
+    if response.status == HTTP_OK:
+        return msgspec.json.decode(content, type=_Answer)
+    problem = msgspec.json.decode(content, type=_Answer)
+    return _Answer("refused", [], problem.code)
--- /dev/null
+++ b/src/currantbarrow/load/workload.py
@@ -0,0 +1,120 @@
+"""Generate both users' workloads from a seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+
+import msgspec
+import uuid6
+
+__all__ = ["WORKLOADS", "PlannedJob", "Workload", "WorkloadClass", "plan_jobs"]
+
+LONG_TASK_SHARE = 0.004
+LONG_TASK_MS = (2000.0, 4000.0)
+BURST_EVERY_S = 5.0
+BURST_JOBS = 10
+
+
+class WorkloadClass(msgspec.Struct, frozen=True):
+    """Describe one class of a user's work."""
+
+    name: str
+    target_ms: float
+    share: float
+    run_ms: tuple[float, float]
+    tasks: tuple[int, int]
+    idempotent: bool
+
+
+class Workload(msgspec.Struct, frozen=True):
+    """Describe one user's work."""
+
+    name: str
+    classes: list[WorkloadClass]
+    customers: list[tuple[str, float]]
+    resubmit_share: float = 0.02
+    cancel_share: float = 0.01
+
+
+class PlannedJob(msgspec.Struct, frozen=True):
+    """Hold one job to submit at a time after the start."""
+
+    at_s: float
+    key: str
+    customer: str
+    job_class: str
+    run_ms: list[float]
+    idempotent: bool
+    resubmit: bool
+    cancel: bool
+
+
+VAJA = Workload(
+    "vaja",
+    [
+        WorkloadClass("hold", 400.0, 0.60, (50.0, 150.0), (1, 3), False),
+        WorkloadClass("booking", 1000.0, 0.25, (100.0, 400.0), (1, 8), False),
+        WorkloadClass("cancellation", 800.0, 0.10, (50.0, 200.0), (1, 4), False),
+        WorkloadClass("calendar", 3000.0, 0.05, (100.0, 600.0), (20, 120), True),
+    ],
+    [("band-small", 0.05), ("school", 0.25), ("agency-large", 0.70)],
+)
+SORACHI = Workload(
+    "sorachi",
+    [
+        WorkloadClass("fare-check", 300.0, 0.55, (50.0, 120.0), (1, 2), True),
+        WorkloadClass("route-quote", 1500.0, 0.30, (200.0, 1000.0), (4, 24), True),
+        WorkloadClass("seat-hold", 500.0, 0.15, (80.0, 250.0), (1, 2), False),
+    ],
+    [("clinic-small", 0.05), ("town-office", 0.25), ("fishery-large", 0.70)],
+)
+WORKLOADS = {workload.name: workload for workload in (VAJA, SORACHI)}
+
+
+def plan_jobs(
+    workload: Workload, *, load_s: float, busy_slots: float, seed: int
+) -> Iterator[PlannedJob]:
+    """Yield jobs in the order of their times, keeping a number of slots busy on average."""
+    rng = random.Random(seed)
+    mean_work_s = sum(kind.share * _mean_work_s(kind) for kind in workload.classes)
+    jobs_per_s = busy_slots / mean_work_s
+    at_s, next_burst_s = 0.0, BURST_EVERY_S
+    while True:
+        at_s += rng.expovariate(jobs_per_s)
+        if at_s >= load_s:
+            return
+        yield _plan_one(workload, at_s, rng)
+        if at_s >= next_burst_s:
+            next_burst_s += BURST_EVERY_S
+            for _ in range(BURST_JOBS):
+                yield _plan_one(workload, at_s, rng)
+
+
+def _mean_work_s(kind: WorkloadClass) -> float:
+    long_ms = LONG_TASK_SHARE * sum(LONG_TASK_MS) / 2
+    return sum(kind.tasks) / 2 * (sum(kind.run_ms) / 2 + long_ms) / 1000
+
+
+def _plan_one(workload: Workload, at_s: float, rng: random.Random) -> PlannedJob:
+    kind = rng.choices(workload.classes, [kind.share for kind in workload.classes])[0]
+    customer = rng.choices(
+        [name for name, _ in workload.customers], [share for _, share in workload.customers]
+    )[0]
+    run_ms = [_run_ms(kind, rng) for _ in range(rng.randint(*kind.tasks))]
+    return PlannedJob(
+        at_s,
+        str(uuid6.uuid7()),
+        customer,
+        kind.name,
+        run_ms,
+        kind.idempotent,
+        rng.random() < workload.resubmit_share,
+        rng.random() < workload.cancel_share,
+    )
+
+
+def _run_ms(kind: WorkloadClass, rng: random.Random) -> float:
+    if rng.random() < LONG_TASK_SHARE:
+        return rng.uniform(*LONG_TASK_MS)
+    return rng.uniform(*kind.run_ms)
--- /dev/null
+++ b/src/currantbarrow/observe/__init__.py
@@ -0,0 +1,18 @@
+"""Show what a process does: clocks, metrics, log lines and the time line."""
+
+from currantbarrow.observe.clock import HybridClock, create_clock
+from currantbarrow.observe.log import DEBUG_TOPICS, configure_logging, logger
+from currantbarrow.observe.metrics import MetricsBook, flush_to_statsd
+from currantbarrow.observe.timeline import Event, EventRing
+
+__all__ = [
+    "DEBUG_TOPICS",
+    "Event",
+    "EventRing",
+    "HybridClock",
+    "MetricsBook",
+    "configure_logging",
+    "create_clock",
+    "flush_to_statsd",
+    "logger",
+]
--- /dev/null
+++ b/src/currantbarrow/observe/metrics.py
@@ -0,0 +1,57 @@
+"""Count and time what happens, and flush it to statsd."""
+
+from __future__ import annotations
+
+import collections
+
+import statsd
+
+from currantbarrow.types import Clock
+
+__all__ = ["MetricsBook", "flush_to_statsd"]
+
+FLUSH_INTERVAL_MS = 1000
+
+
+class MetricsBook:
+    """Keep counters, gauges and the timings since the last flush."""
+
+    __slots__ = ("counters", "gauges", "timings")
+
+    def __init__(self) -> None:
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.gauges: dict[str, float] = {}
+        self.timings: dict[str, list[float]] = {}
+
+    def incr(self, name: str, count: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] += count
+
+    def timing(self, name: str, duration_ms: float) -> None:
+        """Record the sum and the number of durations in milliseconds."""
+        entry = self.timings.setdefault(name, [0.0, 0.0])
+        entry[0] += duration_ms
+        entry[1] += 1
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self.gauges[name] = value
+
+
+async def flush_to_statsd(book: MetricsBook, address: str, prefix: str, clock: Clock) -> None:
+    """Send what changed to statsd every second; one packet carries many counters."""
+    host, _, port = address.rpartition(":")
+    client = statsd.StatsClient(host, int(port), prefix=prefix)
+    sent: collections.Counter[str] = collections.Counter()
+    while True:
+        await clock.sleep_ms(FLUSH_INTERVAL_MS)
+        with client.pipeline() as pipe:
+            for name, count in book.counters.items():
+                if count != sent[name]:
+                    pipe.incr(name, count - sent[name])
+                    sent[name] = count
+            for name, value in book.gauges.items():
+                pipe.gauge(name, value)
+            for name, (total_ms, number) in book.timings.items():
+                pipe.timing(name, total_ms / number)
+        book.timings.clear()
--- /dev/null
+++ b/src/currantbarrow/observe/timeline.py
@@ -0,0 +1,56 @@
+"""Keep a bounded ring of events for the time line over all processes."""
+
+from __future__ import annotations
+
+import collections
+
+import msgspec
+
+from currantbarrow.observe.clock import COUNTER_BITS, HybridClock
+
+__all__ = ["Event", "EventRing"]
+
+DEFAULT_RING_EVENTS = 4096
+
+
+class Event(msgspec.Struct, frozen=True):
+    """Hold one event of one process."""
+
+    stamp: int
+    process: str
+    kind: str
+    job: str = ""
+    task: int = -1
+    job_class: str = ""
+    detail: str = ""
+
+    @property
+    def wall_ms(self) -> int:
+        """Return the wall clock part of the stamp."""
+        return self.stamp >> COUNTER_BITS
+
+
+class EventRing:
+    """Record events and forget the oldest."""
+
+    __slots__ = ("_clock", "_process", "_ring")
+
+    def __init__(self, process: str, clock: HybridClock, size: int = DEFAULT_RING_EVENTS) -> None:
+        self._process = process
+        self._clock = clock
+        self._ring: collections.deque[Event] = collections.deque(maxlen=size)
+
+    def record(
+        self, kind: str, *, job: str = "", task: int = -1, job_class: str = "", detail: str = ""
+    ) -> None:
+        """Add one event to the process's ring."""
+        stamp = self._clock.tick()
+        self._ring.append(Event(stamp, self._process, kind, job, task, job_class, detail))
+
+    def select(self, *, job: str = "", since_ms: int = 0) -> list[Event]:
+        """Return the events of a job, or all, from a wall clock time on."""
+        return [
+            event
+            for event in self._ring
+            if event.wall_ms >= since_ms and (not job or event.job == job)
+        ]
--- /dev/null
+++ b/src/currantbarrow/policy/__init__.py
@@ -0,0 +1,32 @@
+"""Decide what is let in, what starts next and where; pure of transport."""
+
+from currantbarrow.policy.bundle import Policies, create_policies
+from currantbarrow.policy.types import (
+    Admission,
+    AdmissionQuestion,
+    Estimator,
+    Placement,
+    QueuedTask,
+    Refusal,
+    RetryPolicy,
+    StragglerPolicy,
+    TaskQueue,
+    WorkerHealth,
+    WorkerView,
+)
+
+__all__ = [
+    "Admission",
+    "AdmissionQuestion",
+    "Estimator",
+    "Placement",
+    "Policies",
+    "QueuedTask",
+    "Refusal",
+    "RetryPolicy",
+    "StragglerPolicy",
+    "TaskQueue",
+    "WorkerHealth",
+    "WorkerView",
+    "create_policies",
+]
--- /dev/null
+++ b/src/currantbarrow/policy/bundle.py
@@ -0,0 +1,61 @@
+"""Put one policy of each kind together for a dispatcher."""
+
+from __future__ import annotations
+
+import random
+
+from currantbarrow.policy.admission import create_backlog_admission
+from currantbarrow.policy.estimates import create_learning_estimator, create_no_stragglers
+from currantbarrow.policy.health import create_trusting_health
+from currantbarrow.policy.placement import create_least_loaded
+from currantbarrow.policy.queues import create_fair_queue
+from currantbarrow.policy.retry import create_backoff_retry
+from currantbarrow.policy.types import (
+    Admission,
+    Estimator,
+    Placement,
+    RetryPolicy,
+    StragglerPolicy,
+    TaskQueue,
+    WorkerHealth,
+)
+
+__all__ = ["Policies", "create_policies"]
+
+
+class Policies:
+    """Hold the decisions of one dispatcher; any of them can be replaced."""
+
+    __slots__ = ("admission", "estimator", "health", "placement", "queue", "retry", "stragglers")
+
+    def __init__(
+        self,
+        *,
+        admission: Admission,
+        queue: TaskQueue,
+        placement: Placement,
+        health: WorkerHealth,
+        retry: RetryPolicy,
+        estimator: Estimator,
+        stragglers: StragglerPolicy,
+    ) -> None:
+        self.admission = admission
+        self.queue = queue
+        self.placement = placement
+        self.health = health
+        self.retry = retry
+        self.estimator = estimator
+        self.stragglers = stragglers
+
+
+def create_policies(rng: random.Random, data_centre: str = "") -> Policies:
+    """Return the policies that the daemons use."""
+    return Policies(
+        admission=create_backlog_admission(),
+        queue=create_fair_queue(),
+        placement=create_least_loaded(rng, data_centre),
+        health=create_trusting_health(),
+        retry=create_backoff_retry(rng),
+        estimator=create_learning_estimator(),
+        stragglers=create_no_stragglers(),
+    )
--- /dev/null
+++ b/src/currantbarrow/runtime.py
@@ -0,0 +1,102 @@
+"""Run a daemon: settings, event loop, signals and exit codes."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+import uuid
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+import uvloop
+
+from currantbarrow.exceptions import CurrantbarrowError
+from currantbarrow.observe import DEBUG_TOPICS, configure_logging
+from currantbarrow.settings import load_settings
+
+__all__ = ["StopSignal", "new_incarnation", "run_daemon"]
+
+EXIT_OK = 0
+EXIT_ERROR = 1
+EXIT_SETTINGS = 2
+
+SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
+
+
+class StopSignal:
+    """Tell a daemon to drain, and on a second signal to end at once."""
+
+    def __init__(self) -> None:
+        self.drain = asyncio.Event()
+        self.end = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+
+    async def drain_unless_ended(self, drain: Awaitable[None]) -> None:
+        """Wait for a drain to finish, or for the second signal."""
+        draining = asyncio.ensure_future(drain)
+        ending = asyncio.ensure_future(self.end.wait())
+        await asyncio.wait([draining, ending], return_when=asyncio.FIRST_COMPLETED)
+        draining.cancel()
+        ending.cancel()
+
+    def _on_signal(self) -> None:
+        if self.drain.is_set():
+            self.end.set()
+        self.drain.set()
+
+
+def new_incarnation(name: str) -> str:
+    """Return a name for this life of a process."""
+    return f"{name}.{uuid.uuid4().hex[:12]}"
+
+
+def run_daemon(
+    program: str,
+    schema: type[SettingsT],
+    serve: Callable[[SettingsT], Awaitable[None]],
+    argv: list[str] | None = None,
+) -> int:
+    """Read the settings, run a daemon until it is told to stop, return the exit code."""
+    options = _parse(program, argv)
+    try:
+        settings = load_settings(options.settings, schema)
+    except CurrantbarrowError as error:
+        print(f"{program}: {error.code}: {error}\nhint: {error.hint}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if options.check:
+        print(f"{options.settings}: no mistakes")
+        return EXIT_OK
+    configure_logging(program, tuple(options.debug))
+    try:
+        uvloop.run(_run(serve, settings))
+    except CurrantbarrowError as error:
+        print(f"{program}: {error.code}: {error}\nhint: {error.hint}", file=sys.stderr)
+        return EXIT_ERROR
+    except OSError as error:
+        print(f"{program}: os_error: {error}", file=sys.stderr)
+        return EXIT_ERROR
+    return EXIT_OK
+
+
+async def _run(serve: Callable[[SettingsT], Awaitable[None]], settings: SettingsT) -> None:
+    await serve(settings)
+
+
+def _parse(program: str, argv: list[str] | None) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog=program)
+    parser.add_argument("--settings", type=Path, required=True, help="the YAML settings file")
+    parser.add_argument("--check", action="store_true", help="only check the settings")
+    parser.add_argument(
+        "--debug",
+        action="append",
+        default=[],
+        choices=DEBUG_TOPICS,
+        help="log a topic in detail; may be given more than once",
+    )
+    return parser.parse_args(argv)
--- /dev/null
+++ b/src/currantbarrow/settings/__init__.py
@@ -0,0 +1,21 @@
+"""Check and load the settings of each program."""
+
+from currantbarrow.settings.loading import find_mistakes, load_settings, read_token
+from currantbarrow.settings.schema import (
+    EntrySettings,
+    LogStandinSettings,
+    OperatorSettings,
+    SideSettings,
+    WorkerStandinSettings,
+)
+
+__all__ = [
+    "EntrySettings",
+    "LogStandinSettings",
+    "OperatorSettings",
+    "SideSettings",
+    "WorkerStandinSettings",
+    "find_mistakes",
+    "load_settings",
+    "read_token",
+]
--- /dev/null
+++ b/src/currantbarrow/settings/schema.py
@@ -0,0 +1,89 @@
+"""Define the settings of each program."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+__all__ = [
+    "EntrySettings",
+    "LogStandinSettings",
+    "OperatorSettings",
+    "SideSettings",
+    "WorkerStandinSettings",
+]
+
+Address = Annotated[str, msgspec.Meta(pattern=r"^[^\s:]+:\d{1,5}$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Url = Annotated[str, msgspec.Meta(pattern=r"^https?://\S+$")]
+Milliseconds = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class EntrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Set an entry process."""
+
+    name: Name
+    data_centre: Name
+    rack: Name
+    callers_address: Address
+    operator_address: Address
+    link_address: Address
+    log_service_url: Url
+    token_file: str
+    peers: list[Address] = []
+    statsd_address: Address | None = None
+    lease_ms: Milliseconds = 3000.0
+    permission_ms: Milliseconds = 2000.0
+    skew_ms: Milliseconds = 1000.0
+    window_ms: Milliseconds = 600_000.0
+    drain_ms: Milliseconds = 20_000.0
+    max_body_bytes: Count = 4_000_000
+    max_tasks: Count = 220
+
+
+class SideSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Set a side process."""
+
+    name: Name
+    data_centre: Name
+    rack: Name
+    link_address: Address
+    upstream_address: Address
+    upstream_url: Url
+    log_service_url: Url
+    token_file: str
+    statsd_address: Address | None = None
+    connections: Count = 64
+    queue_limit: Annotated[int, msgspec.Meta(ge=0)] = 2
+    heartbeat_ms: Milliseconds = 1000.0
+    permission_ms: Milliseconds = 2000.0
+    announcement_ttl_ms: Milliseconds = 3000.0
+    window_ms: Milliseconds = 600_000.0
+
+
+class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Set the operators' command line."""
+
+    entry_url: Url
+    operator_url: Url
+
+
+class LogStandinSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Set the stand-in for the log service."""
+
+    address: Address
+    append_delay_ms: Annotated[float, msgspec.Meta(ge=0)] = 5.0
+    appends_per_s: Annotated[float, msgspec.Meta(ge=0)] = 400.0
+    retention_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
+class WorkerStandinSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Set the stand-in for a worker's upstream."""
+
+    name: Name
+    address: Address
+    side_url: Url
+    slots: Count = 8
+    announce_ms: Milliseconds = 1000.0
--- /dev/null
+++ b/src/currantbarrow/side/gate.py
@@ -0,0 +1,59 @@
+"""Decide whether a start may go ahead; every refusal proves that the task did not start."""
+
+from __future__ import annotations
+
+import enum
+
+from currantbarrow.jobs import TaskRun, shard_of
+from currantbarrow.protocol import RefusedReason, Start, TaskReference
+from currantbarrow.side.ledger import StartLedger
+from currantbarrow.types import Clock
+
+__all__ = ["Duplicate", "StartGate"]
+
+
+class Duplicate(enum.Enum):
+    """Mark a second copy of a start that was taken before."""
+
+    DUPLICATE = "duplicate"
+
+
+class StartGate:
+    """Hold the fences of shards and check starts against them and the ledger."""
+
+    __slots__ = ("_clock", "_fences", "_ledger", "_permission_ms")
+
+    def __init__(self, clock: Clock, ledger: StartLedger, permission_ms: float) -> None:
+        self._clock = clock
+        self._ledger = ledger
+        self._permission_ms = permission_ms
+        self._fences: dict[int, int] = {}
+
+    def fence(self, shards: list[int], epoch: int) -> None:
+        """Refuse starts of shards below an epoch from now on."""
+        for shard in shards:
+            self._fences[shard] = max(epoch, self._fences.get(shard, 0))
+
+    def is_fenced(self, job_id: bytes, epoch: int) -> bool:
+        """Tell whether an epoch is too old for a job's shard."""
+        return epoch < self._fences.get(shard_of(job_id), 0)
+
+    def check(self, start: Start, task: TaskRun) -> RefusedReason | Duplicate | None:
+        """Return why a task must not start, None when it may."""
+        entry = self._ledger.find(task.job_id, task.index)
+        if entry is not None and entry.attempt is not None:
+            return Duplicate.DUPLICATE
+        if self.is_fenced(task.job_id, start.epoch):
+            return RefusedReason.FENCED
+        # The stamp is this process's own clock, so a start that was held up anywhere on
+        # its way, for instance in a paused owner, is refused without comparing clocks.
+        if self._clock.monotonic_ms() - start.stamp_ms > self._permission_ms:
+            return RefusedReason.STALE
+        if entry is not None and task.attempt < entry.floor:
+            return RefusedReason.CANCELLED
+        return None
+
+    @staticmethod
+    def reference(task: TaskRun) -> TaskReference:
+        """Return the reference of a task's attempt."""
+        return TaskReference(task.job_id, task.index, task.attempt)
--- /dev/null
+++ b/src/currantbarrow/side/main.py
@@ -0,0 +1,120 @@
+"""Run the side daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from currantbarrow.logservice.client import create_log_service
+from currantbarrow.observe import (
+    EventRing,
+    HybridClock,
+    MetricsBook,
+    create_clock,
+    flush_to_statsd,
+)
+from currantbarrow.protocol.websocket import create_network
+from currantbarrow.runtime import StopSignal, new_incarnation, run_daemon
+from currantbarrow.settings import SideSettings, read_token
+from currantbarrow.side.api import create_side_api
+from currantbarrow.side.node import SideNode, SideOptions
+from currantbarrow.side.upstream import create_upstream
+
+__all__ = ["SideDaemon", "main", "start_side"]
+
+
+class SideDaemon:
+    """Hold a running side node and its HTTP server."""
+
+    __slots__ = ("_closing", "_runner", "_tasks", "book", "events", "node")
+
+    def __init__(
+        self,
+        node: SideNode,
+        book: MetricsBook,
+        events: EventRing,
+        closing: list[Callable[[], Awaitable[None]]],
+    ) -> None:
+        self.node = node
+        self._closing = closing
+        self.book = book
+        self.events = events
+        self._runner: web.AppRunner | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, settings: SideSettings) -> None:
+        """Start the node, then the server that the upstream reaches."""
+        await self.node.start()
+        self._runner = web.AppRunner(
+            create_side_api(self.node, self.events, self.book), access_log=None
+        )
+        await self._runner.setup()
+        host, _, port = settings.upstream_address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        if settings.statsd_address:
+            flush = flush_to_statsd(
+                self.book, settings.statsd_address, settings.name, create_clock()
+            )
+            self._tasks.append(asyncio.create_task(flush))
+
+    async def drain(self) -> None:
+        """Finish what runs, then stop."""
+        await self.node.stop()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        for close in self._closing:
+            await close()
+
+
+def start_side(settings: SideSettings, token: str) -> SideDaemon:
+    """Return a side daemon that is not started yet."""
+    clock = create_clock()
+    book = MetricsBook()
+    hybrid = HybridClock(clock)
+    events = EventRing(settings.name, hybrid)
+    options = SideOptions(
+        settings.name,
+        new_incarnation(settings.name),
+        settings.link_address,
+        settings.data_centre,
+        settings.rack,
+        token,
+        settings.upstream_address,
+        settings.queue_limit,
+        settings.heartbeat_ms,
+        settings.permission_ms,
+        settings.announcement_ttl_ms,
+        settings.window_ms,
+    )
+    log = create_log_service(settings.log_service_url)
+    upstream = create_upstream(settings.upstream_url, settings.connections)
+    node = SideNode(
+        options,
+        clock=clock,
+        network=create_network(token, hybrid, book),
+        log=log,
+        upstream=upstream,
+        rng=random.Random(),
+        metrics=book,
+        events=events,
+    )
+    return SideDaemon(node, book, events, [log.close, upstream.close])
+
+
+async def _serve(settings: SideSettings) -> None:
+    daemon = start_side(settings, read_token(settings.token_file))
+    stop = StopSignal()
+    await daemon.start(settings)
+    await stop.drain.wait()
+    await stop.drain_unless_ended(daemon.drain())
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(run_daemon("currantbarrow-side", SideSettings, _serve))
--- /dev/null
+++ b/src/currantbarrow/side/node.py
@@ -0,0 +1,367 @@
+"""Be the process beside an upstream: take starts, run them, answer calls."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+import msgspec
+
+from currantbarrow.cluster import PanelMember
+from currantbarrow.exceptions import AppendUnknown, LinkError, LogUnavailable
+from currantbarrow.jobs import TaskRun
+from currantbarrow.logservice import CLUSTER_STREAM, MemberJoined, MemberLeft, append_once
+from currantbarrow.observe import EventRing, logger
+from currantbarrow.protocol import (
+    Cancel,
+    CloseVersion,
+    Confirm,
+    Fence,
+    FencedTasks,
+    Heartbeat,
+    Hello,
+    Load,
+    Message,
+    QueryTasks,
+    Refused,
+    RefusedReason,
+    Result,
+    Role,
+    Start,
+    TaskReference,
+    TaskResult,
+    TaskStates,
+)
+from currantbarrow.side.gate import Duplicate, StartGate
+from currantbarrow.side.ledger import StartLedger
+from currantbarrow.side.runner import TaskRunner
+from currantbarrow.types import Clock, Link, LogService, Metrics, Network, Upstream
+
+__all__ = ["SideNode", "SideOptions"]
+
+APPEND_GIVE_UP_MS = 5000.0
+REGISTER_RETRY_MS = 500.0
+
+
+class SideOptions(msgspec.Struct, frozen=True):
+    """Set what a side process needs to know of itself."""
+
+    name: str
+    incarnation: str
+    link_address: str
+    data_centre: str = ""
+    rack: str = ""
+    token: str = ""
+    operator_address: str = ""
+    queue_limit: int = 2
+    heartbeat_ms: float = 1000.0
+    permission_ms: float = 2000.0
+    announcement_ttl_ms: float = 3000.0
+    window_ms: float = 600_000.0
+
+
+class SideNode:
+    """Gate, queue and run tasks for the one upstream beside this process."""
+
+    def __init__(
+        self,
+        options: SideOptions,
+        *,
+        clock: Clock,
+        network: Network,
+        log: LogService,
+        upstream: Upstream,
+        rng: random.Random,
+        metrics: Metrics,
+        events: EventRing,
+    ) -> None:
+        self.options = options
+        self.ledger = StartLedger(clock, options.window_ms)
+        self.gate = StartGate(clock, self.ledger, options.permission_ms)
+        self.panel = PanelMember()
+        self.runner = TaskRunner(upstream, clock, metrics, self._note_start, self._note_end)
+        self.leaving = False
+        self.address = ""
+        self._clock = clock
+        self._network = network
+        self._log = log
+        self._rng = rng
+        self._metrics = metrics
+        self._events = events
+        self._links: dict[str, Link] = {}
+        self._announced_ms = -1.0
+        self._registered = False
+        self._records_made = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen for links and keep the announcement of the upstream."""
+        hello = Hello(
+            Role.SIDE,
+            self.options.name,
+            self.options.incarnation,
+            self.options.token,
+            self.options.data_centre,
+            self.options.rack,
+        )
+        self.address = await self._network.listen(self.options.link_address, hello, self._serve)
+        self._tasks = [
+            asyncio.create_task(self._keep_registered()),
+            asyncio.create_task(self._beat()),
+        ]
+
+    async def stop(self) -> None:
+        """Finish what runs, say goodbye and close the links."""
+        self.leave()
+        await self.runner.wait_idle()
+        for task in self._tasks:
+            task.cancel()
+        if self._registered:
+            record = MemberLeft(self._record_id(), self.options.incarnation, self._clock.wall_ms())
+            with contextlib.suppress(LogUnavailable, AppendUnknown):
+                await self._append(record)
+        await self._network.stop()
+
+    async def kill(self) -> None:
+        """End at once, as a crash does."""
+        for task in self._tasks:
+            task.cancel()
+        self.runner.abandon()
+        await self._network.stop()
+
+    def announce(self, slots: int) -> None:
+        """Take the upstream's announcement, which holds until it expires."""
+        self._announced_ms = self._clock.monotonic_ms()
+        if not self.leaving and self.runner.slots != slots:
+            self.runner.slots = slots
+            self._events.record("upstream_announced", detail=f"{slots} slots")
+            self._broadcast_load()
+            self.runner.fill()
+
+    def leave(self) -> None:
+        """Take no new work from now on; what runs goes on to its end."""
+        if self.leaving:
+            return
+        self.leaving = True
+        logger.info("upstream leaving")
+        self._events.record("upstream_leaving")
+        waiting = self.runner.drop_where(lambda run: True)
+        self._return_waiting(waiting, RefusedReason.LEAVING)
+        self._broadcast_load()
+
+    def load(self) -> Load:
+        """Return how occupied the worker is."""
+        return Load(
+            self._clock.monotonic_ms(),
+            self.runner.slots,
+            self.runner.used_slots,
+            self.runner.queued,
+            self.leaving,
+        )
+
+    async def _serve(self, link: Link) -> None:
+        """Handle the messages of one link until it closes."""
+        owner = link.peer.incarnation
+        self._links[owner] = link
+        link.post(Heartbeat(self.load()))
+        try:
+            while True:
+                self._handle(link, await link.receive())
+        except LinkError:
+            if self._links.get(owner) is link:
+                del self._links[owner]
+
+    def _handle(self, link: Link, message: Message) -> None:
+        match message:
+            case Start():
+                self._take_start(link, message)
+            case Cancel():
+                self._cancel(link, message)
+            case QueryTasks():
+                link.post(self._answer_query(link, message))
+            case Fence():
+                link.post(self._fence(message))
+            case Confirm():
+                link.post(self.panel.confirm(message))
+            case CloseVersion():
+                link.post(self.panel.close(message))
+            case Heartbeat():
+                pass
+            case _:
+                self._metrics.incr("side.unexpected_message")
+
+    def _take_start(self, link: Link, start: Start) -> None:
+        refused: dict[RefusedReason, list[TaskReference]] = {}
+        for task in start.tasks:
+            verdict = self.gate.check(start, task) or self._check_room(task)
+            if verdict is None:
+                entry = self.ledger.task(task.job_id, task.index)
+                entry.owner = link.peer.incarnation
+                entry.floor = max(entry.floor, task.attempt)
+                self.runner.add(task, start.epoch)
+            elif isinstance(verdict, Duplicate):
+                self._metrics.incr("side.duplicate_start")
+                self._resend_result(link, task)
+            else:
+                refused.setdefault(verdict, []).append(StartGate.reference(task))
+        for reason, references in refused.items():
+            self._refuse(link, reason, references)
+
+    def _check_room(self, task: TaskRun) -> RefusedReason | Duplicate | None:
+        if self.runner.has_queued(task.job_id, task.index):
+            return Duplicate.DUPLICATE
+        if self.leaving:
+            return RefusedReason.LEAVING
+        if self.runner.slots == 0:
+            return RefusedReason.NO_UPSTREAM
+        if task.size_slots > self.runner.slots:
+            return RefusedReason.TOO_LARGE
+        full = self.runner.used_slots + task.size_slots > self.runner.slots
+        if full and self.runner.queued >= self.options.queue_limit:
+            return RefusedReason.FULL
+        return None
+
+    def _refuse(self, link: Link, reason: RefusedReason, references: list[TaskReference]) -> None:
+        for reference in references:
+            # The owner may give the task elsewhere, so a second copy of this start,
+            # arriving later, must not be taken.
+            self.ledger.refuse(reference)
+        self._metrics.incr(f"side.refused.{reason}", len(references))
+        link.post(Refused(reason, references, self.load()))
+
+    def _resend_result(self, link: Link, task: TaskRun) -> None:
+        entry = self.ledger.find(task.job_id, task.index)
+        if entry is not None and entry.result is not None:
+            link.post(Result([entry.result], self.load()))
+
+    def _cancel(self, link: Link, message: Cancel) -> None:
+        dropped = []
+        for reference in message.tasks:
+            self.ledger.refuse(reference)
+            if self.runner.drop(reference.job_id, reference.index) is not None:
+                dropped.append(reference)
+            else:
+                self.runner.stop(reference.job_id, reference.index)
+        if dropped:
+            self._refuse(link, RefusedReason.CANCELLED, dropped)
+
+    def _answer_query(self, link: Link, query: QueryTasks) -> TaskStates:
+        ended, running, never = [], [], []
+        for reference in query.tasks:
+            entry = self.ledger.find(reference.job_id, reference.index)
+            if entry is not None and entry.result is not None:
+                ended.append(entry.result)
+            elif entry is not None and entry.attempt is not None:
+                entry.owner = link.peer.incarnation
+                running.append(reference)
+            elif self.runner.has_queued(reference.job_id, reference.index):
+                self.ledger.task(reference.job_id, reference.index).owner = link.peer.incarnation
+                running.append(reference)
+            else:
+                self.ledger.refuse(reference)
+                never.append(reference)
+        return TaskStates(query.call_id, ended, running, never)
+
+    def _fence(self, call: Fence) -> FencedTasks:
+        self.gate.fence(call.shards, call.epoch)
+        # Waiting tasks of the old epoch are dropped before the ledger is read, so that
+        # none of them starts after the new owner was told that it had not.
+        waiting = self.runner.drop_where(
+            lambda run: self.gate.is_fenced(run.task.job_id, run.epoch)
+        )
+        self._return_waiting(waiting, RefusedReason.FENCED)
+        self._events.record("fenced", detail=f"{len(call.shards)} shards at {call.epoch}")
+        jobs = self.ledger.started_in(set(call.shards))
+        return FencedTasks(call.call_id, jobs, self.ledger.since_ms)
+
+    def _return_waiting(self, waiting: list[TaskRun], reason: RefusedReason) -> None:
+        by_owner: dict[str, list[TaskReference]] = {}
+        for task in waiting:
+            reference = StartGate.reference(task)
+            self.ledger.refuse(reference)
+            owner = self.ledger.task(task.job_id, task.index).owner
+            by_owner.setdefault(owner, []).append(reference)
+        for owner, references in by_owner.items():
+            self._post(owner, Refused(reason, references, self.load()))
+
+    def _note_start(self, task: TaskRun) -> None:
+        self.ledger.task(task.job_id, task.index).attempt = task.attempt
+        self._metrics.incr("side.task_started")
+        self._events.record(
+            "task_started", job=task.job_id.hex(), task=task.index, job_class=task.job_class
+        )
+
+    def _note_end(self, result: TaskResult) -> None:
+        entry = self.ledger.task(result.job_id, result.index)
+        entry.result = result
+        self._events.record(
+            "task_ended", job=result.job_id.hex(), task=result.index, detail=result.state
+        )
+        self._post(entry.owner, Result([result], self.load()))
+
+    def _post(self, owner: str, message: Message) -> None:
+        link = self._links.get(owner)
+        if link is None:
+            # The owner asks for what it missed when its link is back.
+            self._metrics.incr("side.owner_unreachable")
+            return
+        with contextlib.suppress(LinkError):
+            link.post(message)
+
+    def _broadcast_load(self) -> None:
+        for owner in list(self._links):
+            self._post(owner, Heartbeat(self.load()))
+
+    async def _beat(self) -> None:
+        """Send heartbeats, expire the announcement and old ledger entries."""
+        while True:
+            await self._clock.sleep_ms(self.options.heartbeat_ms)
+            silent_ms = self._clock.monotonic_ms() - self._announced_ms
+            if self.runner.slots and silent_ms > self.options.announcement_ttl_ms:
+                logger.info("upstream announcement expired")
+                self._events.record("announcement_expired")
+                self.runner.slots = 0
+                waiting = self.runner.drop_where(lambda run: True)
+                self._return_waiting(waiting, RefusedReason.NO_UPSTREAM)
+            self._broadcast_load()
+            self.ledger.expire()
+
+    async def _keep_registered(self) -> None:
+        """Register through the log once the upstream has announced itself."""
+        while not self._registered:
+            if self.runner.slots:
+                with contextlib.suppress(LogUnavailable, AppendUnknown):
+                    await self._append(self._joined())
+                    self._registered = True
+                    logger.info("registered as a member")
+                    return
+            await self._clock.sleep_ms(REGISTER_RETRY_MS)
+
+    def _joined(self) -> MemberJoined:
+        return MemberJoined(
+            self._record_id(),
+            Role.SIDE,
+            self.options.name,
+            self.options.incarnation,
+            self.address,
+            self.options.data_centre,
+            self.options.rack,
+            self._clock.wall_ms(),
+            self.options.operator_address,
+        )
+
+    async def _append(self, record: MemberJoined | MemberLeft) -> None:
+        await append_once(
+            self._log,
+            CLUSTER_STREAM,
+            record,
+            from_offset=0,
+            clock=self._clock,
+            rng=self._rng,
+            give_up_ms=APPEND_GIVE_UP_MS,
+        )
+
+    def _record_id(self) -> str:
+        self._records_made += 1
+        return f"{self.options.incarnation}-{self._records_made}"
--- /dev/null
+++ b/src/currantbarrow/side/runner.py
@@ -0,0 +1,178 @@
+"""Run tasks in the worker's slots, with a short queue behind them."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from collections.abc import Callable
+
+from currantbarrow.exceptions import UpstreamError, UpstreamLost
+from currantbarrow.jobs import TaskRun, TaskRunResult, TaskState
+from currantbarrow.protocol import TaskResult
+from currantbarrow.types import Clock, Metrics, Upstream
+
+__all__ = ["QueuedRun", "TaskRunner"]
+
+
+class QueuedRun:
+    """Hold one task that waits for a slot, with the epoch that it came under."""
+
+    __slots__ = ("dropped", "due_ms", "epoch", "sequence", "task")
+
+    def __init__(self, task: TaskRun, epoch: int, due_ms: float, sequence: int) -> None:
+        self.task = task
+        self.epoch = epoch
+        self.due_ms = due_ms
+        self.sequence = sequence
+        self.dropped = False
+
+    def __lt__(self, other: QueuedRun) -> bool:
+        return (self.due_ms, self.sequence) < (other.due_ms, other.sequence)
+
+
+class TaskRunner:
+    """Start queued tasks when slots are free, and report how each ended."""
+
+    __slots__ = (
+        "_clock",
+        "_heap",
+        "_metrics",
+        "_on_end",
+        "_on_start",
+        "_queued",
+        "_running",
+        "_sequence",
+        "_upstream",
+        "slots",
+        "used_slots",
+    )
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        clock: Clock,
+        metrics: Metrics,
+        on_start: Callable[[TaskRun], None],
+        on_end: Callable[[TaskResult], None],
+    ) -> None:
+        self.slots = 0
+        self.used_slots = 0
+        self._upstream = upstream
+        self._clock = clock
+        self._metrics = metrics
+        self._on_start = on_start
+        self._on_end = on_end
+        self._heap: list[QueuedRun] = []
+        self._queued: dict[tuple[bytes, int], QueuedRun] = {}
+        self._running: dict[tuple[bytes, int], asyncio.Task[None]] = {}
+        self._sequence = 0
+
+    @property
+    def queued(self) -> int:
+        """Return the number of tasks that wait for a slot."""
+        return len(self._queued)
+
+    @property
+    def running(self) -> int:
+        """Return the number of tasks in slots."""
+        return len(self._running)
+
+    def add(self, task: TaskRun, epoch: int) -> None:
+        """Queue a task and start it when a slot is free."""
+        self._sequence += 1
+        due_ms = self._clock.monotonic_ms() + task.slack_ms
+        run = QueuedRun(task, epoch, due_ms, self._sequence)
+        self._queued[task.job_id, task.index] = run
+        heapq.heappush(self._heap, run)
+        self.fill()
+
+    def has_queued(self, job_id: bytes, index: int) -> bool:
+        """Tell whether a task waits for a slot."""
+        return (job_id, index) in self._queued
+
+    def drop(self, job_id: bytes, index: int) -> TaskRun | None:
+        """Take a waiting task out of the queue, None when it doesn't wait."""
+        run = self._queued.pop((job_id, index), None)
+        if run is None:
+            return None
+        run.dropped = True
+        return run.task
+
+    def drop_where(self, unwanted: Callable[[QueuedRun], bool]) -> list[TaskRun]:
+        """Take all waiting tasks out of the queue for which a test holds."""
+        runs = [run for run in self._queued.values() if unwanted(run)]
+        for run in runs:
+            self.drop(run.task.job_id, run.task.index)
+        return [run.task for run in runs]
+
+    def stop(self, job_id: bytes, index: int) -> bool:
+        """Stop a running task; tell whether there was one."""
+        running = self._running.get((job_id, index))
+        if running is None:
+            return False
+        running.cancel()
+        return True
+
+    def abandon(self) -> None:
+        """End everything at once, as the death of the process does."""
+        self.slots = 0
+        self._heap.clear()
+        self._queued.clear()
+        self._on_end = lambda result: None
+        for running in self._running.values():
+            running.cancel()
+
+    def fill(self) -> None:
+        """Start waiting tasks while slots are free."""
+        while self._heap:
+            run = self._heap[0]
+            if not run.dropped and self.used_slots + run.task.size_slots > self.slots:
+                return
+            heapq.heappop(self._heap)
+            if not run.dropped:
+                self._start(run.task)
+
+    async def wait_idle(self) -> None:
+        """Wait until no task runs or waits."""
+        while self._running:
+            await asyncio.wait(list(self._running.values()))
+
+    def _start(self, task: TaskRun) -> None:
+        key = (task.job_id, task.index)
+        self._queued.pop(key, None)
+        self.used_slots += task.size_slots
+        self._on_start(task)
+        self._running[key] = asyncio.create_task(self._run(task))
+
+    async def _run(self, task: TaskRun) -> None:
+        began_ms = self._clock.monotonic_ms()
+        try:
+            outcome = await self._run_bounded(task)
+            state = TaskState.RAN if outcome.error else TaskState.DONE
+        except UpstreamError as error:
+            outcome, state = TaskRunResult(error=str(error)), TaskState.RAN
+            if isinstance(error, UpstreamLost):
+                self._metrics.incr("side.upstream_lost")
+        except asyncio.CancelledError:
+            outcome, state = TaskRunResult(error="stopped"), TaskState.RAN
+            await self._upstream.stop(task)
+        run_ms = self._clock.monotonic_ms() - began_ms
+        del self._running[task.job_id, task.index]
+        self.used_slots -= task.size_slots
+        self._metrics.timing("side.task_run", run_ms)
+        self._on_end(
+            TaskResult(
+                task.job_id, task.index, task.attempt, state, outcome.value, outcome.error, run_ms
+            )
+        )
+        self.fill()
+
+    async def _run_bounded(self, task: TaskRun) -> TaskRunResult:
+        if task.stop_after_ms <= 0:
+            return await self._upstream.run(task)
+        try:
+            return await asyncio.wait_for(self._upstream.run(task), task.stop_after_ms / 1000)
+        except TimeoutError:
+            await self._upstream.stop(task)
+            self._metrics.incr("side.straggler_stopped")
+            return TaskRunResult(error="stopped after running far longer than its kind does")
--- /dev/null
+++ b/src/currantbarrow/side/upstream.py
@@ -0,0 +1,81 @@
+"""Run tasks on the upstream over HTTP."""
+
+from __future__ import annotations
+
+import aiohttp
+import msgspec
+
+from currantbarrow.exceptions import UpstreamError, UpstreamLost
+from currantbarrow.jobs import TaskRun, TaskRunResult
+
+__all__ = ["HttpUpstream", "create_upstream"]
+
+HTTP_OK = 200
+CONNECT_TIMEOUT_S = 1.0
+ERROR_CHARS = 200
+
+
+class _TaskBody(msgspec.Struct):
+    job: str
+    index: int
+    job_class: str
+    customer: str
+    payload: object
+
+
+class HttpUpstream:
+    """Post each task to the upstream, over a bounded number of connections."""
+
+    __slots__ = ("_connections", "_session", "_url")
+
+    def __init__(self, url: str, connections: int) -> None:
+        self._url = url.rstrip("/")
+        self._connections = connections
+        self._session: aiohttp.ClientSession | None = None
+
+    async def run(self, task: TaskRun) -> TaskRunResult:
+        """Run one task to its end; raise UpstreamError or UpstreamLost."""
+        body = _TaskBody(task.job_id.hex(), task.index, task.job_class, task.customer, task.payload)
+        try:
+            async with self._open().post(
+                f"{self._url}/tasks", data=msgspec.json.encode(body)
+            ) as response:
+                content = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            raise UpstreamError(f"the upstream refused the connection: {error}") from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise UpstreamLost(f"the upstream's answer never came: {error}") from error
+        if response.status != HTTP_OK:
+            text = content[:ERROR_CHARS].decode(errors="replace")
+            raise UpstreamError(f"the upstream answered {response.status}: {text}")
+        try:
+            return TaskRunResult(msgspec.json.decode(content))
+        except msgspec.DecodeError as error:
+            raise UpstreamError(f"the upstream's answer is not JSON: {error}") from error
+
+    async def stop(self, task: TaskRun) -> None:
+        """Ask the upstream to stop a running task; failures leave it running."""
+        url = f"{self._url}/tasks/{task.job_id.hex()}/{task.index}"
+        try:
+            async with self._open().delete(url) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError):
+            return
+
+    async def close(self) -> None:
+        """Close the connections to the upstream."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=self._connections),
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            )
+        return self._session
+
+
+def create_upstream(url: str, connections: int) -> HttpUpstream:
+    """Return a client of the upstream at a URL."""
+    return HttpUpstream(url, connections)
--- /dev/null
+++ b/src/currantbarrow/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, the links and the upstreams, with fault knobs."""
--- /dev/null
+++ b/src/currantbarrow/standins/fleet.py
@@ -0,0 +1,266 @@
+"""Run real entry and side processes' code over fakes at the interfaces, in one loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from currantbarrow.entry import EntryNode, EntryOptions
+from currantbarrow.logservice import (
+    CLASS_STREAM,
+    ClassChanged,
+    ClassDefinition,
+    encode_record,
+)
+from currantbarrow.observe import EventRing, HybridClock, MetricsBook
+from currantbarrow.policy import Policies, create_policies
+from currantbarrow.protocol import Hello
+from currantbarrow.side import SideNode, SideOptions
+from currantbarrow.standins.memory_log import MemoryLog
+from currantbarrow.standins.memory_network import MemoryFabric, MemoryNetwork
+from currantbarrow.standins.upstream import MemoryUpstream, StartBook
+from currantbarrow.types import Clock
+
+__all__ = ["EntryProcess", "Fleet", "FleetPlan", "LoopClock", "SideProcess"]
+
+START_WALL_MS = 1_760_000_000_000
+ANNOUNCE_MS = 1000.0
+READY_LOOK_MS = 20.0
+PoliciesFactory = Callable[[random.Random, str], Policies]
+
+
+class LoopClock:
+    """Tell the event loop's time, so that a virtual loop makes virtual time."""
+
+    def __init__(self, skew_ms: float = 0.0) -> None:
+        self.skew_ms = skew_ms
+        self.running = asyncio.Event()
+        self.running.set()
+
+    def monotonic_ms(self) -> float:
+        """Return the loop's time in milliseconds."""
+        return asyncio.get_running_loop().time() * 1000
+
+    def wall_ms(self) -> int:
+        """Return the wall clock time that goes with the loop's time."""
+        return int(START_WALL_MS + self.skew_ms + self.monotonic_ms())
+
+    async def sleep_ms(self, delay_ms: float) -> None:
+        """Wait for a number of milliseconds, and on while the process is paused."""
+        await asyncio.sleep(delay_ms / 1000)
+        await self.running.wait()
+
+
+class FleetPlan(msgspec.Struct, frozen=True):
+    """Say how large a fleet of stand-ins is, and how far apart."""
+
+    entries: int = 3
+    sides: int = 11
+    slots: int = 8
+    data_centres: tuple[str, ...] = ("one", "two", "three")
+    sides_per_rack: int = 3
+    near_ms: float = 0.2
+    far_ms: float = 1.0
+    window_ms: float = 600_000.0
+    seed: int = 1
+
+
+class EntryProcess:
+    """Hold one entry process and what is its own."""
+
+    __slots__ = ("clock", "metrics", "name", "node")
+
+    def __init__(self, name: str, node: EntryNode, clock: LoopClock, metrics: MetricsBook) -> None:
+        self.name = name
+        self.node = node
+        self.clock = clock
+        self.metrics = metrics
+
+
+class SideProcess:
+    """Hold one side process and its upstream."""
+
+    __slots__ = ("announcing", "clock", "metrics", "name", "node", "upstream")
+
+    def __init__(
+        self,
+        name: str,
+        node: SideNode,
+        upstream: MemoryUpstream,
+        clock: LoopClock,
+        metrics: MetricsBook,
+    ) -> None:
+        self.name = name
+        self.node = node
+        self.upstream = upstream
+        self.clock = clock
+        self.metrics = metrics
+        self.announcing: asyncio.Task[None] | None = None
+
+
+class Fleet:
+    """Start, break and stop stand-in processes that run the real code."""
+
+    def __init__(self, plan: FleetPlan, create: PoliciesFactory = create_policies) -> None:
+        self.plan = plan
+        self.rng = random.Random(plan.seed)
+        self.clock: Clock = LoopClock()
+        self.fabric = MemoryFabric(random.Random(plan.seed + 1), self._delay_ms)
+        self.log = MemoryLog(self.clock, random.Random(plan.seed + 2))
+        self.book = StartBook()
+        self.entries: dict[str, EntryProcess] = {}
+        self.sides: dict[str, SideProcess] = {}
+        self._create_policies = create
+        self._incarnations = 0
+
+    async def start(self, classes: dict[str, float]) -> None:
+        """Start all processes, create classes by name and target, and wait until ready."""
+        for name, target_ms in classes.items():
+            await self.set_class(name, target_ms)
+        for number in range(self.plan.sides):
+            await self.start_side(number)
+        for number in range(self.plan.entries):
+            await self.start_entry(number)
+        await self.wait_ready()
+
+    async def wait_ready(self) -> None:
+        """Wait until every entry holds its lease and all shards are owned by the living."""
+        while not all(self._is_ready(entry.node) for entry in self.entries.values()):
+            await self.clock.sleep_ms(READY_LOOK_MS)
+
+    async def set_class(self, name: str, target_ms: float, based_on: int = 0) -> None:
+        """Append a change of class, as the command line does."""
+        record = ClassChanged(
+            f"class-{self.rng.getrandbits(48):x}", name, based_on, ClassDefinition(target_ms)
+        )
+        await self.log.append(CLASS_STREAM, encode_record(record))
+
+    async def start_entry(self, number: int) -> EntryProcess:
+        """Start a new incarnation of an entry process."""
+        name = f"entry-{number}"
+        clock, metrics, rng = LoopClock(), MetricsBook(), self._rng()
+        options = EntryOptions(
+            name,
+            self._incarnation(name),
+            self._address(name),
+            self._data_centre(number),
+            f"entry-rack-{number}",
+            window_ms=self.plan.window_ms,
+        )
+        events = EventRing(name, HybridClock(clock))
+        node = EntryNode(
+            options,
+            clock=clock,
+            network=MemoryNetwork(self.fabric),
+            log=self.log,
+            rng=rng,
+            metrics=metrics,
+            events=events,
+            policies=self._create_policies(rng, options.data_centre),
+        )
+        self.entries[name] = EntryProcess(name, node, clock, metrics)
+        await node.start()
+        return self.entries[name]
+
+    async def start_side(self, number: int) -> SideProcess:
+        """Start a new incarnation of a side process and its upstream's announcements."""
+        name = f"side-{number}"
+        clock, metrics, rng = LoopClock(), MetricsBook(), self._rng()
+        options = SideOptions(
+            name,
+            self._incarnation(name),
+            self._address(name),
+            self._data_centre(number),
+            f"rack-{number // self.plan.sides_per_rack}",
+            window_ms=self.plan.window_ms,
+        )
+        upstream = MemoryUpstream(name, clock, rng, self.book)
+        node = SideNode(
+            options,
+            clock=clock,
+            network=MemoryNetwork(self.fabric),
+            log=self.log,
+            upstream=upstream,
+            rng=rng,
+            metrics=metrics,
+            events=EventRing(name, HybridClock(clock)),
+        )
+        side = SideProcess(name, node, upstream, clock, metrics)
+        self.sides[name] = side
+        await node.start()
+        side.announcing = asyncio.create_task(self._announce(side))
+        return side
+
+    async def kill_entry(self, name: str) -> None:
+        """Crash an entry process."""
+        await self.entries.pop(name).node.kill()
+
+    async def kill_side(self, name: str) -> None:
+        """Crash a side process together with its worker."""
+        side = self.sides.pop(name)
+        if side.announcing is not None:
+            side.announcing.cancel()
+        await side.node.kill()
+
+    def pause(self, name: str) -> None:
+        """Freeze a process: it neither receives nor wakes from waiting."""
+        self._clock_of(name).running.clear()
+        self.fabric.pause(name)
+
+    def resume(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self._clock_of(name).running.set()
+        self.fabric.resume(name)
+
+    async def stop(self) -> None:
+        """End all processes."""
+        for name in list(self.entries):
+            self.resume(name)
+            await self.kill_entry(name)
+        for name in list(self.sides):
+            self.resume(name)
+            await self.kill_side(name)
+
+    def _clock_of(self, name: str) -> LoopClock:
+        if name in self.entries:
+            return self.entries[name].clock
+        return self.sides[name].clock
+
+    def _is_ready(self, node: EntryNode) -> bool:
+        assignment = node.cluster.assignment
+        living = {entry.node.options.incarnation for entry in self.entries.values()}
+        sides_up = sum(1 for peer in node.sides.peers.values() if peer.up)
+        return (
+            bool(assignment.owners)
+            and set(assignment.owners) == living
+            and node.lease.held()
+            and sides_up == len(self.sides)
+            and node.ownership.is_settled()
+        )
+
+    async def _announce(self, side: SideProcess) -> None:
+        with contextlib.suppress(asyncio.CancelledError):
+            while True:
+                side.node.announce(self.plan.slots)
+                await self.clock.sleep_ms(ANNOUNCE_MS)
+
+    def _delay_ms(self, sender: Hello, receiver: Hello) -> float:
+        near = sender.data_centre == receiver.data_centre
+        return self.plan.near_ms if near else self.plan.far_ms
+
+    def _data_centre(self, number: int) -> str:
+        return self.plan.data_centres[number % len(self.plan.data_centres)]
+
+    def _incarnation(self, name: str) -> str:
+        self._incarnations += 1
+        return f"{name}.{self._incarnations}"
+
+    def _address(self, name: str) -> str:
+        return f"{name}:7000"
+
+    def _rng(self) -> random.Random:
+        return random.Random(self.rng.getrandbits(64))
--- /dev/null
+++ b/src/currantbarrow/standins/memory_log.py
@@ -0,0 +1,133 @@
+"""Stand in for the platform's log service, with its faults, in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from currantbarrow.exceptions import AppendUnknown, LogUnavailable, RecordsExpired
+from currantbarrow.logservice.client import StoredRecord
+from currantbarrow.types import Clock
+
+__all__ = ["LogFaults", "MemoryLog"]
+
+PAGE_RECORDS = 500
+
+
+class LogFaults:
+    """Hold the faults that the log stand-in shows at present."""
+
+    __slots__ = (
+        "append_delay_ms",
+        "appends_per_s",
+        "down",
+        "lost_reply_share",
+        "read_delay_ms",
+        "retention_ms",
+    )
+
+    def __init__(self) -> None:
+        self.down = False
+        self.append_delay_ms = 5.0
+        self.read_delay_ms = 1.0
+        # The share of appends that take effect and whose reply is lost all the same.
+        self.lost_reply_share = 0.0
+        self.retention_ms = 0.0
+        self.appends_per_s = 0.0
+
+
+class _Stream:
+    __slots__ = ("arrived", "first_offset", "records", "times_ms")
+
+    def __init__(self) -> None:
+        self.first_offset = 0
+        self.records: list[StoredRecord] = []
+        self.times_ms: list[float] = []
+        self.arrived = asyncio.Event()
+
+
+class MemoryLog:
+    """Keep streams of records; all stand-in processes share one."""
+
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
+        self.faults = LogFaults()
+        self.appends = 0
+        self.reads = 0
+        self._clock = clock
+        self._rng = rng
+        self._streams: dict[str, _Stream] = {}
+        self._second_ms = 0.0
+        self._in_second = 0
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append a record and return its offset; raise LogUnavailable or AppendUnknown."""
+        self._check_up()
+        self._check_rate()
+        await self._clock.sleep_ms(self.faults.append_delay_ms)
+        self._check_up()
+        kept = self._stream(stream)
+        offset = kept.first_offset + len(kept.records)
+        kept.records.append(StoredRecord(offset, bytes(data)))
+        kept.times_ms.append(self._clock.monotonic_ms())
+        self.appends += 1
+        kept.arrived.set()
+        kept.arrived = asyncio.Event()
+        if self._rng.random() < self.faults.lost_reply_share:
+            raise AppendUnknown("the reply was lost")
+        return offset
+
+    async def read(self, stream: str, offset: int, wait_ms: int) -> Sequence[StoredRecord]:
+        """Return records from an offset on; raise LogUnavailable or RecordsExpired."""
+        self.reads += 1
+        self._check_up()
+        await self._clock.sleep_ms(self.faults.read_delay_ms)
+        self._check_up()
+        kept = self._stream(stream)
+        self._expire(kept)
+        if offset < kept.first_offset:
+            raise RecordsExpired(kept.first_offset)
+        if offset - kept.first_offset >= len(kept.records) and wait_ms:
+            try:
+                await asyncio.wait_for(kept.arrived.wait(), wait_ms / 1000)
+            except TimeoutError:
+                pass
+            self._check_up()
+        start = offset - kept.first_offset
+        return kept.records[start : start + PAGE_RECORDS]
+
+    def expire_all(self, stream: str) -> None:
+        """Drop all records of a stream but the newest one."""
+        kept = self._stream(stream)
+        while len(kept.records) > 1:
+            self._drop_first(kept)
+
+    def _check_up(self) -> None:
+        if self.faults.down:
+            raise LogUnavailable("the log service is down")
+
+    def _check_rate(self) -> None:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._second_ms >= 1000:
+            self._second_ms, self._in_second = now_ms, 0
+        self._in_second += 1
+        if self.faults.appends_per_s and self._in_second > self.faults.appends_per_s:
+            raise LogUnavailable("too many appends")
+
+    def _stream(self, name: str) -> _Stream:
+        if name not in self._streams:
+            self._streams[name] = _Stream()
+        return self._streams[name]
+
+    def _expire(self, kept: _Stream) -> None:
+        if not self.faults.retention_ms:
+            return
+        horizon_ms = self._clock.monotonic_ms() - self.faults.retention_ms
+        while kept.times_ms and kept.times_ms[0] < horizon_ms:
+            self._drop_first(kept)
+
+    @staticmethod
+    def _drop_first(kept: _Stream) -> None:
+        del kept.records[0]
+        del kept.times_ms[0]
+        kept.first_offset += 1
--- /dev/null
+++ b/src/currantbarrow/standins/memory_network.py
@@ -0,0 +1,230 @@
+"""Stand in for the links between processes, with delays, cuts and disorder, in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+from collections.abc import Callable
+
+from currantbarrow.exceptions import LinkClosed, LinkTimeout
+from currantbarrow.protocol import Hello, Message
+from currantbarrow.types import Link, LinkHandler
+
+__all__ = ["MemoryFabric", "MemoryNetwork"]
+
+DelayOf = Callable[[Hello, Hello], float]
+
+
+def _no_delay(sender: Hello, receiver: Hello) -> float:
+    return 0.1
+
+
+class _MemoryLink:
+    """Be one end of a link in memory."""
+
+    def __init__(self, fabric: MemoryFabric, owner: Hello, peer: Hello) -> None:
+        self.peer = peer
+        self._owner = owner
+        self._fabric = fabric
+        self._other: _MemoryLink | None = None
+        self._inbound: collections.deque[Message] = collections.deque()
+        self._arrived = asyncio.Event()
+        self._closed = False
+        self._last_due_s = 0.0
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether the link has been closed by either end."""
+        return self._closed
+
+    def post(self, message: Message) -> None:
+        """Queue a message for sending; raise LinkClosed."""
+        if self._closed or self._other is None:
+            raise LinkClosed(f"the link to {self.peer.name} is closed")
+        self._fabric.carry(self, self._other, message)
+
+    async def receive(self) -> Message:
+        """Return the next message; raise LinkClosed at the end."""
+        while not self._inbound or self._fabric.is_paused(self._owner.name):
+            if self._closed and not self._inbound:
+                raise LinkClosed(f"the link to {self.peer.name} closed")
+            await self._fabric.wait_running(self._owner.name)
+            if not self._inbound:
+                self._arrived.clear()
+                if not self._closed:
+                    await self._arrived.wait()
+        return self._inbound.popleft()
+
+    async def close(self) -> None:
+        """Close the link at this end; the other end learns of it."""
+        if not self._closed:
+            self.end()
+            other = self._other
+            if other is not None and not self._fabric.is_cut(self._owner.name, self.peer.name):
+                delay_s = self._fabric.delay_s(self._owner, self.peer)
+                asyncio.get_running_loop().call_later(delay_s, other.end)
+
+    def join(self, other: _MemoryLink) -> None:
+        """Make two ends one link."""
+        self._other, other._other = other, self
+
+    def end(self) -> None:
+        """Mark the link as closed."""
+        self._closed = True
+        self._arrived.set()
+
+    def deliver(self, message: Message) -> None:
+        """Take in a message from the other end."""
+        if not self._closed:
+            self._fabric.received[type(message).__name__] += 1
+            self._inbound.append(message)
+            self._arrived.set()
+
+    def due_s(self, delay_s: float, *, in_order: bool) -> float:
+        """Return when a message sent now arrives, never before an earlier one."""
+        due_s = asyncio.get_running_loop().time() + delay_s
+        if in_order:
+            due_s = max(due_s, self._last_due_s)
+            self._last_due_s = due_s
+        return due_s
+
+    @property
+    def owner(self) -> Hello:
+        """Return the process at this end."""
+        return self._owner
+
+
+class MemoryFabric:
+    """Join the networks of all stand-in processes, and hold the faults between them."""
+
+    def __init__(self, rng: random.Random, delay_of: DelayOf = _no_delay) -> None:
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.received: collections.Counter[str] = collections.Counter()
+        self.duplicate_share = 0.0
+        self.reorder_share = 0.0
+        self.extra_delay_ms = 0.0
+        self.observers: list[Callable[[Hello, Hello, Message], None]] = []
+        self._rng = rng
+        self._delay_of = delay_of
+        self._listeners: dict[str, tuple[Hello, LinkHandler]] = {}
+        self._cuts: set[frozenset[str]] = set()
+        self._keep_alive: set[asyncio.Task[None]] = set()
+        self._running: dict[str, asyncio.Event] = {}
+
+    def cut(self, one: str, other: str) -> None:
+        """Drop all that goes between two processes, without telling them."""
+        self._cuts.add(frozenset((one, other)))
+
+    def mend(self, one: str, other: str) -> None:
+        """Let messages pass again; links that lost messages stay broken."""
+        self._cuts.discard(frozenset((one, other)))
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether nothing passes between two processes."""
+        return frozenset((one, other)) in self._cuts
+
+    def pause(self, name: str) -> None:
+        """Stop a process from receiving, as a freeze does."""
+        self._running.setdefault(name, asyncio.Event()).clear()
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        if name in self._running:
+            self._running[name].set()
+
+    def is_paused(self, name: str) -> bool:
+        """Tell whether a process is paused."""
+        event = self._running.get(name)
+        return event is not None and not event.is_set()
+
+    async def wait_running(self, name: str) -> None:
+        """Wait while a process is paused."""
+        event = self._running.get(name)
+        if event is not None:
+            await event.wait()
+
+    def delay_s(self, sender: Hello, receiver: Hello) -> float:
+        """Return how long a message takes at present."""
+        return (self._delay_of(sender, receiver) + self.extra_delay_ms) / 1000
+
+    def carry(self, sender: _MemoryLink, receiver: _MemoryLink, message: Message) -> None:
+        """Take a message to the other end, unless a fault prevents it."""
+        self.sent[type(message).__name__] += 1
+        for observe in self.observers:
+            observe(sender.owner, receiver.owner, message)
+        if self.is_cut(sender.owner.name, receiver.owner.name):
+            return
+        copies = 2 if self._rng.random() < self.duplicate_share else 1
+        for _ in range(copies):
+            reorder = self._rng.random() < self.reorder_share
+            delay_s = self.delay_s(sender.owner, receiver.owner)
+            if reorder:
+                delay_s *= 1 + 10 * self._rng.random()
+            due_s = sender.due_s(delay_s, in_order=not reorder)
+            asyncio.get_running_loop().call_at(due_s, receiver.deliver, message)
+
+    def listen(self, address: str, hello: Hello, handler: LinkHandler) -> None:
+        """Take connections for an address."""
+        self._listeners[address] = (hello, handler)
+
+    def forget(self, address: str) -> None:
+        """Take no more connections for an address."""
+        self._listeners.pop(address, None)
+
+    async def connect(self, address: str, hello: Hello) -> _MemoryLink:
+        """Join two processes; raise LinkClosed or LinkTimeout."""
+        await asyncio.sleep(0.0005)
+        listener = self._listeners.get(address)
+        if listener is None:
+            raise LinkClosed(f"nothing listens at {address}")
+        peer, handler = listener
+        if self.is_cut(hello.name, peer.name) or self.is_paused(peer.name):
+            await asyncio.sleep(1.0)
+            raise LinkTimeout(f"{address} did not answer")
+        near, far = _MemoryLink(self, hello, peer), _MemoryLink(self, peer, hello)
+        near.join(far)
+        task = asyncio.get_running_loop().create_task(self._run(handler, far))
+        self._keep_alive.add(task)
+        task.add_done_callback(self._keep_alive.discard)
+        return near
+
+    @staticmethod
+    async def _run(handler: LinkHandler, link: _MemoryLink) -> None:
+        try:
+            await handler(link)
+        finally:
+            await link.close()
+
+
+class MemoryNetwork:
+    """Be the network of one stand-in process."""
+
+    def __init__(self, fabric: MemoryFabric) -> None:
+        self._fabric = fabric
+        self._address = ""
+        self._links: list[Link] = []
+
+    async def connect(self, address: str, hello: Hello) -> Link:
+        """Open a link to an address; raise LinkError."""
+        link = await self._fabric.connect(address, hello)
+        self._links.append(link)
+        return link
+
+    async def listen(self, address: str, hello: Hello, handler: LinkHandler) -> str:
+        """Accept links and run a handler for each; return the bound address."""
+
+        async def keep(link: Link) -> None:
+            self._links.append(link)
+            await handler(link)
+
+        self._address = address
+        self._fabric.listen(address, hello, keep)
+        return address
+
+    async def stop(self) -> None:
+        """Stop accepting links and close those that are open."""
+        if self._address:
+            self._fabric.forget(self._address)
+        for link in self._links:
+            await link.close()
--- /dev/null
+++ b/src/currantbarrow/standins/worker_main.py
@@ -0,0 +1,123 @@
+"""Run the stand-in for a worker's upstream as a program."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import sys
+from typing import Any
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from currantbarrow.exceptions import UpstreamError, UpstreamLost
+from currantbarrow.jobs import TaskRun
+from currantbarrow.observe import create_clock
+from currantbarrow.runtime import StopSignal, run_daemon
+from currantbarrow.settings import WorkerStandinSettings
+from currantbarrow.standins.upstream import MemoryUpstream, StartBook
+
+__all__ = ["WorkerStandin", "main"]
+
+
+class _TaskBody(msgspec.Struct):
+    job: str
+    index: int
+    job_class: str
+    customer: str
+    payload: Any
+
+
+class WorkerStandin:
+    """Serve an upstream over HTTP, and announce it to its side process."""
+
+    def __init__(self, settings: WorkerStandinSettings, book: StartBook) -> None:
+        self.upstream = MemoryUpstream(settings.name, create_clock(), random.Random(), book)
+        self._settings = settings
+        self._runner: web.AppRunner | None = None
+        self._announcing: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Serve tasks and announce the upstream."""
+        app = web.Application()
+        app.router.add_post("/tasks", self._run)
+        app.router.add_delete("/tasks/{job}/{index}", self._stop)
+        app.router.add_put("/faults", self._set_faults)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        host, _, port = self._settings.address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        self._announcing = asyncio.create_task(self._announce())
+
+    async def leave(self) -> None:
+        """Tell the side process that this upstream is leaving."""
+        if self._announcing is not None:
+            self._announcing.cancel()
+        async with aiohttp.ClientSession() as session:
+            with contextlib.suppress(aiohttp.ClientError):
+                await session.delete(f"{self._settings.side_url}/announcement")
+
+    async def stop(self) -> None:
+        """Stop announcing and serving."""
+        if self._announcing is not None:
+            self._announcing.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _announce(self) -> None:
+        body = msgspec.json.encode({"slots": self._settings.slots})
+        async with aiohttp.ClientSession() as session:
+            while True:
+                with contextlib.suppress(aiohttp.ClientError):
+                    url = f"{self._settings.side_url}/announcement"
+                    async with session.put(url, data=body) as response:
+                        await response.read()
+                await asyncio.sleep(self._settings.announce_ms / 1000)
+
+    async def _run(self, request: web.Request) -> web.Response:
+        body = msgspec.json.decode(await request.read(), type=_TaskBody)
+        task = TaskRun(
+            bytes.fromhex(body.job),
+            body.index,
+            0,
+            body.job_class,
+            body.customer,
+            body.payload,
+            0,
+            0,
+        )
+        try:
+            result = await self.upstream.run(task)
+        except UpstreamLost:
+            if request.transport is not None:
+                request.transport.close()
+            return web.Response(status=500)
+        except UpstreamError as error:
+            return web.Response(status=500, text=str(error))
+        return web.Response(body=msgspec.json.encode(result.value), content_type="application/json")
+
+    async def _stop(self, request: web.Request) -> web.Response:
+        return web.Response(status=202)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        for name, value in msgspec.json.decode(await request.read()).items():
+            if name not in self.upstream.faults.__slots__:
+                return web.Response(status=422, text=f"{name}: no such fault")
+            setattr(self.upstream.faults, name, value)
+        return web.Response(status=204)
+
+
+async def _serve(settings: WorkerStandinSettings) -> None:
+    stop = StopSignal()
+    worker = WorkerStandin(settings, StartBook())
+    await worker.start()
+    await stop.drain.wait()
+    await worker.leave()
+    await worker.stop()
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(run_daemon("currantbarrow-standin-worker", WorkerStandinSettings, _serve))
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,40 @@
+"""Give tests a fleet of real nodes over fakes, in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from currantbarrow.jobs import JobAnswer, JobRequest, TaskRequest
+from currantbarrow.standins.fleet import Fleet, FleetPlan
+from currantbarrow.standins.virtual import run_virtual
+
+CLASSES = {"quote": 300.0, "hold": 200.0}
+
+
+class FleetTest:
+    """Be the base of tests that run a fleet."""
+
+    def run_fleet(
+        self, scenario: Callable[[Fleet], Awaitable[None]], plan: FleetPlan | None = None
+    ) -> Fleet:
+        """Run a scenario on a ready fleet, and check that nothing started twice."""
+        return run_virtual(self._run(scenario, plan or FleetPlan()))
+
+    async def _run(self, scenario: Callable[[Fleet], Awaitable[None]], plan: FleetPlan) -> Fleet:
+        fleet = Fleet(plan)
+        await fleet.start(CLASSES)
+        await scenario(fleet)
+        await fleet.stop()
+        assert fleet.book.double_starts() == []
+        return fleet
+
+    @staticmethod
+    def make_job(fleet: Fleet, key: str, run_ms: list[float], customer: str = "a") -> JobRequest:
+        """Return a job whose tasks run for given times."""
+        tasks = [TaskRequest({"run_ms": each, "echo": n}, each) for n, each in enumerate(run_ms)]
+        return JobRequest(key, fleet.clock.wall_ms(), customer, "quote", tasks)
+
+    @staticmethod
+    async def submit(fleet: Fleet, entry: int, job: JobRequest) -> JobAnswer:
+        """Submit a job at one entry."""
+        return await fleet.entries[f"entry-{entry}"].node.submit(job)
