--- /dev/null
+++ b/src/currantbarrow/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure decisions, slopes and costs."""
--- a/src/currantbarrow/protocol/codec.py
+++ b/src/currantbarrow/protocol/codec.py
@@ -23,8 +23,19 @@
     and issubclass(item, messages.Message)
     and item not in (messages.Message, messages.Call, messages.Reply)
 ]
+_KNOWN_TAGS = {item.__name__ for item in _CONCRETE}
 _AnyMessage: Any = functools.reduce(operator.or_, _CONCRETE)
-_Frame: Any = tuple[int, list[_AnyMessage]]
+
+
+# The library prepares a struct's type once and any other type at each call, so frames are structs.
+class _Frame(msgspec.Struct, array_like=True):
+    stamp: int
+    batch: list[_AnyMessage]
+
+
+class _RawFrame(msgspec.Struct, array_like=True):
+    stamp: int
+    batch: list[Any]
 
 
 def encode_frame(stamp: int, batch: Iterable[messages.Message]) -> bytes:
@@ -34,9 +45,30 @@
 
 
 def decode_frame(data: bytes) -> tuple[int, list[messages.Message]]:
-    """Decode a frame; raise BadFrame for anything that is not one."""
+    """Decode a frame, without the messages that only a newer peer knows; raise BadFrame."""
     try:
-        stamp, batch = msgspec.convert(cbor2.loads(data), _Frame)
+        plain = cbor2.loads(data)
+        return _convert(plain)
     except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError) as error:
         raise BadFrame(str(error)) from error
-    return stamp, batch
+    except (RecursionError, OverflowError) as error:
+        raise BadFrame("the frame nests too deeply or holds too large a number") from error
+
+
+def _convert(plain: Any) -> tuple[int, list[messages.Message]]:
+    try:
+        frame = msgspec.convert(plain, _Frame)
+    except msgspec.ValidationError:
+        # A frame of a newer peer may hold messages that are unknown here; only those are
+        # left out, so that old and new processes can work side by side during a rollout.
+        raw = msgspec.convert(plain, _RawFrame)
+        known = [item for item in raw.batch if not _is_newer(item)]
+        if len(known) == len(raw.batch):
+            raise
+        frame = msgspec.convert([raw.stamp, known], _Frame)
+    return frame.stamp, frame.batch
+
+
+def _is_newer(item: Any) -> bool:
+    tagged = isinstance(item, list) and bool(item) and isinstance(item[0], str)
+    return tagged and item[0] not in _KNOWN_TAGS
--- a/src/currantbarrow/protocol/messages.py
+++ b/src/currantbarrow/protocol/messages.py
@@ -71,6 +71,12 @@
     STALE = "stale"
     TOO_LARGE = "too_large"
     CANCELLED = "cancelled"
+    OTHER = "other"
+
+    @classmethod
+    def _missing_(cls, value: object) -> RefusedReason:
+        # Whatever a newer peer's reason is, the refusal proves that the task did not start.
+        return cls.OTHER
 
 
 class Message(msgspec.Struct, array_like=True, frozen=True, tag=True):
--- a/src/currantbarrow/protocol/websocket.py
+++ b/src/currantbarrow/protocol/websocket.py
@@ -120,15 +120,26 @@
 
     async def _send(self, batch: list[Message]) -> bool:
         frame = encode_frame(self._clock.tick(), batch)
+        if len(frame) > MAX_FRAME_BYTES:
+            return await self._send_divided(batch)
         try:
             await self._socket.send(frame)
         except ConnectionClosed:
             self._end()
             return False
+        self._metrics.incr("link.frames_sent")
         self._metrics.incr("link.messages_sent", len(batch))
         self._metrics.incr("link.bytes_sent", len(frame))
         return True
 
+    async def _send_divided(self, batch: list[Message]) -> bool:
+        if len(batch) == 1:
+            # The peer would close the link over it, and again after each new connection.
+            self._metrics.incr("link.oversize_dropped")
+            return True
+        middle = len(batch) // 2
+        return await self._send(batch[:middle]) and await self._send(batch[middle:])
+
     def _end(self) -> None:
         self._closed = True
         self._outbound.clear()
