Close gaps in the change of owners that could start a task twice

Cause: read with a hostile eye, the change of owners trusted a table handed over by a process that had slept through another owner's time, a departure seen by one entry only, one clock skew where two add up, and a first version where two came in one read. A handover part that came before its receiver had read the record was dropped; an entry or side process wrongly taken for dead never came back; a cancel before its submission was lost with a handover.

Change: assignments remember the former owner's version; departures are proven or settled by closing older versions; retention and certainty allow for two skews; the panel gives evidence before an entry is removed; handover parts are repeated until taken in; members taken for dead register again.

--- a/src/currantbarrow/cluster/state.py
+++ b/src/currantbarrow/cluster/state.py
@@ -43,6 +43,11 @@
     role: Role
     incarnation: str
     at_ms: int
+    # A goodbye, or a successor at its address, proves the end; the suspicion of others doesn't.
+    proven: bool = False
+    # Once all assignments from before the record are closed, nobody starts work there.
+    settled: bool = False
+    offset: int = -1
 
 
 class Assignment(msgspec.Struct, frozen=True):
@@ -55,11 +60,25 @@
     # The owner before the present one, and the version that gave the shard to the present one.
     former: tuple[str, ...] = ()
     since: tuple[int, ...] = ()
+    # The version that gave the shard to the owner before the present one.
+    former_since: tuple[int, ...] = ()
 
     def owner_of(self, shard: int) -> str:
         """Return the incarnation that owns a shard, empty when none does."""
         return self.owners[shard] if self.owners else ""
 
+    def held_since(self, shard: int) -> int:
+        """Return the version that gave a shard to its owner, 0 when none did."""
+        return self.since[shard] if self.since else 0
+
+    def held_before(self, shard: int) -> int:
+        """Return the version that gave a shard to its former owner, 0 when none did."""
+        return self.former_since[shard] if self.former_since else 0
+
+    def passed_directly(self, shard: int, owner: str, since: int) -> bool:
+        """Tell whether the present owner follows one that held the shard since a version."""
+        return self.former[shard] == owner and self.held_before(shard) == since
+
     def shards_of(self, owner: str) -> set[int]:
         """Return the shards of an owner."""
         return {shard for shard in range(SHARD_COUNT) if self.owner_of(shard) == owner}
@@ -97,9 +116,9 @@
         while len(self._record_ids) > REMEMBERED_RECORDS:
             self._record_ids.popitem(last=False)
         if isinstance(record, MemberJoined):
-            self._join(record)
+            self._join(offset, record)
         elif isinstance(record, MemberLeft):
-            self._leave(record.incarnation, record.at_ms)
+            self._leave(offset, record.incarnation, record.at_ms, proven=record.goodbye)
         elif isinstance(record, MemberDraining):
             self._drain(record.incarnation)
         elif isinstance(record, AssignmentChanged):
@@ -131,11 +150,34 @@
         self.offset = offset
         return True
 
-    def _join(self, record: MemberJoined) -> None:
+    def is_proven_gone(self, incarnation: str) -> bool:
+        """Tell whether an incarnation certainly does nothing any more."""
+        return any(
+            departure.proven and departure.incarnation == incarnation
+            for departure in self.departures
+        )
+
+    def unsettled(self) -> list[Departure]:
+        """Return the side processes that owners which lag behind may still start work at."""
+        return [
+            departure
+            for departure in self.departures
+            if departure.role is Role.SIDE and not departure.proven and not departure.settled
+        ]
+
+    def _join(self, offset: int, record: MemberJoined) -> None:
+        if self.is_proven_gone(record.incarnation):
+            return
+        # An incarnation that was taken for dead and comes back still has its memory.
+        returned = [each for each in self.departures if each.incarnation == record.incarnation]
+        for departure in returned:
+            self.departures.remove(departure)
         for member in list(self.members.values()):
             replaced = member.role == record.role and member.name == record.name
             if replaced and member.incarnation != record.incarnation:
-                self._leave(member.incarnation, record.at_ms)
+                # Nothing reaches a process whose address another one listens at.
+                proven = member.address == record.address
+                self._leave(offset, member.incarnation, record.at_ms, proven=proven)
         self.members[record.incarnation] = Member(
             record.role,
             record.name,
@@ -147,10 +189,12 @@
             record.operator_address,
         )
 
-    def _leave(self, incarnation: str, at_ms: int) -> None:
+    def _leave(self, offset: int, incarnation: str, at_ms: int, *, proven: bool) -> None:
         member = self.members.pop(incarnation, None)
         if member is not None:
-            self.departures.append(Departure(member.role, incarnation, at_ms))
+            self.departures.append(
+                Departure(member.role, incarnation, at_ms, proven, False, offset)
+            )
 
     def _drain(self, incarnation: str) -> None:
         member = self.members.get(incarnation)
@@ -168,14 +212,33 @@
         self.panels[version] = tuple(record.panel)
         for old in [old for old in self.panels if old <= closed]:
             del self.panels[old]
+        self._settle(closed, record.at_ms)
+
+    def _settle(self, closed: int, at_ms: int) -> None:
+        """Date the departures from before a closed version by the time of its closing."""
+        for index, departure in enumerate(self.departures):
+            open_still = not departure.proven and not departure.settled
+            if open_still and departure.offset <= closed:
+                self.departures[index] = msgspec.structs.replace(
+                    departure, settled=True, at_ms=max(departure.at_ms, at_ms)
+                )
 
     @staticmethod
     def _follow(
         old: Assignment, version: int, owners: tuple[str, ...], panel: list[str], closed: int
     ) -> Assignment:
-        former, since = [], []
+        former, since, former_since = [], [], []
         for shard, owner in enumerate(owners):
             kept = old.owner_of(shard) == owner
             former.append(old.former[shard] if kept else old.owner_of(shard))
             since.append(old.since[shard] if kept else version)
-        return Assignment(version, owners, tuple(panel), closed, tuple(former), tuple(since))
+            former_since.append(old.held_before(shard) if kept else old.held_since(shard))
+        return Assignment(
+            version,
+            owners,
+            tuple(panel),
+            closed,
+            tuple(former),
+            tuple(since),
+            tuple(former_since),
+        )
--- a/src/currantbarrow/entry/handover.py
+++ b/src/currantbarrow/entry/handover.py
@@ -5,7 +5,7 @@
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.ownership import Ownership
 from currantbarrow.jobs import TaskAnswer, shard_of
-from currantbarrow.jobs.table import Job
+from currantbarrow.jobs.table import Job, JobTable
 from currantbarrow.protocol import Handover, HandoverDone, JobRow, RecoveredRow, TaskRow
 from currantbarrow.types import Clock
 
@@ -51,18 +51,19 @@
 
 
 def build_handovers(
-    ownership: Ownership, jobs: list[Job], shards: set[int], version: int, now_ms: float
+    ownership: Ownership, table: JobTable, shards: set[int], version: int, now_ms: float
 ) -> list[Handover]:
     """Return the parts of a handover of ready shards; the call id is set on sending."""
     certain_from_ms = ownership.certain_from_ms(shards)
     recovered = [
         RecoveredRow(job_id, sides) for job_id, sides in ownership.recovered_in(shards).items()
     ]
-    rows = [describe_job(job, now_ms) for job in jobs]
+    rows = [describe_job(job, now_ms) for job in table.in_shards(shards)]
     chunks = [rows[start : start + JOBS_PER_PART] for start in range(0, len(rows), JOBS_PER_PART)]
     numbers = sorted(shards)
     parts = [Handover(0, version, numbers, chunk, [], certain_from_ms, False) for chunk in chunks]
-    parts.append(Handover(0, version, numbers, [], recovered, certain_from_ms, True))
+    cancelled = table.cancelled_in(shards)
+    parts.append(Handover(0, version, numbers, [], recovered, certain_from_ms, True, cancelled))
     return parts
 
 
@@ -91,6 +92,9 @@
     for recovered in call.recovered:
         if shard_of(recovered.job_id) in expected:
             ownership.add_recovered(recovered.job_id, recovered.sides)
+    for job_id in call.cancelled:
+        if shard_of(job_id) in expected:
+            dispatcher.table.cancel_early(job_id)
     if call.last:
         ownership.make_ready(expected, call.certain_from_ms)
     return HandoverDone(call.call_id, bool(expected))
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -17,14 +17,14 @@
 from currantbarrow.entry.peers import EntryPool
 from currantbarrow.entry.router import Router
 from currantbarrow.entry.sides import SidePool
-from currantbarrow.entry.steward import Steward
+from currantbarrow.entry.steward import ENTRY_SUSPECT_MS, Steward
 from currantbarrow.exceptions import (
     CurrantbarrowError,
     JobUnknown,
     LinkError,
     LogServiceError,
 )
-from currantbarrow.jobs import JobAnswer, JobRequest, shard_of
+from currantbarrow.jobs import JobAnswer, JobRequest, retention_ms
 from currantbarrow.jobs.table import JobTable
 from currantbarrow.logservice import CLASS_STREAM, CLUSTER_STREAM, ClassDefinition, LogFollower
 from currantbarrow.observe import EventRing, logger
@@ -49,8 +49,8 @@
 __all__ = ["EntryNode", "EntryOptions"]
 
 HEARTBEAT_MS = 1000.0
-HANDOVER_TIMEOUT_MS = 2000.0
-HANDOVER_TRIES = 3
+HANDOVER_TIMEOUT_MS = 1000.0
+HANDOVER_GIVE_UP_MS = 4000.0
 DRAIN_LOOK_MS = 20.0
 
 
@@ -132,7 +132,7 @@
             metrics=self.metrics,
             events=self.events,
             policies=policies,
-            table=JobTable(self._clock, options.window_ms),
+            table=JobTable(self._clock, retention_ms(options.window_ms, options.skew_ms)),
             may_start=self._may_start,
             epoch=lambda: self.ownership.version,
         )
@@ -167,7 +167,7 @@
             events=self.events,
             pool=self.sides,
             give_up=self._give_up,
-            is_reachable=lambda owner: self.entries.down_for_ms(owner) == 0.0,
+            is_down=lambda owner: self.entries.down_for_ms(owner) > ENTRY_SUSPECT_MS,
         )
         self.lease = Lease(
             options.incarnation,
@@ -403,54 +403,62 @@
             call, link.peer.incarnation, self.ownership, self.dispatcher, self._clock, targets
         )
 
-    def _give_up(self, lost: set[int]) -> None:
-        """Send the table of shards that were ready to their next owners."""
+    def _give_up(self, lost: set[int], to_hand_over: set[int]) -> None:
+        """Let go of shards, and send the tables that are up to date to their next owners."""
         assignment = self.cluster.assignment
-        ready = self.ownership.ready_shards(lost)
-        jobs = self.dispatcher.table.in_shards(lost)
+        table = self.dispatcher.table
         groups: dict[tuple[str, int], set[int]] = {}
-        for shard in sorted(ready):
+        for shard in sorted(to_hand_over):
             key = (assignment.owner_of(shard), assignment.since[shard])
             groups.setdefault(key, set()).add(shard)
         for (owner, since), shards in groups.items():
-            mine = [job for job in jobs if shard_of(job.job_id) in shards]
-            parts = build_handovers(self.ownership, mine, shards, since, self._clock.monotonic_ms())
+            now_ms = self._clock.monotonic_ms()
+            parts = build_handovers(self.ownership, table, shards, since, now_ms)
             self._spawn(self._hand_over(owner, parts))
-        for job in jobs:
+        for job in table.in_shards(lost):
             self.dispatcher.forget(job)
 
     async def _hand_over(self, owner: str, parts: list[Handover]) -> None:
         self._handovers += 1
         try:
             for part in parts:
-                await self._hand_part(owner, part)
+                if not await self._hand_part(owner, part):
+                    self.metrics.incr("entry.handover_rejected")
+                    return
         except LinkError:
             # The next owner will ask the side processes instead.
             self.metrics.incr("entry.handover_failed")
         finally:
             self._handovers -= 1
 
-    async def _hand_part(self, owner: str, part: Handover) -> None:
-        for remaining in reversed(range(HANDOVER_TRIES)):
+    async def _hand_part(self, owner: str, part: Handover) -> bool:
+        """Send one part until it is taken in; raise LinkError, False when it was not wanted."""
+        deadline_ms = self._clock.monotonic_ms() + HANDOVER_GIVE_UP_MS
+        while True:
             try:
                 peer = self.entries.peers.get(owner)
                 if peer is None:
                     raise LinkError("the next owner is not known")
-                await peer.require_caller().call(
+                done = await peer.require_caller().call(
                     lambda call_id: msgspec.structs.replace(part, call_id=call_id),
                     HandoverDone,
                     HANDOVER_TIMEOUT_MS,
                 )
-                return
+                if done.accepted:
+                    return True
+                # The next owner may not have read the record yet that makes it the owner.
+                if self._clock.monotonic_ms() > deadline_ms:
+                    return False
             except LinkError:
-                if not remaining:
+                if self._clock.monotonic_ms() > deadline_ms:
                     raise
-                await self._clock.sleep_ms(DRAIN_LOOK_MS)
+            await self._clock.sleep_ms(DRAIN_LOOK_MS)
 
     async def _beat(self) -> None:
         while True:
             await self._clock.sleep_ms(HEARTBEAT_MS)
             self.dispatcher.table.expire()
+            self.ownership.expire()
             for link in list(self._links.values()):
                 with contextlib.suppress(LinkError):
                     link.post(Heartbeat())
--- a/src/currantbarrow/entry/ownership.py
+++ b/src/currantbarrow/entry/ownership.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, TypeVar
 
 from currantbarrow.cluster import Assignment, ClusterState, majority
 from currantbarrow.entry.sides import SidePeer, SidePool
 from currantbarrow.exceptions import LinkError, OwnershipError
-from currantbarrow.jobs import shard_of
+from currantbarrow.jobs import retention_ms, shard_of
 from currantbarrow.observe import EventRing, logger
 from currantbarrow.protocol import (
     Caller,
@@ -25,8 +26,10 @@
 FENCE_TIMEOUT_MS = 1000.0
 CLOSE_TIMEOUT_MS = 1000.0
 RETRY_MS = 200.0
+HANDOVER_LOOK_MS = 20.0
 
 RecoveredTasks = dict[int, str]
+ValueT = TypeVar("ValueT")
 
 
 class OwnershipOptions:
@@ -53,7 +56,7 @@
 class _OwnedShard:
     """Hold one shard of this owner and what is uncertain about it."""
 
-    __slots__ = ("certain_from_ms", "ready", "recovered", "since")
+    __slots__ = ("certain_from_ms", "heard_ms", "ready", "ready_ms", "recovered", "since")
 
     def __init__(self, since: int) -> None:
         self.since = since
@@ -61,6 +64,8 @@
         # Keys created before this wall clock time may have run without this owner knowing.
         self.certain_from_ms = 0.0
         self.recovered: dict[bytes, RecoveredTasks] = {}
+        self.heard_ms = 0.0
+        self.ready_ms = 0.0
 
 
 class Ownership:
@@ -76,8 +81,8 @@
         metrics: Metrics,
         events: EventRing,
         pool: SidePool,
-        give_up: Callable[[set[int]], None],
-        is_reachable: Callable[[str], bool],
+        give_up: Callable[[set[int], set[int]], None],
+        is_down: Callable[[str], bool],
     ) -> None:
         self._owner = owner
         self._state = state
@@ -87,10 +92,11 @@
         self._events = events
         self._pool = pool
         self._give_up = give_up
-        self._is_reachable = is_reachable
+        self._is_down = is_down
         self._version = 0
         self._shards: dict[int, _OwnedShard] = {}
-        self._background: set[asyncio.Task[None]] = set()
+        self._background: set[asyncio.Task[Any]] = set()
+        self._closing = False
         self.closed_version = 0
 
     @property
@@ -135,7 +141,10 @@
         owned = self._shards.get(shard)
         if owned is None or owned.ready.is_set() or owned.since != since:
             return False
-        return self._state.assignment.former[shard] == former
+        if self._state.assignment.former[shard] != former:
+            return False
+        owned.heard_ms = self._clock.monotonic_ms()
+        return True
 
     def add_recovered(self, job_id: bytes, sides: RecoveredTasks) -> None:
         """Remember which tasks of a job an earlier owner has started."""
@@ -143,6 +152,15 @@
         if owned is not None:
             owned.recovered.setdefault(job_id, {}).update(sides)
 
+    def expire(self) -> None:
+        """Forget recovered tasks whose keys are too old to come back."""
+        horizon_ms = self._clock.monotonic_ms() - retention_ms(
+            self._options.window_ms, self._options.skew_ms
+        )
+        for owned in self._shards.values():
+            if owned.recovered and owned.ready.is_set() and owned.ready_ms < horizon_ms:
+                owned.recovered.clear()
+
     def recovered_in(self, shards: Iterable[int]) -> dict[bytes, RecoveredTasks]:
         """Return the recovered tasks of shards, for the next owner."""
         found: dict[bytes, RecoveredTasks] = {}
@@ -160,6 +178,7 @@
             owned = self._shards.get(shard)
             if owned is not None and not owned.ready.is_set():
                 owned.certain_from_ms = max(owned.certain_from_ms, certain_from_ms)
+                owned.ready_ms = self._clock.monotonic_ms()
                 owned.ready.set()
 
     def sync(self) -> None:
@@ -179,7 +198,7 @@
         }
         if lost:
             self._events.record("shards_lost", detail=str(len(lost)))
-            self._give_up(lost)
+            self._give_up(lost, self._to_hand_over(lost, assignment))
             for shard in lost:
                 del self._shards[shard]
         gained = mine - set(self._shards)
@@ -187,54 +206,97 @@
             self._events.record("shards_gained", detail=str(len(gained)))
             self._gain(gained, assignment)
 
+    def close_older(self) -> None:
+        """Close the versions before the present one, so that nobody acts on them any more."""
+        if self.closed_version < self._version - 1 and not self._closing:
+            self._closing = True
+            self._spawn(self._close_in_background(self._version))
+
+    async def _close_in_background(self, version: int) -> None:
+        try:
+            await self._close_versions(version)
+        finally:
+            self._closing = False
+
     def stop(self) -> None:
         """End the work in the background."""
         for task in self._background:
             task.cancel()
 
+    def _to_hand_over(self, lost: set[int], assignment: Assignment) -> set[int]:
+        """Return the lost shards whose next owner follows just this time of owning them.
+
+        A process that slept through other owners' times holds a table that is out of date.
+        """
+        return {
+            shard
+            for shard in lost
+            if self._shards[shard].ready.is_set()
+            and assignment.passed_directly(shard, self._owner, self._shards[shard].since)
+        }
+
     def _gain(self, gained: set[int], assignment: Assignment) -> None:
-        by_owner: dict[str, set[int]] = {}
+        by_owner: dict[str, dict[int, _OwnedShard]] = {}
         for shard in sorted(gained):
-            self._shards[shard] = _OwnedShard(assignment.since[shard])
-            by_owner.setdefault(assignment.former[shard], set()).add(shard)
-        for former, shards in by_owner.items():
-            task = asyncio.create_task(self._acquire(former, shards, self._version))
-            self._background.add(task)
-            task.add_done_callback(self._background.discard)
-
-    async def _acquire(self, former: str, shards: set[int], version: int) -> None:
+            owned = self._shards[shard] = _OwnedShard(assignment.since[shard])
+            by_owner.setdefault(assignment.former[shard], {})[shard] = owned
+        for former, group in by_owner.items():
+            self._spawn(self._acquire(former, group, self._version))
+
+    def _spawn(self, coroutine: Coroutine[None, None, ValueT]) -> asyncio.Task[ValueT]:
+        task = asyncio.create_task(coroutine)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return task
+
+    async def _acquire(self, former: str, group: dict[int, _OwnedShard], version: int) -> None:
         """Make shards ready: at once, by handover, or by takeover."""
         if not former:
-            self.make_ready(shards, 0.0)
+            self.make_ready(group, 0.0)
             return
-        if former in self._state.members and self._is_reachable(former):
-            try:
-                async with asyncio.timeout(self._options.handover_wait_ms / 1000):
-                    await asyncio.gather(*(self._shards[shard].ready.wait() for shard in shards))
-                return
-            except TimeoutError:
+        if await self._wait_for_handover(former, group):
+            return
+        missing = {
+            shard: owned
+            for shard, owned in group.items()
+            if self._shards.get(shard) is owned and not owned.ready.is_set()
+        }
+        if missing:
+            await self._take_over(missing, version)
+
+    async def _wait_for_handover(self, former: str, group: dict[int, _OwnedShard]) -> bool:
+        """Wait while the former owner may still send its table; tell whether all of it came."""
+        began_ms = self._clock.monotonic_ms()
+        while former in self._state.members and not self._is_down(former):
+            if all(owned.ready.is_set() for owned in group.values()):
+                return True
+            heard_ms = max(began_ms, *(owned.heard_ms for owned in group.values()))
+            if self._clock.monotonic_ms() - heard_ms > self._options.handover_wait_ms:
                 self._metrics.incr("entry.handover_missed")
-        await self._take_over(shards, version)
+                return False
+            await self._clock.sleep_ms(HANDOVER_LOOK_MS)
+        return all(owned.ready.is_set() for owned in group.values())
 
-    async def _take_over(self, shards: set[int], version: int) -> None:
+    async def _take_over(self, group: dict[int, _OwnedShard], version: int) -> None:
+        shards = set(group)
         began_ms = self._clock.monotonic_ms()
-        closing = asyncio.create_task(self._close_versions(version))
+        closing = self._spawn(self._close_versions(version))
         sides = [member.incarnation for member in self._state.by_role(Role.SIDE)]
         replies = await asyncio.gather(*(self._fence(side, shards, version) for side in sides))
-        certain_from_ms = self._last_departure_ms()
+        certain_from_ms = self._departures_certain_from_ms()
         for side, reply in zip(sides, replies, strict=True):
             if reply is None:
                 self._metrics.incr("entry.fence_silent")
             else:
                 self._take_ledger(side, reply, shards)
-        if None in replies:
+        if None in replies or self._state.unsettled():
             # A silent side process may still take starts of the old owner, until the
             # lease and the start permissions that it may hold have run out.
             closed_ms = await closing
             until_ms = closed_ms + self._options.lease_ms + self._options.permission_ms
             await self._clock.sleep_ms(max(0.0, until_ms - self._clock.monotonic_ms()))
-            certain_from_ms = self._clock.wall_ms() + self._options.skew_ms
-        still_mine = [shard for shard in shards if self._is_since(shard, version)]
+            certain_from_ms = self._clock.wall_ms() + 2 * self._options.skew_ms
+        still_mine = [shard for shard, owned in group.items() if self._shards.get(shard) is owned]
         self.make_ready(still_mine, certain_from_ms)
         took_ms = self._clock.monotonic_ms() - began_ms
         self._metrics.timing("entry.takeover", took_ms)
@@ -266,6 +328,8 @@
         }
         for old, panel in sorted(open_versions.items()):
             while not await self._close_version(old, panel):
+                if old <= self.closed_version:
+                    break
                 self._metrics.incr("entry.close_without_majority")
                 await self._clock.sleep_ms(RETRY_MS)
         self.closed_version = max(self.closed_version, version - 1)
@@ -273,9 +337,13 @@
 
     async def _close_version(self, version: int, panel: tuple[str, ...]) -> bool:
         answers = await asyncio.gather(*(self._ask_close(side, version) for side in panel))
+        self.closed_version = max(self.closed_version, self._state.assignment.closed_version)
         return sum(answers) >= majority(len(panel))
 
     async def _ask_close(self, side: str, version: int) -> bool:
+        if self._state.is_proven_gone(side):
+            # It confirms nothing any more.
+            return True
         caller = self._caller_of(side)
         if caller is None:
             return False
@@ -296,16 +364,15 @@
             if shard_of(started.job_id) in shards:
                 self.add_recovered(started.job_id, dict.fromkeys(started.indexes, side))
 
-    def _is_since(self, shard: int, version: int) -> bool:
-        owned = self._shards.get(shard)
-        return owned is not None and owned.since == version
-
-    def _last_departure_ms(self) -> float:
-        """Return the time before which a departed worker may have run anything."""
-        horizon_ms = self._clock.wall_ms() - self._options.window_ms
-        departed = [
-            departure.at_ms
-            for departure in self._state.departures
-            if departure.role is Role.SIDE and departure.at_ms > horizon_ms
-        ]
-        return max(departed) + self._options.skew_ms if departed else 0.0
+    def _departures_certain_from_ms(self) -> float:
+        """Return the creation time up to which departed side processes may have run a key."""
+        options = self._options
+        certain_from_ms = 0.0
+        for departure in self._state.departures:
+            if departure.role is Role.SIDE:
+                # A key may be ahead of its entry's clock by the skew, and that ahead of this one.
+                last_ms = departure.at_ms + 2 * options.skew_ms
+                if not departure.proven:
+                    last_ms += options.lease_ms + options.permission_ms
+                certain_from_ms = max(certain_from_ms, last_ms)
+        return certain_from_ms
--- a/src/currantbarrow/entry/peers.py
+++ b/src/currantbarrow/entry/peers.py
@@ -55,6 +55,7 @@
         self._rng = rng
         self._on_change = on_change
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._closing: list[asyncio.Task[None]] = []
 
     def sync(self, members: Iterable[Member]) -> None:
         """Open links to new members and drop those that left."""
@@ -66,6 +67,9 @@
         for incarnation in [known for known in self.peers if known not in wanted]:
             peer = self.peers.pop(incarnation)
             self._tasks.pop(incarnation).cancel()
+            if peer.link is not None:
+                self._closing = [task for task in self._closing if not task.done()]
+                self._closing.append(asyncio.create_task(peer.link.close()))
             self._close(peer)
         for incarnation, member in wanted.items():
             if incarnation not in self.peers:
--- a/src/currantbarrow/entry/router.py
+++ b/src/currantbarrow/entry/router.py
@@ -139,18 +139,21 @@
         oldest_ms = self._clock.wall_ms() - self._options.window_ms
         if request.created_at_ms <= oldest_ms:
             return self._refuse_unknown(request, "key_expired", "the key is older than the window")
-        if self._dispatcher.table.is_cancelled(job_id):
-            return self._refuse_cancelled(request)
         started = self._ownership.recovered(shard, job_id)
         certain = self._ownership.is_certain(shard, request.created_at_ms)
         if started is None and not certain:
             self._metrics.incr("entry.outcome_unknown")
             reason = "the job's former owner is gone, and it may have started the job"
             return self._refuse_unknown(request, "outcome_unknown", reason)
+        cancelled = self._dispatcher.table.is_cancelled(job_id)
+        if cancelled and started is None:
+            return self._refuse_cancelled(request)
         job = Job(job_id, request, self._clock.monotonic_ms())
         target_ms = self._target_ms(request.job_class)
         if started is not None:
             self._recover(job, started, certain, target_ms)
+            if cancelled:
+                self._dispatcher.cancel(job)
         else:
             refusal = self._dispatcher.submit(job, target_ms)
             if refusal is not None:
--- a/src/currantbarrow/entry/sides.py
+++ b/src/currantbarrow/entry/sides.py
@@ -104,6 +104,7 @@
         self._metrics = metrics
         self._listener = listener
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._closing: list[asyncio.Task[None]] = []
 
     def sync(self, members: Iterable[Member]) -> None:
         """Open links to new members and drop those that left."""
@@ -134,6 +135,10 @@
     def _drop(self, incarnation: str) -> None:
         peer = self.peers.pop(incarnation)
         self._tasks.pop(incarnation).cancel()
+        if peer.link is not None:
+            # A side process that finds itself without links registers again.
+            self._closing = [task for task in self._closing if not task.done()]
+            self._closing.append(asyncio.create_task(peer.link.close()))
         self._close(peer)
         self._listener.side_gone(peer)
 
--- a/src/currantbarrow/entry/steward.py
+++ b/src/currantbarrow/entry/steward.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 
-from currantbarrow.cluster import ClusterState, Member, balance_shards, choose_panel
+from currantbarrow.cluster import ClusterState, Member, balance_shards, choose_panel, majority
 from currantbarrow.entry.ownership import Ownership
 from currantbarrow.entry.peers import EntryPool
 from currantbarrow.entry.sides import SidePool
-from currantbarrow.exceptions import AppendUnknown, LogServiceError, LogUnavailable
+from currantbarrow.exceptions import AppendUnknown, LinkError, LogServiceError, LogUnavailable
 from currantbarrow.logservice import (
     CLUSTER_STREAM,
     AssignmentChanged,
@@ -21,7 +22,7 @@
     append_once,
 )
 from currantbarrow.observe import EventRing, logger
-from currantbarrow.protocol import Role
+from currantbarrow.protocol import LeaseAge, LeaseSeen, Role
 from currantbarrow.types import Clock, LogService, Metrics
 
 __all__ = ["Steward"]
@@ -32,6 +33,8 @@
 # Each process waits its rank times this before it proposes, so that one proposal is usual.
 RANK_DELAY_MS = 400.0
 APPEND_GIVE_UP_MS = 3000.0
+EVIDENCE_TIMEOUT_MS = 500.0
+EVIDENCE_HOLDS_MS = 1000.0
 REGISTER_RETRY_MS = 500.0
 
 
@@ -66,6 +69,7 @@
         self._ownership = ownership
         self._records_made = 0
         self._needed_since_ms: float | None = None
+        self._alive_until_ms: dict[str, float] = {}
 
     async def run(self) -> None:
         """Register, then look after the others until cancelled."""
@@ -85,7 +89,7 @@
     async def announce_left(self) -> None:
         """Say that this process is gone; raise LogServiceError."""
         await self._append(
-            MemberLeft(self._record_id(), self._member.incarnation, self._clock.wall_ms())
+            MemberLeft(self._record_id(), self._member.incarnation, self._clock.wall_ms(), True)
         )
 
     async def _register(self) -> None:
@@ -110,12 +114,13 @@
                 await self._clock.sleep_ms(REGISTER_RETRY_MS)
 
     async def _look(self) -> None:
+        if self._member.incarnation not in self._state.members:
+            # The others took this process for dead; it gave its shards up and may come back.
+            self._metrics.incr("entry.registered_again")
+            await self._register()
+            return
         dead = self._dead_entries()
-        alive = [
-            member.incarnation
-            for member in self._state.by_role(Role.ENTRY)
-            if member.incarnation not in dead and not member.draining
-        ]
+        alive = self._living(dead)
         gone = self._gone_sides()
         wanted = self._wanted_assignment(alive, gone)
         if wanted is None and not gone and not dead:
@@ -123,17 +128,57 @@
             return
         if not self._is_my_turn(alive):
             return
+        if dead:
+            await self._seek_evidence(dead)
+            # The links may be back, or the panel may still confirm leases.
+            dead, gone = self._dead_entries(), self._gone_sides()
+            wanted = self._wanted_assignment(self._living(dead), gone)
         for incarnation in [*dead, *gone]:
             await self._append(MemberLeft(self._record_id(), incarnation, self._clock.wall_ms()))
         if wanted is not None:
             await self._append(wanted)
         self._needed_since_ms = None
 
+    def _living(self, dead: set[str]) -> list[str]:
+        return [
+            member.incarnation
+            for member in self._state.by_role(Role.ENTRY)
+            if member.incarnation not in dead and not member.draining
+        ]
+
+    async def _seek_evidence(self, dead: set[str]) -> None:
+        """Spare entries that the panel still confirms; only the link to them is down."""
+        for incarnation in sorted(dead):
+            if await self._is_confirmed(incarnation):
+                self._metrics.incr("entry.suspicion_refuted")
+                self._alive_until_ms[incarnation] = self._clock.monotonic_ms() + EVIDENCE_HOLDS_MS
+
+    async def _is_confirmed(self, incarnation: str) -> bool:
+        """Tell whether a majority of the panel confirmed a peer's lease of late."""
+        panel = self._state.assignment.panel
+        ages = await asyncio.gather(*(self._lease_age_ms(side, incarnation) for side in panel))
+        recent = sum(age_ms < ENTRY_SUSPECT_MS for age_ms in ages)
+        return bool(panel) and recent >= majority(len(panel))
+
+    async def _lease_age_ms(self, side: str, incarnation: str) -> float:
+        peer = self._sides.peers.get(side)
+        if peer is None or peer.caller is None:
+            return math.inf
+        try:
+            seen = await peer.caller.call(
+                lambda call_id: LeaseAge(call_id, incarnation), LeaseSeen, EVIDENCE_TIMEOUT_MS
+            )
+        except LinkError:
+            return math.inf
+        return seen.ago_ms if seen.known else math.inf
+
     def _dead_entries(self) -> set[str]:
+        now_ms = self._clock.monotonic_ms()
         return {
             member.incarnation
             for member in self._state.by_role(Role.ENTRY)
             if self._entries.down_for_ms(member.incarnation) > ENTRY_SUSPECT_MS
+            and self._alive_until_ms.get(member.incarnation, 0.0) < now_ms
         }
 
     def _gone_sides(self) -> set[str]:
@@ -151,7 +196,8 @@
         owners = balance_shards(assignment, alive)
         sides = [side for side in self._state.by_role(Role.SIDE) if side.incarnation not in gone]
         panel = choose_panel(assignment.panel, sides)
-        if tuple(owners) == assignment.owners and tuple(panel) == assignment.panel:
+        same = tuple(owners) == assignment.owners and tuple(panel) == assignment.panel
+        if same and not self._settles_departures():
             return None
         names = sorted(set(owners))
         rank = {name: index for index, name in enumerate(names)}
@@ -162,8 +208,23 @@
             [rank[owner] for owner in owners],
             panel,
             self._ownership.closed_version,
+            self._clock.wall_ms(),
         )
 
+    def _settles_departures(self) -> bool:
+        """Tell whether a new version would help to settle departures of side processes.
+
+        A first one makes owners read on beyond the departure, lest they lose their leases
+        when the older versions are closed; a second one says that these are closed.
+        """
+        unsettled = [departure.offset for departure in self._state.unsettled()]
+        if not unsettled:
+            return False
+        if self._state.assignment.version <= max(unsettled):
+            return True
+        self._ownership.close_older()
+        return self._ownership.closed_version >= min(unsettled)
+
     def _is_my_turn(self, alive: list[str]) -> bool:
         now_ms = self._clock.monotonic_ms()
         if self._needed_since_ms is None:
--- a/src/currantbarrow/jobs/__init__.py
+++ b/src/currantbarrow/jobs/__init__.py
@@ -12,6 +12,7 @@
     TaskState,
     digest_request,
     make_job_id,
+    retention_ms,
     shard_of,
 )
 
@@ -27,5 +28,6 @@
     "TaskState",
     "digest_request",
     "make_job_id",
+    "retention_ms",
     "shard_of",
 ]
--- a/src/currantbarrow/jobs/model.py
+++ b/src/currantbarrow/jobs/model.py
@@ -20,6 +20,7 @@
     "TaskState",
     "digest_request",
     "make_job_id",
+    "retention_ms",
     "shard_of",
 ]
 
@@ -115,6 +116,15 @@
     return hashlib.blake2b(msgspec.msgpack.encode(request), digest_size=JOB_ID_BYTES).digest()
 
 
+def retention_ms(window_ms: float, skew_ms: float) -> float:
+    """Return how long a job must be remembered so that its key is refused before it is new.
+
+    A key may be ahead of the clock of the entry that takes it by the skew, and that clock
+    ahead of the clock of the entry that judges its age by the skew once more.
+    """
+    return window_ms + 2 * skew_ms
+
+
 def shard_of(job_id: bytes) -> int:
     """Return the shard that a job belongs to."""
     return int.from_bytes(job_id[:4], "big") % SHARD_COUNT
--- a/src/currantbarrow/jobs/table.py
+++ b/src/currantbarrow/jobs/table.py
@@ -109,11 +109,11 @@
 class JobTable:
     """Find jobs by their id until their keys are too old to come back."""
 
-    __slots__ = ("_added_ms", "_cancelled", "_clock", "_jobs", "_window_ms")
+    __slots__ = ("_added_ms", "_cancelled", "_clock", "_jobs", "_retention_ms")
 
-    def __init__(self, clock: Clock, window_ms: float) -> None:
+    def __init__(self, clock: Clock, retention_ms: float) -> None:
         self._clock = clock
-        self._window_ms = window_ms
+        self._retention_ms = retention_ms
         self._jobs: dict[bytes, Job] = {}
         self._cancelled: dict[bytes, None] = {}
         self._added_ms: collections.deque[tuple[float, bytes]] = collections.deque()
@@ -143,6 +143,10 @@
         """Tell whether a job was cancelled before it came."""
         return job_id in self._cancelled
 
+    def cancelled_in(self, shards: set[int]) -> list[bytes]:
+        """Return the jobs of shards that were cancelled before they came."""
+        return [job_id for job_id in self._cancelled if shard_of(job_id) in shards]
+
     def remove(self, job_id: bytes) -> None:
         """Forget a job, for one that never ran or has moved to another owner."""
         self._jobs.pop(job_id, None)
@@ -156,14 +160,21 @@
         return [job for job in self._jobs.values() if job.answer is None]
 
     def expire(self) -> None:
-        """Forget jobs whose keys are older than the window."""
-        horizon_ms = self._clock.monotonic_ms() - self._window_ms
+        """Forget answered jobs whose keys are too old to come back."""
+        horizon_ms = self._clock.monotonic_ms() - self._retention_ms
+        still_open = []
         while self._added_ms and self._added_ms[0][0] < horizon_ms:
             _, job_id = self._added_ms.popleft()
             self._cancelled.pop(job_id, None)
             job = self._jobs.get(job_id)
-            if job is not None and job.answer is not None:
+            if job is None:
+                continue
+            if job.answer is not None:
                 del self._jobs[job_id]
+            else:
+                still_open.append(job_id)
+        now_ms = self._clock.monotonic_ms()
+        self._added_ms.extend((now_ms, job_id) for job_id in still_open)
 
     def __len__(self) -> int:
         return len(self._jobs)
--- a/src/currantbarrow/logservice/records.py
+++ b/src/currantbarrow/logservice/records.py
@@ -54,10 +54,11 @@
 
 
 class MemberLeft(Record, frozen=True):
-    """Say that an incarnation is gone or leaving."""
+    """Say that an incarnation is gone, by its own goodbye or as others see it."""
 
     incarnation: str
     at_ms: int
+    goodbye: bool = False
 
 
 class AssignmentChanged(Record, frozen=True):
@@ -68,6 +69,7 @@
     shards: list[int]
     panel: list[str]
     closed_version: int = 0
+    at_ms: int = 0
 
 
 class ClassDefinition(msgspec.Struct, frozen=True):
--- a/src/currantbarrow/protocol/messages.py
+++ b/src/currantbarrow/protocol/messages.py
@@ -30,6 +30,8 @@
     "Hello",
     "JobRow",
     "JobShown",
+    "LeaseAge",
+    "LeaseSeen",
     "Load",
     "Message",
     "QueryTasks",
@@ -239,6 +241,19 @@
     closed_version: int
 
 
+class LeaseAge(Call, frozen=True):
+    """Ask a panel member when it last confirmed an owner's lease."""
+
+    owner: str
+
+
+class LeaseSeen(Reply, frozen=True):
+    """Tell how long ago an owner's lease was confirmed, if it ever was."""
+
+    known: bool
+    ago_ms: float = 0.0
+
+
 class Forward(Call, frozen=True):
     """Pass a submission to the entry that owns its shard."""
 
@@ -313,6 +328,7 @@
     recovered: list[RecoveredRow]
     certain_from_ms: float
     last: bool = True
+    cancelled: list[bytes] = []
 
 
 class HandoverDone(Reply, frozen=True):
--- a/src/currantbarrow/side/ledger.py
+++ b/src/currantbarrow/side/ledger.py
@@ -27,11 +27,11 @@
 class StartLedger:
     """Keep started tasks by job, bounded by age."""
 
-    __slots__ = ("_clock", "_jobs", "_seen_ms", "_window_ms", "since_ms")
+    __slots__ = ("_clock", "_jobs", "_retention_ms", "_seen_ms", "since_ms")
 
-    def __init__(self, clock: Clock, window_ms: float) -> None:
+    def __init__(self, clock: Clock, retention_ms: float) -> None:
         self._clock = clock
-        self._window_ms = window_ms
+        self._retention_ms = retention_ms
         self._jobs: dict[bytes, dict[int, LedgerTask]] = {}
         self._seen_ms: collections.deque[tuple[float, bytes]] = collections.deque()
         self.since_ms = clock.wall_ms()
@@ -68,7 +68,7 @@
 
     def expire(self) -> None:
         """Forget jobs whose keys are older than the window, ended or not."""
-        horizon_ms = self._clock.monotonic_ms() - self._window_ms
+        horizon_ms = self._clock.monotonic_ms() - self._retention_ms
         while self._seen_ms and self._seen_ms[0][0] < horizon_ms:
             _, job_id = self._seen_ms.popleft()
             self._jobs.pop(job_id, None)
--- a/src/currantbarrow/side/node.py
+++ b/src/currantbarrow/side/node.py
@@ -10,7 +10,7 @@
 
 from currantbarrow.cluster import PanelMember
 from currantbarrow.exceptions import AppendUnknown, LinkError, LogUnavailable
-from currantbarrow.jobs import TaskRun
+from currantbarrow.jobs import TaskRun, retention_ms
 from currantbarrow.logservice import CLUSTER_STREAM, MemberJoined, MemberLeft, append_once
 from currantbarrow.observe import EventRing, logger
 from currantbarrow.protocol import (
@@ -21,6 +21,7 @@
     FencedTasks,
     Heartbeat,
     Hello,
+    LeaseAge,
     Load,
     Message,
     QueryTasks,
@@ -42,6 +43,8 @@
 
 APPEND_GIVE_UP_MS = 5000.0
 REGISTER_RETRY_MS = 500.0
+REJOIN_FIRST_MS = 10_000.0
+REJOIN_LIMIT_MS = 120_000.0
 
 
 class SideOptions(msgspec.Struct, frozen=True):
@@ -59,6 +62,7 @@
     permission_ms: float = 2000.0
     announcement_ttl_ms: float = 3000.0
     window_ms: float = 600_000.0
+    skew_ms: float = 1000.0
 
 
 class SideNode:
@@ -77,9 +81,9 @@
         events: EventRing,
     ) -> None:
         self.options = options
-        self.ledger = StartLedger(clock, options.window_ms)
+        self.ledger = StartLedger(clock, retention_ms(options.window_ms, options.skew_ms))
         self.gate = StartGate(clock, self.ledger, options.permission_ms)
-        self.panel = PanelMember()
+        self.panel = PanelMember(clock)
         self.runner = TaskRunner(upstream, clock, metrics, self._note_start, self._note_end)
         self.leaving = False
         self.address = ""
@@ -92,6 +96,7 @@
         self._links: dict[str, Link] = {}
         self._announced_ms = -1.0
         self._registered = False
+        self._register_wait_ms = REGISTER_RETRY_MS
         self._records_made = 0
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -118,7 +123,9 @@
         for task in self._tasks:
             task.cancel()
         if self._registered:
-            record = MemberLeft(self._record_id(), self.options.incarnation, self._clock.wall_ms())
+            record = MemberLeft(
+                self._record_id(), self.options.incarnation, self._clock.wall_ms(), True
+            )
             with contextlib.suppress(LogUnavailable, AppendUnknown):
                 await self._append(record)
         await self._network.stop()
@@ -186,6 +193,8 @@
                 link.post(self.panel.confirm(message))
             case CloseVersion():
                 link.post(self.panel.close(message))
+            case LeaseAge():
+                link.post(self.panel.lease_age(message))
             case Heartbeat():
                 pass
             case _:
@@ -328,15 +337,25 @@
             self.ledger.expire()
 
     async def _keep_registered(self) -> None:
-        """Register through the log once the upstream has announced itself."""
-        while not self._registered:
-            if self.runner.slots:
-                with contextlib.suppress(LogUnavailable, AppendUnknown):
-                    await self._append(self._joined())
-                    self._registered = True
-                    logger.info("registered as a member")
-                    return
-            await self._clock.sleep_ms(REGISTER_RETRY_MS)
+        """Register through the log once the upstream has announced itself, and stay a member."""
+        while True:
+            if self.runner.slots and not self._links:
+                await self._register()
+            await self._clock.sleep_ms(self._rng.uniform(0.5, 1.0) * self._register_wait_ms)
+
+    async def _register(self) -> None:
+        try:
+            await self._append(self._joined())
+        except (LogUnavailable, AppendUnknown):
+            self._register_wait_ms = REGISTER_RETRY_MS
+            return
+        # Entries open links to every member, so having none for long means that they took
+        # this process for dead; its record of starts is whole, so it may come back as it is.
+        waited_ms = self._register_wait_ms * 2 if self._registered else 0.0
+        self._register_wait_ms = min(max(waited_ms, REJOIN_FIRST_MS), REJOIN_LIMIT_MS)
+        self._metrics.incr("side.registered")
+        self._registered = True
+        logger.info("registered as a member")
 
     def _joined(self) -> MemberJoined:
         return MemberJoined(
