Ask for evidence before a member is removed, and let members come back

Cause: one entry cut off from the rest, but not from the log, removed every side process and every other entry; a cut between two entries removed one of them; a removed member never returned, and a side process couldn't notice its removal.

Change: an isolated entry proposes nothing; a suspect is kept while the panel (entries) or another entry (side processes) still hears of it; entries send sparse heartbeats to side processes; removed members register again with backoff; submissions reach an owner over a third entry when the link is cut.

--- a/src/currantbarrow/cluster/panel.py
+++ b/src/currantbarrow/cluster/panel.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from currantbarrow.protocol import CloseVersion, Confirm, Confirmed, LeaseAge, LeaseSeen
+from currantbarrow.protocol import CloseVersion, Confirm, Confirmed, LastSeen, Seen
 from currantbarrow.types import Clock
 
 __all__ = ["PanelMember"]
@@ -35,12 +35,12 @@
         self.closed_version = max(self.closed_version, call.version)
         return Confirmed(call.call_id, True, self.closed_version)
 
-    def lease_age(self, call: LeaseAge) -> LeaseSeen:
+    def last_seen(self, call: LastSeen) -> Seen:
         """Tell how long ago an owner's lease was confirmed, as evidence that it lives."""
-        asked_ms = self._asked_ms.get(call.owner)
+        asked_ms = self._asked_ms.get(call.incarnation)
         if asked_ms is None:
-            return LeaseSeen(call.call_id, False)
-        return LeaseSeen(call.call_id, True, self._clock.monotonic_ms() - asked_ms)
+            return Seen(call.call_id, False)
+        return Seen(call.call_id, True, self._clock.monotonic_ms() - asked_ms)
 
     def _note(self, owner: str) -> None:
         now_ms = self._clock.monotonic_ms()
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -40,8 +40,10 @@
     Heartbeat,
     Hello,
     JobShown,
+    LastSeen,
     Message,
     Role,
+    Seen,
     ShowJob,
 )
 from currantbarrow.types import Clock, Link, LogService, Metrics, Network
@@ -214,6 +216,7 @@
             sides=self.sides,
             entries=self.entries,
             ownership=self.ownership,
+            lease=self.lease,
         )
         self._tasks = [
             asyncio.create_task(self.cluster_follower.run()),
@@ -221,6 +224,7 @@
             asyncio.create_task(self.steward.run()),
             asyncio.create_task(self.lease.run(self.dispatcher.pump)),
             asyncio.create_task(self._beat()),
+            asyncio.create_task(self.sides.beat()),
         ]
 
     async def drain(self) -> None:
@@ -356,11 +360,17 @@
                 self._spawn(self._answer_show(link, message))
             case Handover():
                 link.post(self._take_handover(link, message))
+            case LastSeen():
+                link.post(self._last_seen(message))
             case Heartbeat():
                 pass
             case _:
                 self.metrics.incr("entry.unexpected_message")
 
+    def _last_seen(self, call: LastSeen) -> Seen:
+        peer = self.sides.peers.get(call.incarnation)
+        return Seen(call.call_id, peer is not None and peer.up)
+
     async def _answer_forward(self, link: Link, call: Forward) -> None:
         self._waiting += 1
         try:
--- a/src/currantbarrow/entry/router.py
+++ b/src/currantbarrow/entry/router.py
@@ -21,7 +21,7 @@
     shard_of,
 )
 from currantbarrow.jobs.table import Job
-from currantbarrow.protocol import CancelJob, Forward, Forwarded, JobShown, ShowJob
+from currantbarrow.protocol import Caller, CancelJob, Forward, Forwarded, JobShown, ShowJob
 from currantbarrow.types import Clock, Metrics
 
 __all__ = ["Router"]
@@ -123,14 +123,24 @@
         if owner == self._owner:
             await self._ownership.wait_ready(shard, OWNER_WAIT_MS)
             return await self._submit_here(request, job_id, shard)
-        peer = self._entries.peers.get(owner)
-        if peer is None or hops >= MAX_HOPS:
+        if not owner or hops >= MAX_HOPS:
             raise OwnershipError("the owner of the shard cannot be reached")
-        reply = await peer.require_caller().call(
+        reply = await self._way_to(owner, hops).call(
             lambda call_id: Forward(call_id, request, hops + 1), Forwarded, FORWARD_TIMEOUT_MS
         )
         return reply.answer
 
+    def _way_to(self, owner: str, hops: int) -> Caller:
+        """Return the link to an owner, or to an entry that may reach it; raise OwnershipError."""
+        peer = self._entries.peers.get(owner)
+        if peer is not None and peer.caller is not None:
+            return peer.caller
+        relays = [peer.caller for peer in self._entries.peers.values() if peer.caller is not None]
+        if not relays or hops + 1 >= MAX_HOPS:
+            raise OwnershipError("the owner of the shard cannot be reached")
+        self._metrics.incr("entry.relayed")
+        return relays[0]
+
     async def _submit_here(self, request: JobRequest, job_id: bytes, shard: int) -> JobAnswer:
         job = self._dispatcher.table.find_same(job_id, request)
         if job is not None:
--- a/src/currantbarrow/entry/sides.py
+++ b/src/currantbarrow/entry/sides.py
@@ -28,6 +28,7 @@
 RECONNECT_FIRST_MS = 50.0
 RECONNECT_LIMIT_MS = 1000.0
 SILENCE_LIMIT_MS = 3500.0
+HEARTBEAT_MS = 5000.0
 
 
 class SideListener(Protocol):
@@ -117,6 +118,15 @@
                 self.peers[incarnation] = peer
                 self._tasks[incarnation] = asyncio.create_task(self._run(peer))
 
+    async def beat(self) -> None:
+        """Send heartbeats, so that side processes notice links that were cut, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(self._rng.uniform(0.5, 1.0) * HEARTBEAT_MS)
+            for peer in self.peers.values():
+                if peer.link is not None:
+                    with contextlib.suppress(LinkError):
+                        peer.link.post(Heartbeat())
+
     def views(self) -> list[WorkerView]:
         """Return the workers that can be reached and take work."""
         return [
--- a/src/currantbarrow/entry/steward.py
+++ b/src/currantbarrow/entry/steward.py
@@ -6,7 +6,14 @@
 import math
 import random
 
-from currantbarrow.cluster import ClusterState, Member, balance_shards, choose_panel, majority
+from currantbarrow.cluster import (
+    ClusterState,
+    Lease,
+    Member,
+    balance_shards,
+    choose_panel,
+    majority,
+)
 from currantbarrow.entry.ownership import Ownership
 from currantbarrow.entry.peers import EntryPool
 from currantbarrow.entry.sides import SidePool
@@ -22,7 +29,7 @@
     append_once,
 )
 from currantbarrow.observe import EventRing, logger
-from currantbarrow.protocol import LeaseAge, LeaseSeen, Role
+from currantbarrow.protocol import Caller, LastSeen, Role, Seen
 from currantbarrow.types import Clock, LogService, Metrics
 
 __all__ = ["Steward"]
@@ -35,6 +42,8 @@
 APPEND_GIVE_UP_MS = 3000.0
 EVIDENCE_TIMEOUT_MS = 500.0
 EVIDENCE_HOLDS_MS = 1000.0
+REJOIN_FIRST_MS = 5000.0
+REJOIN_LIMIT_MS = 120_000.0
 REGISTER_RETRY_MS = 500.0
 
 
@@ -55,6 +64,7 @@
         sides: SidePool,
         entries: EntryPool,
         ownership: Ownership,
+        lease: Lease,
     ) -> None:
         self._member = member
         self._follower = follower
@@ -67,9 +77,12 @@
         self._sides = sides
         self._entries = entries
         self._ownership = ownership
+        self._lease = lease
         self._records_made = 0
         self._needed_since_ms: float | None = None
         self._alive_until_ms: dict[str, float] = {}
+        self._rejoin_from_ms = 0.0
+        self._rejoin_wait_ms = REJOIN_FIRST_MS
 
     async def run(self) -> None:
         """Register, then look after the others until cancelled."""
@@ -113,11 +126,19 @@
             except (LogUnavailable, AppendUnknown, TimeoutError):
                 await self._clock.sleep_ms(REGISTER_RETRY_MS)
 
+    async def _come_back(self) -> None:
+        """Register again after the others took this process for dead, once it reaches them."""
+        now_ms = self._clock.monotonic_ms()
+        if self._is_isolated() or now_ms < self._rejoin_from_ms:
+            return
+        self._metrics.incr("entry.registered_again")
+        await self._register()
+        self._rejoin_from_ms = now_ms + self._rejoin_wait_ms
+        self._rejoin_wait_ms = min(self._rejoin_wait_ms * 2, REJOIN_LIMIT_MS)
+
     async def _look(self) -> None:
         if self._member.incarnation not in self._state.members:
-            # The others took this process for dead; it gave its shards up and may come back.
-            self._metrics.incr("entry.registered_again")
-            await self._register()
+            await self._come_back()
             return
         dead = self._dead_entries()
         alive = self._living(dead)
@@ -128,8 +149,11 @@
             return
         if not self._is_my_turn(alive):
             return
-        if dead:
-            await self._seek_evidence(dead)
+        if self._is_isolated():
+            self._metrics.incr("entry.steward_isolated")
+            return
+        if dead or gone:
+            await self._seek_evidence(dead, gone)
             # The links may be back, or the panel may still confirm leases.
             dead, gone = self._dead_entries(), self._gone_sides()
             wanted = self._wanted_assignment(self._living(dead), gone)
@@ -146,30 +170,57 @@
             if member.incarnation not in dead and not member.draining
         ]
 
-    async def _seek_evidence(self, dead: set[str]) -> None:
-        """Spare entries that the panel still confirms; only the link to them is down."""
+    def _is_isolated(self) -> bool:
+        """Tell whether it is rather this process that is cut off than all the others."""
+        others = [
+            member.incarnation
+            for member in self._state.by_role(Role.ENTRY)
+            if member.incarnation != self._member.incarnation
+        ]
+        if not others or self._lease.held():
+            return False
+        if any(self._entries.down_for_ms(other) == 0.0 for other in others):
+            return False
+        sides_up = sum(peer.up for peer in self._sides.peers.values())
+        return 2 * sides_up < len(self._sides.peers)
+
+    async def _seek_evidence(self, dead: set[str], gone: set[str]) -> None:
+        """Spare members that others still hear of; only the link to them is down."""
         for incarnation in sorted(dead):
-            if await self._is_confirmed(incarnation):
-                self._metrics.incr("entry.suspicion_refuted")
-                self._alive_until_ms[incarnation] = self._clock.monotonic_ms() + EVIDENCE_HOLDS_MS
+            if await self._may_be_confirmed(incarnation):
+                self._spare(incarnation)
+        for incarnation in sorted(gone):
+            ages = await asyncio.gather(
+                *(self._age_ms(peer.caller, incarnation) for peer in self._entries.peers.values())
+            )
+            if any(age_ms is not None and age_ms < ENTRY_SUSPECT_MS for age_ms in ages):
+                self._spare(incarnation)
+
+    def _spare(self, incarnation: str) -> None:
+        self._metrics.incr("entry.suspicion_refuted")
+        self._alive_until_ms[incarnation] = self._clock.monotonic_ms() + EVIDENCE_HOLDS_MS
 
-    async def _is_confirmed(self, incarnation: str) -> bool:
-        """Tell whether a majority of the panel confirmed a peer's lease of late."""
+    async def _may_be_confirmed(self, incarnation: str) -> bool:
+        """Tell whether a majority of the panel confirmed a peer's lease of late, or can't say."""
         panel = self._state.assignment.panel
-        ages = await asyncio.gather(*(self._lease_age_ms(side, incarnation) for side in panel))
-        recent = sum(age_ms < ENTRY_SUSPECT_MS for age_ms in ages)
-        return bool(panel) and recent >= majority(len(panel))
-
-    async def _lease_age_ms(self, side: str, incarnation: str) -> float:
-        peer = self._sides.peers.get(side)
-        if peer is None or peer.caller is None:
-            return math.inf
+        callers = [peer.caller if (peer := self._sides.peers.get(side)) else None for side in panel]
+        ages = await asyncio.gather(*(self._age_ms(caller, incarnation) for caller in callers))
+        known = [age_ms for age_ms in ages if age_ms is not None]
+        if not panel:
+            return False
+        recent = sum(age_ms < ENTRY_SUSPECT_MS for age_ms in known)
+        return recent >= majority(len(panel)) or len(known) < majority(len(panel))
+
+    async def _age_ms(self, caller: Caller | None, incarnation: str) -> float | None:
+        """Return how long ago a process heard of another one, None when it doesn't answer."""
+        if caller is None:
+            return None
         try:
-            seen = await peer.caller.call(
-                lambda call_id: LeaseAge(call_id, incarnation), LeaseSeen, EVIDENCE_TIMEOUT_MS
+            seen = await caller.call(
+                lambda call_id: LastSeen(call_id, incarnation), Seen, EVIDENCE_TIMEOUT_MS
             )
         except LinkError:
-            return math.inf
+            return None
         return seen.ago_ms if seen.known else math.inf
 
     def _dead_entries(self) -> set[str]:
@@ -186,7 +237,9 @@
         return {
             peer.member.incarnation
             for peer in self._sides.peers.values()
-            if not peer.up and now_ms - peer.down_since_ms > SIDE_GONE_MS
+            if not peer.up
+            and now_ms - peer.down_since_ms > SIDE_GONE_MS
+            and self._alive_until_ms.get(peer.member.incarnation, 0.0) < now_ms
         }
 
     def _wanted_assignment(self, alive: list[str], gone: set[str]) -> AssignmentChanged | None:
--- a/src/currantbarrow/protocol/messages.py
+++ b/src/currantbarrow/protocol/messages.py
@@ -30,8 +30,8 @@
     "Hello",
     "JobRow",
     "JobShown",
-    "LeaseAge",
-    "LeaseSeen",
+    "LastSeen",
+    "Seen",
     "Load",
     "Message",
     "QueryTasks",
@@ -241,14 +241,14 @@
     closed_version: int
 
 
-class LeaseAge(Call, frozen=True):
-    """Ask a panel member when it last confirmed an owner's lease."""
+class LastSeen(Call, frozen=True):
+    """Ask a process when it last heard of another one."""
 
-    owner: str
+    incarnation: str
 
 
-class LeaseSeen(Reply, frozen=True):
-    """Tell how long ago an owner's lease was confirmed, if it ever was."""
+class Seen(Reply, frozen=True):
+    """Tell how long ago a process was heard of, if it was of late."""
 
     known: bool
     ago_ms: float = 0.0
--- a/src/currantbarrow/side/ledger.py
+++ b/src/currantbarrow/side/ledger.py
@@ -67,11 +67,18 @@
         return found
 
     def expire(self) -> None:
-        """Forget jobs whose keys are older than the window, ended or not."""
+        """Forget jobs whose keys are too old to come back, but for those that still run."""
         horizon_ms = self._clock.monotonic_ms() - self._retention_ms
+        running = []
         while self._seen_ms and self._seen_ms[0][0] < horizon_ms:
             _, job_id = self._seen_ms.popleft()
-            self._jobs.pop(job_id, None)
+            job = self._jobs.get(job_id, {})
+            if any(entry.attempt is not None and entry.result is None for entry in job.values()):
+                running.append(job_id)
+            else:
+                self._jobs.pop(job_id, None)
+        now_ms = self._clock.monotonic_ms()
+        self._seen_ms.extend((now_ms, job_id) for job_id in running)
 
     def __len__(self) -> int:
         return len(self._jobs)
--- a/src/currantbarrow/side/node.py
+++ b/src/currantbarrow/side/node.py
@@ -21,7 +21,7 @@
     FencedTasks,
     Heartbeat,
     Hello,
-    LeaseAge,
+    LastSeen,
     Load,
     Message,
     QueryTasks,
@@ -43,6 +43,7 @@
 
 APPEND_GIVE_UP_MS = 5000.0
 REGISTER_RETRY_MS = 500.0
+ENTRY_SILENCE_LIMIT_MS = 15_000.0
 REJOIN_FIRST_MS = 10_000.0
 REJOIN_LIMIT_MS = 120_000.0
 
@@ -174,8 +175,12 @@
         link.post(Heartbeat(self.load()))
         try:
             while True:
-                self._handle(link, await link.receive())
-        except LinkError:
+                async with asyncio.timeout(ENTRY_SILENCE_LIMIT_MS / 1000):
+                    message = await link.receive()
+                self._handle(link, message)
+        except (LinkError, TimeoutError):
+            await link.close()
+        finally:
             if self._links.get(owner) is link:
                 del self._links[owner]
 
@@ -193,8 +198,8 @@
                 link.post(self.panel.confirm(message))
             case CloseVersion():
                 link.post(self.panel.close(message))
-            case LeaseAge():
-                link.post(self.panel.lease_age(message))
+            case LastSeen():
+                link.post(self.panel.last_seen(message))
             case Heartbeat():
                 pass
             case _:
--- a/src/currantbarrow/standins/fleet.py
+++ b/src/currantbarrow/standins/fleet.py
@@ -23,7 +23,7 @@
 from currantbarrow.standins.memory_log import MemoryLog
 from currantbarrow.standins.memory_network import MemoryFabric, MemoryNetwork
 from currantbarrow.standins.upstream import MemoryUpstream, StartBook
-from currantbarrow.types import Clock
+from currantbarrow.types import Clock, LogService
 
 __all__ = ["EntryProcess", "Fleet", "FleetPlan", "LoopClock", "SideProcess"]
 
@@ -111,6 +111,8 @@
         self.clock: Clock = LoopClock()
         self.fabric = MemoryFabric(random.Random(plan.seed + 1), self._delay_ms)
         self.log = MemoryLog(self.clock, random.Random(plan.seed + 2))
+        # A test may put faults between one process and the log.
+        self.log_of: Callable[[str], LogService] = lambda name: self.log
         self.book = StartBook()
         self.entries: dict[str, EntryProcess] = {}
         self.sides: dict[str, SideProcess] = {}
@@ -156,7 +158,7 @@
             options,
             clock=clock,
             network=MemoryNetwork(self.fabric),
-            log=self.log,
+            log=self.log_of(name),
             rng=rng,
             metrics=metrics,
             events=events,
@@ -183,7 +185,7 @@
             options,
             clock=clock,
             network=MemoryNetwork(self.fabric),
-            log=self.log,
+            log=self.log_of(name),
             upstream=upstream,
             rng=rng,
             metrics=metrics,
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,319 @@
+"""Check that a change of owners neither starts a task twice nor says a false 'not run'."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+
+import pytest
+
+from currantbarrow.entry import EntryNode
+from currantbarrow.exceptions import JobInvalid, OwnershipError
+from currantbarrow.jobs import JobAnswer, JobRequest, JobStatus, TaskState, make_job_id, shard_of
+from currantbarrow.standins.fleet import Fleet, FleetPlan
+from currantbarrow.types import LogRecord, LogService
+from helpers import FleetTest
+
+SCENARIO_LIMIT_S = 300
+QUIET_PLAN = FleetPlan(sides=6)
+
+
+class HeldLog:
+    """Keep one process from reading the log while held."""
+
+    def __init__(self, log: LogService) -> None:
+        self._log = log
+        self.free = asyncio.Event()
+        self.free.set()
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append as the log does."""
+        return await self._log.append(stream, data)
+
+    async def read(self, stream: str, offset: int, wait_ms: int) -> Sequence[LogRecord]:
+        """Read as the log does, but not while held."""
+        await self.free.wait()
+        records = await self._log.read(stream, offset, wait_ms)
+        if not self.free.is_set():
+            await self.free.wait()
+            return []
+        return records
+
+
+class OwnershipTest(FleetTest):
+    """Be the base of these tests: each scenario ends in bounded virtual time."""
+
+    def run_bounded(
+        self, scenario: Callable[[Fleet], Awaitable[None]], plan: FleetPlan = QUIET_PLAN
+    ) -> Fleet:
+        """Run a scenario with a limit."""
+
+        async def bounded(fleet: Fleet) -> None:
+            async with asyncio.timeout(SCENARIO_LIMIT_S):
+                await scenario(fleet)
+
+        return self.run_fleet(bounded, plan)
+
+    @staticmethod
+    async def add_entry_with_held_log(fleet: Fleet, number: int) -> HeldLog:
+        """Start one more entry whose reading of the log can be held."""
+        log = HeldLog(fleet.log)
+        fleet.log_of = lambda name: log
+        await fleet.start_entry(number)
+        fleet.log_of = lambda name: fleet.log
+        await fleet.wait_ready()
+        return log
+
+    def make_job_of(self, fleet: Fleet, owner: str, name: str, run_ms: list[float]) -> JobRequest:
+        """Return a job whose shard an entry owns."""
+        for number in range(10_000):
+            job = self.make_job(fleet, f"{name}-{number}", run_ms)
+            if self.owner_of(fleet, job).options.name == owner:
+                return job
+        raise AssertionError("no key falls into a shard of the entry")
+
+    async def submit_until(self, fleet: Fleet, entry: int, job: JobRequest) -> JobAnswer:
+        """Submit a job until it has an answer, as a caller does that is told to come back."""
+        while True:
+            try:
+                return await self.submit(fleet, entry, job)
+            except OwnershipError:
+                await fleet.clock.sleep_ms(100)
+
+    @staticmethod
+    def owner_of(fleet: Fleet, job: JobRequest) -> EntryNode:
+        """Return the entry that owns a job's shard in the log's last assignment."""
+        nodes = [entry.node for entry in fleet.entries.values()]
+        newest = max(nodes, key=lambda node: node.cluster.offset)
+        owner = newest.cluster.assignment.owner_of(shard_of(make_job_id(job)))
+        return next(node for node in nodes if node.options.incarnation == owner)
+
+
+class TestHandover(OwnershipTest):
+    def test_part_that_comes_before_the_record_is_read_is_sent_again(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            log = await self.add_entry_with_held_log(fleet, 3)
+            jobs = [self.make_job_of(fleet, "entry-1", f"k{n}", [800.0]) for n in range(8)]
+            waiting = [asyncio.create_task(self.submit(fleet, 0, job)) for job in jobs]
+            await fleet.clock.sleep_ms(100)
+            log.free.clear()
+            draining = asyncio.create_task(fleet.entries.pop("entry-1").node.drain())
+            await fleet.clock.sleep_ms(400)
+            log.free.set()
+            answers = await asyncio.gather(*waiting)
+            await draining
+            assert {answer.status for answer in answers} == {JobStatus.COMPLETE}
+            missed = [
+                entry.metrics.counters["entry.handover_missed"] for entry in fleet.entries.values()
+            ]
+            assert sum(missed) == 0
+
+        self.run_bounded(scenario)
+
+    def test_cancellation_before_the_job_survives_a_planned_restart(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            job = self.make_job_of(fleet, "entry-1", "k", [50.0])
+            node = fleet.entries["entry-0"].node
+            await node.router.cancel(job.customer, job.key, job.created_at_ms)
+            await fleet.entries.pop("entry-1").node.drain()
+            answer = await self.submit(fleet, 0, job)
+            assert (answer.status, answer.code) == (JobStatus.REFUSED, "cancelled")
+
+        fleet = self.run_bounded(scenario)
+        assert not fleet.book.starts
+
+    def test_table_of_an_owner_that_slept_through_another_is_not_taken(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            log = await self.add_entry_with_held_log(fleet, 3)
+            job = self.make_job_of(fleet, "entry-3", "k", [50.0])
+            log.free.clear()
+            for name in ("entry-1", "entry-2"):
+                fleet.fabric.cut("entry-3", name)
+            fleet.fabric.cut("entry-3", "entry-0")
+            for number in range(6):
+                fleet.fabric.cut("entry-3", f"side-{number}")
+            await fleet.clock.sleep_ms(15_000)
+            first = await self.submit(fleet, 0, job)
+            assert first.status is JobStatus.COMPLETE
+            for name in ("entry-0", "entry-1", "entry-2"):
+                fleet.fabric.mend("entry-3", name)
+            for number in range(6):
+                fleet.fabric.mend("entry-3", f"side-{number}")
+            log.free.set()
+            await fleet.wait_ready()
+            for number in range(4):
+                again = await self.submit(fleet, number, job)
+                assert again.status is JobStatus.COMPLETE or again.code == "outcome_unknown"
+
+        self.run_bounded(scenario)
+
+
+class TestTakeover(OwnershipTest):
+    def test_two_changes_in_one_read_leave_all_shards_ready(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            log = await self.add_entry_with_held_log(fleet, 3)
+            log.free.clear()
+            await fleet.kill_entry("entry-0")
+            await fleet.clock.sleep_ms(2_400)
+            await fleet.kill_entry("entry-1")
+            await fleet.clock.sleep_ms(2_400)
+            log.free.set()
+            await fleet.wait_ready()
+            answer = await self.submit(fleet, 3, self.make_job(fleet, "k", [50.0] * 20))
+            assert answer.status is JobStatus.COMPLETE
+
+        self.run_bounded(scenario)
+
+    def test_successor_that_crashes_in_the_middle_leaves_nothing_started_twice(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            jobs = [self.make_job_of(fleet, "entry-1", f"k{n}", [400.0] * 3) for n in range(12)]
+            first = [asyncio.create_task(self.submit(fleet, 1, job)) for job in jobs]
+            await fleet.clock.sleep_ms(100)
+            fleet.pause("side-2")
+            await fleet.kill_entry("entry-1")
+            await fleet.clock.sleep_ms(2_600)
+            await fleet.kill_entry("entry-2")
+            fleet.resume("side-2")
+            answers = await asyncio.gather(*(self.submit_until(fleet, 0, job) for job in jobs))
+            for answer in answers:
+                known = {task.state for task in answer.tasks}
+                assert answer.status is JobStatus.COMPLETE or TaskState.UNKNOWN in known
+            for task in first:
+                task.cancel()
+
+        self.run_bounded(scenario)
+
+    def test_side_process_that_only_the_dead_owner_could_reach_is_reckoned_with(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            log = await self.add_entry_with_held_log(fleet, 3)
+            log.free.clear()
+            for number in range(3):
+                fleet.fabric.cut(f"entry-{number}", "side-5")
+            await fleet.clock.sleep_ms(11_500)
+            job = self.make_job_of(fleet, "entry-3", "k", [100.0] * 40)
+            waiting = asyncio.create_task(self.submit(fleet, 3, job))
+            await fleet.clock.sleep_ms(50)
+            waiting.cancel()
+            await fleet.kill_entry("entry-3")
+            await self.submit_until(fleet, 0, job)
+
+        fleet = self.run_bounded(scenario)
+        assert fleet.sides == {}
+
+    def test_cancelled_job_of_a_dead_owner_is_not_said_never_to_have_run(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            job = self.make_job_of(fleet, "entry-1", "k", [300.0])
+            waiting = asyncio.create_task(self.submit(fleet, 1, job))
+            await fleet.clock.sleep_ms(100)
+            waiting.cancel()
+            await fleet.kill_entry("entry-1")
+            await fleet.clock.sleep_ms(6_000)
+            router = fleet.entries["entry-0"].node.router
+            await router.cancel(job.customer, job.key, job.created_at_ms)
+            answer = await self.submit(fleet, 0, job)
+            assert not answer.not_run
+            assert TaskState.NOT_RUN not in {task.state for task in answer.tasks}
+
+        self.run_bounded(scenario)
+
+
+class TestSuspicion(OwnershipTest):
+    def test_cut_between_an_entry_and_a_side_process_removes_none_of_them(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            fleet.fabric.cut("entry-0", "side-2")
+            await fleet.clock.sleep_ms(20_000)
+            assert {"entry-0", "side-2"} <= self.member_names(fleet)
+
+        self.run_bounded(scenario)
+
+    def test_cut_between_two_entries_removes_none_of_them(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.clock.sleep_ms(5_000)
+            before = fleet.entries["entry-0"].node.cluster.assignment
+            fleet.fabric.cut("entry-0", "entry-1")
+            await fleet.clock.sleep_ms(10_000)
+            job = self.make_job_of(fleet, "entry-1", "k", [50.0])
+            answer = await self.submit(fleet, 0, job)
+            assert answer.status is JobStatus.COMPLETE
+            assert fleet.entries["entry-0"].node.cluster.assignment == before
+
+        self.run_bounded(scenario)
+
+    def test_entry_taken_for_dead_comes_back(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            others = ["entry-0", "entry-2", *fleet.sides]
+            for name in others:
+                fleet.fabric.cut("entry-1", name)
+            await fleet.clock.sleep_ms(12_000)
+            assert "entry-1" not in self.member_names(fleet)
+            for name in others:
+                fleet.fabric.mend("entry-1", name)
+            await fleet.clock.sleep_ms(20_000)
+            assert "entry-1" in self.member_names(fleet)
+            await fleet.wait_ready()
+
+        self.run_bounded(scenario)
+
+    def test_side_process_taken_for_dead_comes_back(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            for number in range(3):
+                fleet.fabric.cut(f"entry-{number}", "side-1")
+            await fleet.clock.sleep_ms(15_000)
+            assert "side-1" not in self.member_names(fleet)
+            for number in range(3):
+                fleet.fabric.mend(f"entry-{number}", "side-1")
+            await fleet.clock.sleep_ms(40_000)
+            assert "side-1" in self.member_names(fleet)
+            await fleet.wait_ready()
+
+        self.run_bounded(scenario)
+
+    @staticmethod
+    def member_names(fleet: Fleet) -> set[str]:
+        """Return the names of all members in the log."""
+        members = fleet.entries["entry-0"].node.cluster.members
+        return {member.name for member in members.values()}
+
+
+class TestDedupeWindow(OwnershipTest):
+    def test_key_ahead_of_the_clock_is_not_new_again_when_the_window_ends(self) -> None:
+        plan = FleetPlan(sides=6, window_ms=5_000.0)
+
+        async def scenario(fleet: Fleet) -> None:
+            job = self.make_job(fleet, "k", [50.0])
+            ahead = JobRequest(
+                job.key, job.created_at_ms + 950, job.customer, job.job_class, job.tasks
+            )
+            assert (await self.submit(fleet, 0, ahead)).status is JobStatus.COMPLETE
+            for _ in range(40):
+                await fleet.clock.sleep_ms(200)
+                answer = await self.submit(fleet, 0, ahead)
+                assert answer.status is JobStatus.COMPLETE or answer.code == "key_expired"
+
+        self.run_bounded(scenario, plan)
+
+    def test_key_too_far_ahead_and_key_too_old_never_run(self) -> None:
+        plan = FleetPlan(sides=6, window_ms=5_000.0)
+
+        async def scenario(fleet: Fleet) -> None:
+            job = self.make_job(fleet, "k", [50.0])
+            ahead = JobRequest("k", job.created_at_ms + 1_500, "a", "quote", job.tasks)
+            with pytest.raises(JobInvalid):
+                await self.submit(fleet, 0, ahead)
+            await fleet.clock.sleep_ms(5_100)
+            assert (await self.submit(fleet, 0, job)).code == "key_expired"
+
+        fleet = self.run_bounded(scenario, plan)
+        assert not fleet.book.starts
+
+    def test_job_that_outlasts_the_window_is_forgotten_in_the_end(self) -> None:
+        plan = FleetPlan(sides=6, window_ms=3_000.0)
+
+        async def scenario(fleet: Fleet) -> None:
+            job = self.make_job_of(fleet, "entry-0", "k", [9_000.0])
+            assert (await self.submit(fleet, 0, job)).status is JobStatus.COMPLETE
+            await fleet.clock.sleep_ms(9_000)
+            table = fleet.entries["entry-0"].node.dispatcher.table
+            assert table.find(make_job_id(job)) is None
+
+        self.run_bounded(scenario, plan)
