--- a/src/currantbarrow/classes/change.py
+++ b/src/currantbarrow/classes/change.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 from currantbarrow.classes.state import ClassState
-from currantbarrow.exceptions import ClassConflict, ConfigurationError
+from currantbarrow.exceptions import AppendUnknown, ClassConflict, ConfigurationError
 from currantbarrow.logservice import (
     CLASS_STREAM,
     ClassChanged,
@@ -18,6 +19,7 @@
 __all__ = ["change_class"]
 
 APPEND_GIVE_UP_MS = 5000.0
+OUTCOME_WAIT_MS = 5000.0
 MAX_TARGET_MS = 3_600_000.0
 
 
@@ -34,23 +36,42 @@
     clock: Clock,
     rng: random.Random,
 ) -> int:
-    """Append a change and return the revision it made; raise ClassConflict when it lost."""
+    """Append a change and return the revision it made; raise ClassConflict when it lost.
+
+    A change repeated under the same record id returns the outcome of the first one.
+    """
+    made = state.outcome(record_id)
+    if made is not None:
+        return _settle(made, name, based_on, state)
     if not name or (definition is not None and not 0 < definition.target_ms <= MAX_TARGET_MS):
         raise ConfigurationError(f"a target lies between 0 and {MAX_TARGET_MS:.0f} ms")
     if definition is None and state.find(name) is None:
         raise ConfigurationError(f"there is no class named {name}")
     record = ClassChanged(record_id, name, based_on, definition, clock.wall_ms(), operator)
-    offset = await append_once(
-        log,
-        CLASS_STREAM,
-        record,
-        from_offset=state.offset + 1,
-        clock=clock,
-        rng=rng,
-        give_up_ms=APPEND_GIVE_UP_MS,
-    )
-    await follower.wait_beyond(offset)
-    if not state.outcome(record_id):
+    try:
+        offset = await append_once(
+            log,
+            CLASS_STREAM,
+            record,
+            from_offset=state.offset + 1,
+            clock=clock,
+            rng=rng,
+            give_up_ms=APPEND_GIVE_UP_MS,
+        )
+        async with asyncio.timeout(OUTCOME_WAIT_MS / 1000):
+            await follower.wait_beyond(offset)
+    except (AppendUnknown, TimeoutError) as error:
+        # The record may have come by the follower or by a peer all the same.
+        if state.outcome(record_id) is None:
+            raise AppendUnknown(
+                "whether the change was accepted is not known yet",
+                hint="Show the class; repeat the change on the revision that it shows.",
+            ) from error
+    return _settle(state.outcome(record_id) or 0, name, based_on, state)
+
+
+def _settle(made: int, name: str, based_on: int, state: ClassState) -> int:
+    if not made:
         present = state.revision_of(name)
         raise ClassConflict(f"{name} is at revision {present}, not {based_on}")
-    return state.revision_of(name)
+    return made
--- a/src/currantbarrow/classes/state.py
+++ b/src/currantbarrow/classes/state.py
@@ -26,7 +26,7 @@
 
 class _Dump(msgspec.Struct):
     history: dict[str, list[ClassRevision]]
-    outcomes: list[tuple[str, bool]]
+    outcomes: list[tuple[str, int]]
 
 
 class ClassState:
@@ -37,19 +37,20 @@
     def __init__(self) -> None:
         self.offset = -1
         self._history: dict[str, list[ClassRevision]] = {}
-        # The outcome by record id settles lost replies and makes second copies harmless.
-        self._outcomes: collections.OrderedDict[str, bool] = collections.OrderedDict()
+        # The revision that each record made, 0 for a record that lost its race, settles
+        # lost replies and makes second copies harmless.
+        self._outcomes: collections.OrderedDict[str, int] = collections.OrderedDict()
 
     def apply(self, offset: int, record: Record) -> None:
         """Accept a change when it is based on the class's present revision."""
         if not isinstance(record, ClassChanged) or record.record_id in self._outcomes:
             return
         accepted = record.based_on == self.revision_of(record.name)
-        self._outcomes[record.record_id] = accepted
+        # Offsets start at 0, and revision 0 means that the class never was.
+        self._outcomes[record.record_id] = offset + 1 if accepted else 0
         while len(self._outcomes) > REMEMBERED_RECORDS:
             self._outcomes.popitem(last=False)
         if accepted:
-            # Offsets start at 0, and revision 0 means that the class never was.
             revision = ClassRevision(offset + 1, record.definition, record.at_ms, record.operator)
             history = self._history.setdefault(record.name, [])
             history.append(revision)
@@ -75,8 +76,8 @@
         """Return the latest revisions of a class, oldest first."""
         return list(self._history.get(name, ()))
 
-    def outcome(self, record_id: str) -> bool | None:
-        """Tell whether a change was accepted, None when it is not known here."""
+    def outcome(self, record_id: str) -> int | None:
+        """Return the revision that a change made, 0 for none, None when it is not known here."""
         return self._outcomes.get(record_id)
 
     def dump(self) -> Any:
--- a/src/currantbarrow/entry/main.py
+++ b/src/currantbarrow/entry/main.py
@@ -92,6 +92,8 @@
         settings.skew_ms,
         settings.window_ms,
         settings.drain_ms,
+        tuple(settings.peers),
+        settings.log_retention_ms,
     )
     log = create_log_service(settings.log_service_url)
     node = EntryNode(
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -26,7 +26,16 @@
 )
 from currantbarrow.jobs import JobAnswer, JobRequest, shard_of
 from currantbarrow.jobs.table import JobTable
-from currantbarrow.logservice import CLASS_STREAM, CLUSTER_STREAM, ClassDefinition, LogFollower
+from currantbarrow.logservice import (
+    CLASS_STREAM,
+    CLUSTER_STREAM,
+    ClassDefinition,
+    LogFollower,
+    SnapshotRule,
+    SnapshotWriter,
+    StateSharing,
+    ask_peers,
+)
 from currantbarrow.observe import EventRing, logger
 from currantbarrow.policy import Policies
 from currantbarrow.protocol import (
@@ -41,6 +50,7 @@
     Hello,
     JobShown,
     Message,
+    RecordsWanted,
     Role,
     ShowJob,
 )
@@ -52,6 +62,8 @@
 HANDOVER_TIMEOUT_MS = 2000.0
 HANDOVER_TRIES = 3
 DRAIN_LOOK_MS = 20.0
+# An entry that follows the log itself leaves peers alone until it lags by this much.
+LAG_PATIENCE_MS = 1500.0
 
 
 class EntryOptions(msgspec.Struct, frozen=True):
@@ -69,6 +81,8 @@
     skew_ms: float = 1000.0
     window_ms: float = 600_000.0
     drain_ms: float = 20_000.0
+    peers: tuple[str, ...] = ()
+    log_retention_ms: float = 86_400_000.0
 
 
 class MemberRow(msgspec.Struct, frozen=True):
@@ -126,6 +140,14 @@
         options = self.options
         self.cluster_follower = self._follow(CLUSTER_STREAM, self.cluster)
         self.class_follower = self._follow(CLASS_STREAM, self.classes)
+        self._followers = [self.cluster_follower, self.class_follower]
+        self.sharing = StateSharing(
+            [follower.copy for follower in self._followers],
+            self._patience_ms,
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self.metrics,
+        )
         self.dispatcher = Dispatcher(
             clock=self._clock,
             rng=self._rng,
@@ -143,6 +165,7 @@
             rng=self._rng,
             metrics=self.metrics,
             listener=self.dispatcher,
+            sharing=self.sharing,
         )
         self.dispatcher.pool = self.sides
         self.entries = EntryPool(
@@ -151,6 +174,7 @@
             network=self._network,
             rng=self._rng,
             on_change=lambda: None,
+            sharing=self.sharing,
         )
         times = OwnershipOptions(
             lease_ms=options.lease_ms,
@@ -221,7 +245,10 @@
             asyncio.create_task(self.steward.run()),
             asyncio.create_task(self.lease.run(self.dispatcher.pump)),
             asyncio.create_task(self._beat()),
+            asyncio.create_task(self.sharing.run()),
+            asyncio.create_task(self._ask_peers()),
         ]
+        self._tasks += [asyncio.create_task(writer.run()) for writer in self._create_writers()]
 
     async def drain(self) -> None:
         """Give all shards away, wait for the last answers, and stop."""
@@ -312,6 +339,38 @@
     def _follow(self, stream: str, state: ClusterState | ClassState) -> LogFollower:
         return LogFollower(stream, state, self._log, self._clock, self._rng, self.metrics)
 
+    def _create_writers(self) -> list[SnapshotWriter]:
+        rule = SnapshotRule(self.options.log_retention_ms)
+        return [
+            SnapshotWriter(
+                self.options.incarnation,
+                follower,
+                rule,
+                log=self._log,
+                clock=self._clock,
+                rng=self._rng,
+                metrics=self.metrics,
+            )
+            for follower in self._followers
+        ]
+
+    async def _ask_peers(self) -> None:
+        # The link has an incarnation of its own, so that peers don't take it for the
+        # lasting one.
+        incarnation = f"{self.options.incarnation}/state"
+        await ask_peers(
+            self.options.peers,
+            msgspec.structs.replace(self._hello, incarnation=incarnation),
+            [follower.copy for follower in self._followers],
+            clock=self._clock,
+            network=self._network,
+            rng=self._rng,
+        )
+
+    def _patience_ms(self, stream: str) -> float:
+        follower = next(each for each in self._followers if each.stream == stream)
+        return LAG_PATIENCE_MS if follower.reachable else 0.0
+
     def _may_start(self) -> bool:
         return self.lease.held()
 
@@ -339,7 +398,7 @@
         peer = link.peer.incarnation
         self._links[peer] = link
         try:
-            link.post(Heartbeat())
+            link.post(self.sharing.heartbeat())
             while True:
                 self._handle(link, await link.receive())
         except LinkError:
@@ -356,6 +415,8 @@
                 self._spawn(self._answer_show(link, message))
             case Handover():
                 link.post(self._take_handover(link, message))
+            case RecordsWanted():
+                link.post(self.sharing.answer(message))
             case Heartbeat():
                 pass
             case _:
@@ -453,7 +514,8 @@
             self.dispatcher.table.expire()
             for link in list(self._links.values()):
                 with contextlib.suppress(LinkError):
-                    link.post(Heartbeat())
+                    link.post(self.sharing.heartbeat())
+            self.sides.show_offsets()
 
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
--- a/src/currantbarrow/entry/peers.py
+++ b/src/currantbarrow/entry/peers.py
@@ -8,7 +8,8 @@
 
 from currantbarrow.cluster import Member
 from currantbarrow.exceptions import LinkClosed, LinkError
-from currantbarrow.protocol import Caller, Hello, Reply
+from currantbarrow.logservice import StateSharing
+from currantbarrow.protocol import Caller, Heartbeat, Hello, Reply
 from currantbarrow.types import Clock, Link, Network
 
 __all__ = ["EntryPeer", "EntryPool"]
@@ -47,6 +48,7 @@
         network: Network,
         rng: random.Random,
         on_change: Callable[[], None],
+        sharing: StateSharing,
     ) -> None:
         self.peers: dict[str, EntryPeer] = {}
         self._hello = hello
@@ -54,6 +56,7 @@
         self._network = network
         self._rng = rng
         self._on_change = on_change
+        self._sharing = sharing
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def sync(self, members: Iterable[Member]) -> None:
@@ -117,6 +120,8 @@
                 message = await link.receive()
             if isinstance(message, Reply):
                 caller.settle(message)
+            elif isinstance(message, Heartbeat):
+                self._sharing.note(caller, message)
 
     def _close(self, peer: EntryPeer) -> None:
         if peer.caller is not None:
--- a/src/currantbarrow/entry/sides.py
+++ b/src/currantbarrow/entry/sides.py
@@ -10,6 +10,7 @@
 
 from currantbarrow.cluster import Member
 from currantbarrow.exceptions import LinkError
+from currantbarrow.logservice import StateSharing
 from currantbarrow.policy import WorkerView
 from currantbarrow.protocol import (
     Caller,
@@ -17,6 +18,7 @@
     Hello,
     Load,
     Message,
+    RecordsWanted,
     Refused,
     Reply,
     Result,
@@ -55,13 +57,15 @@
 class SidePeer:
     """Hold the link to one incarnation of a side process and its worker's view."""
 
-    __slots__ = ("caller", "down_since_ms", "link", "member", "stamp_ms", "view")
+    __slots__ = ("caller", "down_since_ms", "link", "member", "shown", "stamp_ms", "view")
 
     def __init__(self, member: Member, now_ms: float) -> None:
         self.member = member
         self.view = WorkerView(member.name, member.incarnation, member.data_centre, member.rack)
         self.link: Link | None = None
         self.caller: Caller | None = None
+        # What this process last told the peer of its own state.
+        self.shown: Heartbeat | None = None
         self.stamp_ms = 0.0
         self.down_since_ms = now_ms
 
@@ -95,6 +99,7 @@
         rng: random.Random,
         metrics: Metrics,
         listener: SideListener,
+        sharing: StateSharing,
     ) -> None:
         self.peers: dict[str, SidePeer] = {}
         self._hello = hello
@@ -103,6 +108,7 @@
         self._rng = rng
         self._metrics = metrics
         self._listener = listener
+        self._sharing = sharing
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def sync(self, members: Iterable[Member]) -> None:
@@ -124,6 +130,15 @@
             if peer.up and peer.view.slots and not peer.view.leaving
         ]
 
+    def show_offsets(self) -> None:
+        """Tell the side processes how new this process's state is, where that has changed."""
+        heartbeat = self._sharing.heartbeat()
+        for peer in self.peers.values():
+            if peer.link is not None and peer.shown != heartbeat:
+                with contextlib.suppress(LinkError):
+                    peer.link.post(heartbeat)
+                    peer.shown = heartbeat
+
     async def stop(self) -> None:
         """Close all links."""
         for task in self._tasks.values():
@@ -179,19 +194,29 @@
                 self._listener.starts_refused(peer, message)
                 peer.take_load(message.load, now_ms)
                 self._listener.load_changed(peer)
-            case Heartbeat(load=load) if load is not None:
-                peer.take_load(load, now_ms)
-                self._listener.load_changed(peer)
+            case Heartbeat():
+                self._take_heartbeat(peer, message, now_ms)
+            case RecordsWanted() if peer.link is not None:
+                with contextlib.suppress(LinkError):
+                    peer.link.post(self._sharing.answer(message))
             case Reply():
                 if peer.caller is not None:
                     peer.caller.settle(message)
             case _:
                 self._metrics.incr("entry.unexpected_message")
 
+    def _take_heartbeat(self, peer: SidePeer, heartbeat: Heartbeat, now_ms: float) -> None:
+        if peer.caller is not None:
+            self._sharing.note(peer.caller, heartbeat)
+        if heartbeat.load is not None:
+            peer.take_load(heartbeat.load, now_ms)
+            self._listener.load_changed(peer)
+
     def _open(self, peer: SidePeer, link: Link) -> None:
         peer.link = link
         peer.caller = Caller(link)
         peer.stamp_ms = 0.0
+        peer.shown = None
         self._listener.side_up(peer)
 
     def _close(self, peer: SidePeer) -> None:
--- a/src/currantbarrow/logservice/__init__.py
+++ b/src/currantbarrow/logservice/__init__.py
@@ -1,7 +1,8 @@
 """Keep what must be agreed or must last in the platform's log service."""
 
 from currantbarrow.logservice.appender import append_once
-from currantbarrow.logservice.follower import LogFollower, StreamState, encode_state
+from currantbarrow.logservice.copy import StreamCopy, StreamState
+from currantbarrow.logservice.follower import LogFollower
 from currantbarrow.logservice.records import (
     CLASS_STREAM,
     CLUSTER_STREAM,
@@ -16,6 +17,8 @@
     decode_record,
     encode_record,
 )
+from currantbarrow.logservice.sharing import StateSharing, ask_peers
+from currantbarrow.logservice.snapshots import SnapshotRule, SnapshotWriter
 
 __all__ = [
     "CLASS_STREAM",
@@ -29,9 +32,13 @@
     "MemberLeft",
     "Record",
     "Snapshot",
+    "SnapshotRule",
+    "SnapshotWriter",
+    "StateSharing",
+    "StreamCopy",
     "StreamState",
     "append_once",
+    "ask_peers",
     "decode_record",
     "encode_record",
-    "encode_state",
 ]
--- a/src/currantbarrow/logservice/appender.py
+++ b/src/currantbarrow/logservice/appender.py
@@ -36,24 +36,27 @@
     """
     deadline_ms = clock.monotonic_ms() + give_up_ms
     delay_ms = RETRY_FIRST_MS
-    unsettled = False
+    data = encode_record(record)
+    # A write without a reply may still land after it was not found, so an append that
+    # was unknown once can be settled as written, but never as not written.
+    was_unknown = False
     while True:
         try:
-            if unsettled:
+            if was_unknown:
                 found = await _find(log, stream, record.record_id, from_offset)
                 if found is not None:
                     return found
-                unsettled = False
-            return await log.append(stream, encode_record(record))
+            return await log.append(stream, data)
         except AppendUnknown:
-            unsettled = True
+            was_unknown = True
         except LogUnavailable:
-            if clock.monotonic_ms() >= deadline_ms:
-                if unsettled:
-                    raise AppendUnknown("the log went down before the append was settled") from None
+            if clock.monotonic_ms() >= deadline_ms and not was_unknown:
                 raise
-        if clock.monotonic_ms() >= deadline_ms and unsettled:
-            raise AppendUnknown("the append could not be settled in time")
+        if clock.monotonic_ms() >= deadline_ms:
+            raise AppendUnknown(
+                "the append could not be settled in time",
+                hint="Show what is in force before repeating the change.",
+            )
         await clock.sleep_ms(rng.uniform(0, delay_ms))
         delay_ms = min(delay_ms * 2, RETRY_LIMIT_MS)
 
--- /dev/null
+++ b/src/currantbarrow/logservice/copy.py
@@ -0,0 +1,187 @@
+"""Hold one stream's state and its latest records, whoever brought them."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import zlib
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import msgspec
+
+from currantbarrow.exceptions import ConfigurationError
+from currantbarrow.logservice.records import Record, Snapshot, decode_record
+from currantbarrow.protocol import Records, RecordsWanted, StreamRecord
+from currantbarrow.types import Metrics
+
+__all__ = ["SnapshotMark", "StreamCopy", "StreamState"]
+
+RECENT_RECORDS = 512
+RECENT_BYTES = 256 * 1024
+COMPRESSION_LEVEL = 1
+MAX_STATE_BYTES = 64 * 1024 * 1024
+
+
+class StreamState(Protocol):
+    """Reduce the records of a stream to a state."""
+
+    offset: int
+
+    def apply(self, offset: int, record: Record) -> None:
+        """Take in the record at an offset; records already taken in are ignored."""
+
+    def dump(self) -> Any:
+        """Return the state as plain data for a snapshot."""
+
+    def load(self, offset: int, plain: Any) -> bool:
+        """Take over a snapshot that is newer than this state; tell whether it was."""
+
+
+class SnapshotMark(msgspec.Struct, frozen=True):
+    """Remember the newest snapshot record that was seen in a stream."""
+
+    offset: int
+    at_ms: int
+
+
+class StreamCopy:
+    """Move a state forward by records, snapshots and peers' replies, and never back."""
+
+    __slots__ = (
+        "_changed",
+        "_listeners",
+        "_metrics",
+        "_packed",
+        "_recent",
+        "_recent_bytes",
+        "_recent_from",
+        "mark",
+        "records_since_mark",
+        "state",
+        "stream",
+    )
+
+    def __init__(self, stream: str, state: StreamState, metrics: Metrics) -> None:
+        self.stream = stream
+        self.state = state
+        self.mark: SnapshotMark | None = None
+        self.records_since_mark = 0
+        self._metrics = metrics
+        self._changed = asyncio.Event()
+        self._listeners: list[Callable[[], None]] = []
+        self._recent: collections.deque[StreamRecord] = collections.deque()
+        self._recent_bytes = 0
+        self._packed: tuple[int, bytes] | None = None
+        # The recent records continue, without a gap, a state at this offset.
+        self._recent_from = state.offset
+
+    @property
+    def offset(self) -> int:
+        """Return the offset of the newest record that the state includes."""
+        return self.state.offset
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call a listener after each change of the state."""
+        self._listeners.append(listener)
+
+    async def wait_beyond(self, offset: int) -> None:
+        """Wait until the state includes the record at an offset."""
+        while self.state.offset < offset:
+            self._changed.clear()
+            await self._changed.wait()
+
+    def take(self, offset: int, data: bytes) -> None:
+        """Take in the next record of the stream; call notify after the last one."""
+        if offset <= self.state.offset:
+            return
+        is_snapshot = self._take_new(offset, data)
+        self.state.offset = offset
+        # A snapshot tells a peer that lacks it nothing new, so only its place is passed on.
+        self._remember(offset, b"" if is_snapshot else data)
+
+    def load(self, offset: int, plain: Any) -> bool:
+        """Take over a newer state; tell whether it was newer."""
+        if not self.state.load(offset, plain):
+            return False
+        self._recent.clear()
+        self._recent_bytes = 0
+        self._recent_from = offset
+        return True
+
+    def notify(self) -> None:
+        """Tell everybody who waits that the state has moved."""
+        self._changed.set()
+        for listener in self._listeners:
+            listener()
+
+    def answer(self, call: RecordsWanted) -> Records:
+        """Answer a peer with the records it lacks, or with the whole state."""
+        if call.offset >= self.offset:
+            return Records(call.call_id, self.stream, self.offset)
+        if call.offset >= self._recent_from:
+            missing = [record for record in self._recent if record.offset > call.offset]
+            return Records(call.call_id, self.stream, self.offset, records=missing)
+        self._metrics.incr(f"log.whole_states_given.{self.stream}")
+        return Records(call.call_id, self.stream, self.offset, snapshot=self._pack())
+
+    def merge(self, reply: Records) -> bool:
+        """Take in a peer's answer; tell whether it moved the state."""
+        before = self.offset
+        if reply.snapshot:
+            self._merge_state(reply)
+        for record in reply.records:
+            self.take(record.offset, record.data)
+        if self.offset == before:
+            return False
+        self._metrics.incr(f"log.moved_by_peer.{self.stream}")
+        self.notify()
+        return True
+
+    def _pack(self) -> bytes:
+        """Return the state in compressed form, made once for all peers that ask."""
+        if self._packed is None or self._packed[0] != self.offset:
+            plain = msgspec.json.encode(self.state.dump())
+            self._packed = (self.offset, zlib.compress(plain, COMPRESSION_LEVEL))
+        return self._packed[1]
+
+    def _merge_state(self, reply: Records) -> None:
+        unpacker = zlib.decompressobj()
+        try:
+            plain = unpacker.decompress(reply.snapshot, MAX_STATE_BYTES)
+            if not unpacker.eof:
+                raise ConfigurationError("a peer's state is cut short or too large")
+            self.load(reply.offset, msgspec.json.decode(plain))
+        except (zlib.error, msgspec.MsgspecError) as error:
+            raise ConfigurationError(f"unreadable state from a peer: {error}") from error
+
+    def _take_new(self, offset: int, data: bytes) -> bool:
+        """Apply a record; tell whether it is a snapshot, which says nothing new."""
+        if not data:
+            return True
+        self.records_since_mark += 1
+        try:
+            record = decode_record(data)
+        except ConfigurationError:
+            # A newer program may write records that this one doesn't know.
+            self._metrics.incr("log.unreadable_records")
+            return False
+        if isinstance(record, Snapshot):
+            self.note_snapshot(record)
+            return True
+        self.state.apply(offset, record)
+        return False
+
+    def note_snapshot(self, record: Snapshot) -> None:
+        """Remember that the stream holds a snapshot."""
+        if self.mark is None or record.offset >= self.mark.offset:
+            self.mark = SnapshotMark(record.offset, record.at_ms)
+            self.records_since_mark = 0
+
+    def _remember(self, offset: int, data: bytes) -> None:
+        self._recent.append(StreamRecord(offset, data))
+        self._recent_bytes += len(data)
+        while len(self._recent) > RECENT_RECORDS or self._recent_bytes > RECENT_BYTES:
+            forgotten = self._recent.popleft()
+            self._recent_bytes -= len(forgotten.data)
+            self._recent_from = forgotten.offset
--- a/src/currantbarrow/logservice/records.py
+++ b/src/currantbarrow/logservice/records.py
@@ -92,6 +92,7 @@
 
     offset: int
     state: Any
+    at_ms: int = 0
 
 
 _AnyRecord = (
--- a/src/currantbarrow/protocol/messages.py
+++ b/src/currantbarrow/protocol/messages.py
@@ -323,14 +323,16 @@
 
 
 class RecordsWanted(Call, frozen=True):
-    """Ask a peer for its state of a stream."""
+    """Ask a peer for what follows an offset of a stream."""
 
     stream: str
+    offset: int = -1
 
 
 class Records(Reply, frozen=True):
-    """Give the state of a stream at an offset, as the data of a snapshot record."""
+    """Give the records that follow, or the whole state at an offset, compressed."""
 
     stream: str
     offset: int
-    snapshot: bytes
+    snapshot: bytes = b""
+    records: list[StreamRecord] = []
--- a/src/currantbarrow/settings/schema.py
+++ b/src/currantbarrow/settings/schema.py
@@ -39,6 +39,7 @@
     skew_ms: Milliseconds = 1000.0
     window_ms: Milliseconds = 600_000.0
     drain_ms: Milliseconds = 20_000.0
+    log_retention_ms: Milliseconds = 86_400_000.0
     max_body_bytes: Count = 4_000_000
     max_tasks: Count = 220
 
--- a/src/currantbarrow/side/node.py
+++ b/src/currantbarrow/side/node.py
@@ -8,12 +8,22 @@
 
 import msgspec
 
-from currantbarrow.cluster import PanelMember
+from currantbarrow.classes import ClassState
+from currantbarrow.cluster import ClusterState, PanelMember
 from currantbarrow.exceptions import AppendUnknown, LinkError, LogUnavailable
 from currantbarrow.jobs import TaskRun
-from currantbarrow.logservice import CLUSTER_STREAM, MemberJoined, MemberLeft, append_once
+from currantbarrow.logservice import (
+    CLASS_STREAM,
+    CLUSTER_STREAM,
+    MemberJoined,
+    MemberLeft,
+    StateSharing,
+    StreamCopy,
+    append_once,
+)
 from currantbarrow.observe import EventRing, logger
 from currantbarrow.protocol import (
+    Caller,
     Cancel,
     CloseVersion,
     Confirm,
@@ -24,8 +34,10 @@
     Load,
     Message,
     QueryTasks,
+    RecordsWanted,
     Refused,
     RefusedReason,
+    Reply,
     Result,
     Role,
     Start,
@@ -42,6 +54,8 @@
 
 APPEND_GIVE_UP_MS = 5000.0
 REGISTER_RETRY_MS = 500.0
+# Side processes spread their pulls over this time after a change.
+PULL_SPREAD_MS = 1000.0
 
 
 class SideOptions(msgspec.Struct, frozen=True):
@@ -90,6 +104,16 @@
         self._metrics = metrics
         self._events = events
         self._links: dict[str, Link] = {}
+        self._callers: dict[Link, Caller] = {}
+        self.cluster = StreamCopy(CLUSTER_STREAM, ClusterState(), metrics)
+        self.classes = StreamCopy(CLASS_STREAM, ClassState(), metrics)
+        self._sharing = StateSharing(
+            [self.cluster, self.classes],
+            lambda stream: rng.uniform(0, PULL_SPREAD_MS),
+            clock=clock,
+            rng=rng,
+            metrics=metrics,
+        )
         self._announced_ms = -1.0
         self._registered = False
         self._records_made = 0
@@ -109,6 +133,7 @@
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._beat()),
+            asyncio.create_task(self._sharing.run()),
         ]
 
     async def stop(self) -> None:
@@ -160,17 +185,23 @@
             self.leaving,
         )
 
+    def _heartbeat(self) -> Heartbeat:
+        return self._sharing.heartbeat(self.load())
+
     async def _serve(self, link: Link) -> None:
         """Handle the messages of one link until it closes."""
         owner = link.peer.incarnation
         self._links[owner] = link
-        link.post(Heartbeat(self.load()))
+        self._callers[link] = Caller(link)
         try:
+            link.post(self._heartbeat())
             while True:
                 self._handle(link, await link.receive())
         except LinkError:
             if self._links.get(owner) is link:
                 del self._links[owner]
+        finally:
+            self._callers.pop(link).close()
 
     def _handle(self, link: Link, message: Message) -> None:
         match message:
@@ -186,8 +217,12 @@
                 link.post(self.panel.confirm(message))
             case CloseVersion():
                 link.post(self.panel.close(message))
+            case RecordsWanted():
+                link.post(self._sharing.answer(message))
             case Heartbeat():
-                pass
+                self._sharing.note(self._callers[link], message)
+            case Reply():
+                self._callers[link].settle(message)
             case _:
                 self._metrics.incr("side.unexpected_message")
 
@@ -311,7 +346,7 @@
 
     def _broadcast_load(self) -> None:
         for owner in list(self._links):
-            self._post(owner, Heartbeat(self.load()))
+            self._post(owner, self._heartbeat())
 
     async def _beat(self) -> None:
         """Send heartbeats, expire the announcement and old ledger entries."""
--- a/src/currantbarrow/standins/fleet.py
+++ b/src/currantbarrow/standins/fleet.py
@@ -20,7 +20,7 @@
 from currantbarrow.policy import Policies, create_policies
 from currantbarrow.protocol import Hello
 from currantbarrow.side import SideNode, SideOptions
-from currantbarrow.standins.memory_log import MemoryLog
+from currantbarrow.standins.memory_log import LogAccess, MemoryLog
 from currantbarrow.standins.memory_network import MemoryFabric, MemoryNetwork
 from currantbarrow.standins.upstream import MemoryUpstream, StartBook
 from currantbarrow.types import Clock
@@ -30,6 +30,8 @@
 START_WALL_MS = 1_760_000_000_000
 ANNOUNCE_MS = 1000.0
 READY_LOOK_MS = 20.0
+# Entries name the first few side processes as peers beside the other entries.
+SIDES_AS_PEERS = 3
 PoliciesFactory = Callable[[random.Random, str], Policies]
 
 
@@ -66,6 +68,7 @@
     near_ms: float = 0.2
     far_ms: float = 1.0
     window_ms: float = 600_000.0
+    log_retention_ms: float = 86_400_000.0
     seed: int = 1
 
 
@@ -112,6 +115,7 @@
         self.fabric = MemoryFabric(random.Random(plan.seed + 1), self._delay_ms)
         self.log = MemoryLog(self.clock, random.Random(plan.seed + 2))
         self.book = StartBook()
+        self.log_access: dict[str, LogAccess] = {}
         self.entries: dict[str, EntryProcess] = {}
         self.sides: dict[str, SideProcess] = {}
         self._create_policies = create
@@ -150,13 +154,15 @@
             self._data_centre(number),
             f"entry-rack-{number}",
             window_ms=self.plan.window_ms,
+            peers=self._peer_addresses(name),
+            log_retention_ms=self.plan.log_retention_ms,
         )
         events = EventRing(name, HybridClock(clock))
         node = EntryNode(
             options,
             clock=clock,
             network=MemoryNetwork(self.fabric),
-            log=self.log,
+            log=self._log_access(name),
             rng=rng,
             metrics=metrics,
             events=events,
@@ -183,7 +189,7 @@
             options,
             clock=clock,
             network=MemoryNetwork(self.fabric),
-            log=self.log,
+            log=self._log_access(name),
             upstream=upstream,
             rng=rng,
             metrics=metrics,
@@ -262,5 +268,14 @@
     def _address(self, name: str) -> str:
         return f"{name}:7000"
 
+    def _peer_addresses(self, name: str) -> tuple[str, ...]:
+        """Return the addresses that a settings file of an entry would name."""
+        names = [f"entry-{number}" for number in range(self.plan.entries)]
+        names += [f"side-{number}" for number in range(min(self.plan.sides, SIDES_AS_PEERS))]
+        return tuple(self._address(each) for each in names if each != name)
+
+    def _log_access(self, name: str) -> LogAccess:
+        return self.log_access.setdefault(name, LogAccess(self.log))
+
     def _rng(self) -> random.Random:
         return random.Random(self.rng.getrandbits(64))
--- a/src/currantbarrow/standins/memory_log.py
+++ b/src/currantbarrow/standins/memory_log.py
@@ -10,7 +10,7 @@
 from currantbarrow.logservice.client import StoredRecord
 from currantbarrow.types import Clock
 
-__all__ = ["LogFaults", "MemoryLog"]
+__all__ = ["LogAccess", "LogFaults", "MemoryLog"]
 
 PAGE_RECORDS = 500
 
@@ -131,3 +131,30 @@
         del kept.records[0]
         del kept.times_ms[0]
         kept.first_offset += 1
+
+
+class LogAccess:
+    """Be one process's way to the log, which can be cut alone."""
+
+    def __init__(self, log: MemoryLog) -> None:
+        self.cut = False
+        self._log = log
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append a record and return its offset; raise LogUnavailable or AppendUnknown."""
+        self._check()
+        offset = await self._log.append(stream, data)
+        if self.cut:
+            raise AppendUnknown("the process was cut off before the reply")
+        return offset
+
+    async def read(self, stream: str, offset: int, wait_ms: int) -> Sequence[StoredRecord]:
+        """Return records from an offset on; raise LogUnavailable or RecordsExpired."""
+        self._check()
+        records = await self._log.read(stream, offset, wait_ms)
+        self._check()
+        return records
+
+    def _check(self) -> None:
+        if self.cut:
+            raise LogUnavailable("the process is cut off from the log service")
