Let stand-ins pause, cut, delay and lose hosts as real networks do

Cause: a cut dropped messages on links that then went on, which TCP never does, and a paused process went on reading the log. Change: what a cut or pause holds up is sent again when it ends, in order; each process reaches the log through a view that may be cut or paused; a host can be lost without its links closing; leaving messages can be lost.

--- a/src/currantbarrow/standins/fleet.py
+++ b/src/currantbarrow/standins/fleet.py
@@ -20,7 +20,7 @@
 from currantbarrow.policy import Policies, create_policies
 from currantbarrow.protocol import Hello
 from currantbarrow.side import SideNode, SideOptions
-from currantbarrow.standins.memory_log import MemoryLog
+from currantbarrow.standins.memory_log import LogView, MemoryLog
 from currantbarrow.standins.memory_network import MemoryFabric, MemoryNetwork
 from currantbarrow.standins.upstream import MemoryUpstream, StartBook
 from currantbarrow.types import Clock
@@ -72,19 +72,29 @@
 class EntryProcess:
     """Hold one entry process and what is its own."""
 
-    __slots__ = ("clock", "metrics", "name", "node")
+    __slots__ = ("clock", "ended", "metrics", "name", "node")
 
     def __init__(self, name: str, node: EntryNode, clock: LoopClock, metrics: MetricsBook) -> None:
         self.name = name
         self.node = node
         self.clock = clock
         self.metrics = metrics
+        self.ended = asyncio.Event()
 
 
 class SideProcess:
     """Hold one side process and its upstream."""
 
-    __slots__ = ("announcing", "clock", "metrics", "name", "node", "upstream")
+    __slots__ = (
+        "announcing",
+        "clock",
+        "leaving",
+        "lost_messages",
+        "metrics",
+        "name",
+        "node",
+        "upstream",
+    )
 
     def __init__(
         self,
@@ -100,6 +110,9 @@
         self.clock = clock
         self.metrics = metrics
         self.announcing: asyncio.Task[None] | None = None
+        self.leaving = False
+        # How many messages of the upstream to the side process are still to be lost.
+        self.lost_messages = 0
 
 
 class Fleet:
@@ -156,7 +169,7 @@
             options,
             clock=clock,
             network=MemoryNetwork(self.fabric),
-            log=self.log,
+            log=self._log_of(name, clock),
             rng=rng,
             metrics=metrics,
             events=events,
@@ -183,7 +196,7 @@
             options,
             clock=clock,
             network=MemoryNetwork(self.fabric),
-            log=self.log,
+            log=self._log_of(name, clock),
             upstream=upstream,
             rng=rng,
             metrics=metrics,
@@ -195,16 +208,47 @@
         side.announcing = asyncio.create_task(self._announce(side))
         return side
 
-    async def kill_entry(self, name: str) -> None:
-        """Crash an entry process."""
-        await self.entries.pop(name).node.kill()
+    async def kill_entry(self, name: str, *, silently: bool = False) -> None:
+        """Crash an entry process; silently when its host goes with it."""
+        entry = self.entries.pop(name)
+        entry.ended.set()
+        self._end_host(entry.node.options.incarnation, silently)
+        await entry.node.kill()
+        self.fabric.resume(name)
+
+    async def drain_entry(self, name: str) -> None:
+        """Shut an entry process down gracefully."""
+        entry = self.entries[name]
+        await entry.node.drain()
+        entry.ended.set()
+        if self.entries.get(name) is entry:
+            del self.entries[name]
 
-    async def kill_side(self, name: str) -> None:
-        """Crash a side process together with its worker."""
+    async def kill_side(self, name: str, *, silently: bool = False) -> None:
+        """Crash a side process together with its worker; silently when its host goes too."""
         side = self.sides.pop(name)
+        self._end_host(side.node.options.incarnation, silently)
         if side.announcing is not None:
             side.announcing.cancel()
         await side.node.kill()
+        self.fabric.resume(name)
+
+    async def drain_side(self, name: str) -> None:
+        """Shut a side process and its worker down gracefully."""
+        side = self.sides[name]
+        side.leaving = True
+        await side.node.stop()
+        if side.announcing is not None:
+            side.announcing.cancel()
+        if self.sides.get(name) is side:
+            del self.sides[name]
+
+    def leave(self, name: str, lost_messages: int = 0) -> None:
+        """Let an upstream say that it leaves; it says so again with every announcement."""
+        side = self.sides[name]
+        side.leaving = True
+        side.lost_messages = lost_messages
+        self._announce_once(side)
 
     def pause(self, name: str) -> None:
         """Freeze a process: it neither receives nor wakes from waiting."""
@@ -225,6 +269,11 @@
             self.resume(name)
             await self.kill_side(name)
 
+    def _end_host(self, incarnation: str, silently: bool) -> None:
+        self.fabric.drop_stalled(incarnation)
+        if silently:
+            self.fabric.lose_host(incarnation)
+
     def _clock_of(self, name: str) -> LoopClock:
         if name in self.entries:
             return self.entries[name].clock
@@ -245,8 +294,19 @@
     async def _announce(self, side: SideProcess) -> None:
         with contextlib.suppress(asyncio.CancelledError):
             while True:
-                side.node.announce(self.plan.slots)
-                await self.clock.sleep_ms(ANNOUNCE_MS)
+                self._announce_once(side)
+                await side.clock.sleep_ms(ANNOUNCE_MS)
+
+    def _announce_once(self, side: SideProcess) -> None:
+        if side.lost_messages > 0:
+            side.lost_messages -= 1
+        elif side.leaving:
+            side.node.leave()
+        else:
+            side.node.announce(self.plan.slots)
+
+    def _log_of(self, name: str, clock: LoopClock) -> LogView:
+        return LogView(self.log, clock, lambda: self.fabric.is_cut(name, "log"))
 
     def _delay_ms(self, sender: Hello, receiver: Hello) -> float:
         near = sender.data_centre == receiver.data_centre
--- a/src/currantbarrow/standins/memory_log.py
+++ b/src/currantbarrow/standins/memory_log.py
@@ -4,15 +4,16 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from currantbarrow.exceptions import AppendUnknown, LogUnavailable, RecordsExpired
 from currantbarrow.logservice.client import StoredRecord
 from currantbarrow.types import Clock
 
-__all__ = ["LogFaults", "MemoryLog"]
+__all__ = ["LogFaults", "LogView", "MemoryLog"]
 
 PAGE_RECORDS = 500
+CUT_TIMEOUT_MS = 1000.0
 
 
 class LogFaults:
@@ -54,6 +55,7 @@
         self.faults = LogFaults()
         self.appends = 0
         self.reads = 0
+        self.observers: list[Callable[[str, int, bytes], None]] = []
         self._clock = clock
         self._rng = rng
         self._streams: dict[str, _Stream] = {}
@@ -71,6 +73,8 @@
         kept.records.append(StoredRecord(offset, bytes(data)))
         kept.times_ms.append(self._clock.monotonic_ms())
         self.appends += 1
+        for observe in self.observers:
+            observe(stream, offset, bytes(data))
         kept.arrived.set()
         kept.arrived = asyncio.Event()
         if self._rng.random() < self.faults.lost_reply_share:
@@ -131,3 +135,37 @@
         del kept.records[0]
         del kept.times_ms[0]
         kept.first_offset += 1
+
+
+class LogView:
+    """Be the log service as one process reaches it, which may be cut off or paused."""
+
+    __slots__ = ("_clock", "_is_cut", "_log")
+
+    def __init__(self, log: MemoryLog, clock: Clock, is_cut: Callable[[], bool]) -> None:
+        self._log = log
+        self._clock = clock
+        self._is_cut = is_cut
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append a record and return its offset; raise LogUnavailable or AppendUnknown."""
+        if self._is_cut():
+            await self._clock.sleep_ms(CUT_TIMEOUT_MS)
+            raise LogUnavailable("the log service cannot be reached")
+        offset = await self._log.append(stream, data)
+        await self._clock.sleep_ms(0.0)
+        if self._is_cut():
+            raise AppendUnknown("the reply was lost")
+        return offset
+
+    async def read(self, stream: str, offset: int, wait_ms: int) -> Sequence[StoredRecord]:
+        """Return records from an offset on; raise LogUnavailable or RecordsExpired."""
+        if self._is_cut():
+            await self._clock.sleep_ms(CUT_TIMEOUT_MS)
+            raise LogUnavailable("the log service cannot be reached")
+        records = await self._log.read(stream, offset, wait_ms)
+        # A paused process sees what it read only once it goes on.
+        await self._clock.sleep_ms(0.0)
+        if self._is_cut():
+            raise LogUnavailable("the log service cannot be reached")
+        return records
--- a/src/currantbarrow/standins/memory_network.py
+++ b/src/currantbarrow/standins/memory_network.py
@@ -13,6 +13,7 @@
 
 __all__ = ["MemoryFabric", "MemoryNetwork"]
 
+END_AFTER_S = 0.000_001
 DelayOf = Callable[[Hello, Hello], float]
 
 
@@ -60,10 +61,8 @@
         """Close the link at this end; the other end learns of it."""
         if not self._closed:
             self.end()
-            other = self._other
-            if other is not None and not self._fabric.is_cut(self._owner.name, self.peer.name):
-                delay_s = self._fabric.delay_s(self._owner, self.peer)
-                asyncio.get_running_loop().call_later(delay_s, other.end)
+            if self._other is not None:
+                self._fabric.carry_end(self, self._other)
 
     def join(self, other: _MemoryLink) -> None:
         """Make two ends one link."""
@@ -111,14 +110,23 @@
         self._cuts: set[frozenset[str]] = set()
         self._keep_alive: set[asyncio.Task[None]] = set()
         self._running: dict[str, asyncio.Event] = {}
+        # What a cut or a pause holds up; TCP sends it again once the way is free.
+        self._stalled: list[tuple[_MemoryLink, _MemoryLink, Message | None]] = []
+        self._late_ms: dict[tuple[str, str], float] = {}
+        self._lost_hosts: set[str] = set()
 
     def cut(self, one: str, other: str) -> None:
-        """Drop all that goes between two processes, without telling them."""
+        """Let nothing pass between two processes, without telling them."""
         self._cuts.add(frozenset((one, other)))
 
     def mend(self, one: str, other: str) -> None:
-        """Let messages pass again; links that lost messages stay broken."""
+        """Let messages pass again, first those that were held up."""
         self._cuts.discard(frozenset((one, other)))
+        self._release()
+
+    def delay(self, sender: str, receiver: str, late_ms: float) -> None:
+        """Make all that one process sends to another late; 0 ends it."""
+        self._late_ms[sender, receiver] = late_ms
 
     def is_cut(self, one: str, other: str) -> bool:
         """Tell whether nothing passes between two processes."""
@@ -132,6 +140,7 @@
         """Let a paused process go on."""
         if name in self._running:
             self._running[name].set()
+        self._release()
 
     def is_paused(self, name: str) -> bool:
         """Tell whether a process is paused."""
@@ -146,23 +155,56 @@
 
     def delay_s(self, sender: Hello, receiver: Hello) -> float:
         """Return how long a message takes at present."""
-        return (self._delay_of(sender, receiver) + self.extra_delay_ms) / 1000
+        late_ms = self._late_ms.get((sender.name, receiver.name), 0.0)
+        return (self._delay_of(sender, receiver) + self.extra_delay_ms + late_ms) / 1000
 
     def carry(self, sender: _MemoryLink, receiver: _MemoryLink, message: Message) -> None:
         """Take a message to the other end, unless a fault prevents it."""
         self.sent[type(message).__name__] += 1
         for observe in self.observers:
             observe(sender.owner, receiver.owner, message)
-        if self.is_cut(sender.owner.name, receiver.owner.name):
+        self._transmit(sender, receiver, message)
+
+    def carry_end(self, sender: _MemoryLink, receiver: _MemoryLink) -> None:
+        """Tell the other end that a link was closed, after all that was sent before."""
+        self._transmit(sender, receiver, None)
+
+    def _transmit(
+        self, sender: _MemoryLink, receiver: _MemoryLink, message: Message | None
+    ) -> None:
+        if sender.owner.incarnation in self._lost_hosts:
+            return
+        one, other = sender.owner.name, receiver.owner.name
+        if self.is_cut(one, other) or self.is_paused(one):
+            self._stalled.append((sender, receiver, message))
+            return
+        loop = asyncio.get_running_loop()
+        delay_s = self.delay_s(sender.owner, receiver.owner)
+        if message is None:
+            loop.call_at(sender.due_s(delay_s + END_AFTER_S, in_order=True), receiver.end)
             return
         copies = 2 if self._rng.random() < self.duplicate_share else 1
         for _ in range(copies):
             reorder = self._rng.random() < self.reorder_share
-            delay_s = self.delay_s(sender.owner, receiver.owner)
-            if reorder:
-                delay_s *= 1 + 10 * self._rng.random()
-            due_s = sender.due_s(delay_s, in_order=not reorder)
-            asyncio.get_running_loop().call_at(due_s, receiver.deliver, message)
+            late_s = delay_s * (1 + 10 * self._rng.random()) if reorder else delay_s
+            due_s = sender.due_s(late_s, in_order=not reorder)
+            loop.call_at(due_s, receiver.deliver, message)
+
+    def lose_host(self, incarnation: str) -> None:
+        """Send nothing more for a process, not even that its links have closed."""
+        self._lost_hosts.add(incarnation)
+        self.drop_stalled(incarnation)
+
+    def drop_stalled(self, incarnation: str) -> None:
+        """Drop what a process had sent and the network had not yet taken."""
+        self._stalled = [
+            stalled for stalled in self._stalled if stalled[0].owner.incarnation != incarnation
+        ]
+
+    def _release(self) -> None:
+        stalled, self._stalled = self._stalled, []
+        for sender, receiver, message in stalled:
+            self._transmit(sender, receiver, message)
 
     def listen(self, address: str, hello: Hello, handler: LinkHandler) -> None:
         """Take connections for an address."""
--- a/src/currantbarrow/standins/upstream.py
+++ b/src/currantbarrow/standins/upstream.py
@@ -4,6 +4,7 @@
 
 import collections
 import random
+from collections.abc import Callable
 
 from currantbarrow.exceptions import UpstreamError, UpstreamLost
 from currantbarrow.jobs import TaskRun, TaskRunResult
@@ -19,10 +20,13 @@
 
     def __init__(self) -> None:
         self.starts: collections.Counter[tuple[bytes, int]] = collections.Counter()
+        self.observers: list[Callable[[str, TaskRun], None]] = []
 
-    def note(self, task: TaskRun) -> None:
-        """Count one start."""
+    def note(self, worker: str, task: TaskRun) -> None:
+        """Count one start on a worker."""
         self.starts[task.job_id, task.index] += 1
+        for observe in self.observers:
+            observe(worker, task)
 
     def double_starts(self) -> list[tuple[bytes, int]]:
         """Return the tasks that were started more than once."""
@@ -55,7 +59,7 @@
 
     async def run(self, task: TaskRun) -> TaskRunResult:
         """Run one task to its end; raise UpstreamError or UpstreamLost."""
-        self._book.note(task)
+        self._book.note(self.name, task)
         self.running += 1
         try:
             return await self._run(task)
