--- /dev/null
+++ b/src/currantbarrow/scenario/faults.py
@@ -0,0 +1,267 @@
+"""Bring the faults of a scenario upon a world, and end them in time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+from currantbarrow.exceptions import ClassConflict, CurrantbarrowError
+from currantbarrow.logservice import ClassDefinition
+from currantbarrow.scenario import schema
+from currantbarrow.scenario.names import LOG, expand
+from currantbarrow.scenario.world import World
+from currantbarrow.standins.upstream import UpstreamFaults
+
+__all__ = ["apply_fault"]
+
+Apply = Callable[[World, Any], Awaitable[None]]
+
+
+async def apply_fault(world: World, fault: schema.Fault) -> None:
+    """Bring one fault about, and wait for its end."""
+    if not isinstance(fault, _GENTLE):
+        world.oracle.disturb(world.now_ms() + getattr(fault, "lasts", 0.0))
+    await _APPLY[type(fault)](world, fault)
+
+
+async def _kill(world: World, fault: schema.Kill) -> None:
+    for name in expand(world.fleet, fault.who):
+        await _end(world, name, silently=fault.silently)
+
+
+async def _restart(world: World, fault: schema.Restart) -> None:
+    for name in expand(world.fleet, fault.who):
+        await _end(world, name, silently=False)
+        await _begin(world, name)
+
+
+async def _start(world: World, fault: schema.Start) -> None:
+    for name in fault.who:
+        await _begin(world, name)
+
+
+async def _end(world: World, name: str, *, silently: bool) -> None:
+    if name in world.fleet.entries:
+        await world.fleet.kill_entry(name, silently=silently)
+    elif name in world.fleet.sides:
+        await world.fleet.kill_side(name, silently=silently)
+
+
+async def _begin(world: World, name: str) -> None:
+    number = int(name.rpartition("-")[2])
+    if name.startswith("entry-"):
+        world.watch.entry_started(await world.fleet.start_entry(number))
+    else:
+        world.oracle.replaced(name)
+        await world.fleet.start_side(number)
+
+
+async def _pause(world: World, fault: schema.Pause) -> None:
+    fleet = world.fleet
+    paused = [name for name in expand(fleet, fault.who) if _lives(world, name)]
+    for name in paused:
+        fleet.pause(name)
+    await fleet.clock.sleep_ms(fault.lasts)
+    for name in paused:
+        if _lives(world, name):
+            fleet.resume(name)
+
+
+async def _cut(world: World, fault: schema.Cut) -> None:
+    ones, others = (_ends(world, group) for group in fault.between)
+    pairs = [(one, other) for one in ones for other in others if one != other]
+    for one, other in pairs:
+        world.fleet.fabric.cut(one, other)
+    await world.fleet.clock.sleep_ms(fault.lasts)
+    for one, other in pairs:
+        world.fleet.fabric.mend(one, other)
+
+
+async def _delay(world: World, fault: schema.Delay) -> None:
+    pairs = [
+        (sender, receiver)
+        for sender in expand(world.fleet, fault.sender)
+        for receiver in expand(world.fleet, fault.receiver)
+    ]
+    for sender, receiver in pairs:
+        world.fleet.fabric.delay(sender, receiver, fault.late)
+    await world.fleet.clock.sleep_ms(fault.lasts)
+    for sender, receiver in pairs:
+        world.fleet.fabric.delay(sender, receiver, 0.0)
+
+
+async def _drain(world: World, fault: schema.Drain) -> None:
+    draining = []
+    for name in expand(world.fleet, fault.who):
+        if name in world.fleet.entries:
+            draining.append(world.fleet.drain_entry(name))
+        elif name in world.fleet.sides:
+            world.oracle.leaving(name, world.now_ms())
+            draining.append(world.fleet.drain_side(name))
+    await asyncio.gather(*draining)
+
+
+async def _leave(world: World, fault: schema.Leave) -> None:
+    for name in expand(world.fleet, fault.who):
+        if name in world.fleet.sides:
+            world.oracle.leaving(name, world.now_ms())
+            world.fleet.leave(name, fault.lost_messages)
+
+
+async def _silence(world: World, fault: schema.Silence) -> None:
+    for name in expand(world.fleet, fault.who):
+        if name in world.fleet.sides:
+            world.fleet.sides[name].lost_messages = fault.lost_messages
+
+
+async def _log_down(world: World, fault: schema.LogDown) -> None:
+    await _fault_log(world, fault.lasts, down=True)
+
+
+async def _log_slow(world: World, fault: schema.LogSlow) -> None:
+    await _fault_log(
+        world, fault.lasts, append_delay_ms=float(fault.append), read_delay_ms=float(fault.read)
+    )
+
+
+async def _log_lossy(world: World, fault: schema.LogLossy) -> None:
+    await _fault_log(world, fault.lasts, lost_reply_share=fault.share)
+
+
+async def _log_limited(world: World, fault: schema.LogLimited) -> None:
+    await _fault_log(world, fault.lasts, appends_per_s=float(fault.appends_per_s))
+
+
+async def _log_expire(world: World, fault: schema.LogExpire) -> None:
+    await _fault_log(world, fault.lasts, retention_ms=float(fault.after))
+
+
+async def _fault_log(world: World, lasts_ms: float, **faults: float | bool) -> None:
+    await _hold_fields(world, [world.fleet.log.faults], lasts_ms, faults)
+
+
+async def _disorder(world: World, fault: schema.Disorder) -> None:
+    fields: dict[str, float | bool] = {
+        "duplicate_share": fault.duplicated,
+        "reorder_share": fault.reordered,
+        "extra_delay_ms": float(fault.late),
+    }
+    await _hold_fields(world, [world.fleet.fabric], fault.lasts, fields)
+
+
+async def _fails_all(world: World, fault: schema.FailsAll) -> None:
+    await _hold_fields(world, _upstreams(world, fault.who), fault.lasts, {"fails_all": True})
+
+
+async def _loses_all(world: World, fault: schema.LosesAll) -> None:
+    await _hold_fields(world, _upstreams(world, fault.who), fault.lasts, {"loses_all": True})
+
+
+async def _stragglers(world: World, fault: schema.Stragglers) -> None:
+    fields: dict[str, float | bool] = {
+        "straggler_share": fault.share,
+        "straggler_factor": fault.factor,
+    }
+    await _hold_fields(world, _upstreams(world, fault.who), fault.lasts, fields)
+
+
+async def _skew(world: World, fault: schema.Skew) -> None:
+    by_ms = -fault.by if fault.behind else fault.by
+    for name in expand(world.fleet, fault.who):
+        process = world.fleet.entries.get(name) or world.fleet.sides.get(name)
+        if process is not None:
+            process.clock.skew_ms = by_ms
+
+
+async def _set_class(world: World, fault: schema.SetClass) -> None:
+    definition = ClassDefinition(float(fault.target))
+    await _change(world, fault.name, definition, fault.entry, latest=fault.based_on_latest)
+
+
+async def _race_class(world: World, fault: schema.RaceClass) -> None:
+    await asyncio.gather(
+        *(
+            _change(world, fault.name, ClassDefinition(float(target)), entry, latest=True)
+            for target, entry in zip(fault.targets, fault.entries, strict=True)
+        )
+    )
+
+
+async def _remove_class(world: World, fault: schema.RemoveClass) -> None:
+    await _change(world, fault.name, None, fault.entry, latest=True)
+
+
+async def _change(
+    world: World, name: str, definition: ClassDefinition | None, entry: str, *, latest: bool
+) -> None:
+    if entry not in world.fleet.entries:
+        return
+    node = world.fleet.entries[entry].node
+    based_on = node.classes.revision_of(name) if latest else 0
+    try:
+        await node.change_class(name, based_on, definition, "operator")
+    except ClassConflict:
+        world.class_conflicts += 1
+    except CurrantbarrowError as error:
+        world.oracle.told[f"class_{error.code}"] += 1
+
+
+async def _hold_fields(
+    world: World, holders: Iterable[Any], lasts_ms: float, fields: dict[str, float | bool]
+) -> None:
+    """Set fields for a while."""
+    kept = [(holder, name, getattr(holder, name)) for holder in holders for name in fields]
+    for holder, name, _ in kept:
+        setattr(holder, name, fields[name])
+    await world.fleet.clock.sleep_ms(lasts_ms)
+    for holder, name, former in kept:
+        setattr(holder, name, former)
+
+
+def _upstreams(world: World, who: list[str]) -> list[UpstreamFaults]:
+    names = expand(world.fleet, who)
+    return [world.fleet.sides[name].upstream.faults for name in names if name in world.fleet.sides]
+
+
+def _ends(world: World, group: list[str]) -> list[str]:
+    return [*expand(world.fleet, [n for n in group if n != LOG]), *([LOG] if LOG in group else [])]
+
+
+def _lives(world: World, name: str) -> bool:
+    return name in world.fleet.entries or name in world.fleet.sides
+
+
+# Nothing of these may show in the answer to any caller.
+_GENTLE = (
+    schema.Drain,
+    schema.Leave,
+    schema.Start,
+    schema.SetClass,
+    schema.RaceClass,
+    schema.RemoveClass,
+)
+_APPLY: dict[type, Apply] = {
+    schema.Kill: _kill,
+    schema.Restart: _restart,
+    schema.Start: _start,
+    schema.Pause: _pause,
+    schema.Cut: _cut,
+    schema.Delay: _delay,
+    schema.Drain: _drain,
+    schema.Leave: _leave,
+    schema.Silence: _silence,
+    schema.LogDown: _log_down,
+    schema.LogSlow: _log_slow,
+    schema.LogLossy: _log_lossy,
+    schema.LogLimited: _log_limited,
+    schema.LogExpire: _log_expire,
+    schema.Disorder: _disorder,
+    schema.FailsAll: _fails_all,
+    schema.LosesAll: _loses_all,
+    schema.Stragglers: _stragglers,
+    schema.Skew: _skew,
+    schema.SetClass: _set_class,
+    schema.RaceClass: _race_class,
+    schema.RemoveClass: _remove_class,
+}
--- /dev/null
+++ b/src/currantbarrow/scenario/world.py
@@ -0,0 +1,105 @@
+"""Hold a fleet, its callers and the oracle, for the runner and for the fuzzer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Coroutine
+from typing import Any
+
+from currantbarrow.exceptions import CurrantbarrowError
+from currantbarrow.jobs import JobRequest, TaskRequest
+from currantbarrow.scenario.clients import Caller
+from currantbarrow.scenario.oracle import Oracle
+from currantbarrow.scenario.watch import Watch
+from currantbarrow.standins.fleet import Fleet, FleetPlan
+
+__all__ = ["World"]
+
+PATIENCE_MS = 60_000.0
+
+
+class World:
+    """Run callers against a fleet that the oracle watches."""
+
+    def __init__(self, plan: FleetPlan) -> None:
+        self.fleet = Fleet(plan)
+        self.oracle = Oracle()
+        self.watch = Watch(self.fleet, self.oracle)
+        self.callers: list[Caller] = []
+        self.class_conflicts = 0
+        self._open: set[asyncio.Task[None]] = set()
+        self._background: set[asyncio.Task[None]] = set()
+
+    def now_ms(self) -> float:
+        """Return the fleet's time."""
+        return self.fleet.clock.monotonic_ms()
+
+    async def start(self, classes: dict[str, float]) -> None:
+        """Start the fleet and the watch over it."""
+        self.oracle.disturb(0.0)
+        await self.fleet.start(classes)
+        for entry in self.fleet.entries.values():
+            self.watch.entry_started(entry)
+        self.spawn(self.watch.run())
+
+    async def stop(self) -> None:
+        """End callers and processes."""
+        for task in [*self._open, *self._background]:
+            task.cancel()
+        await self.fleet.stop()
+
+    def build_job(
+        self,
+        key: str,
+        run_ms: list[float],
+        *,
+        customer: str = "a",
+        job_class: str = "quote",
+        size_slots: int = 1,
+        fail: bool = False,
+        age_ms: float = 0.0,
+    ) -> JobRequest:
+        """Return a job whose results tell which key and task they belong to."""
+        tasks = [
+            TaskRequest({"run_ms": each, "echo": f"{key}/{number}", "fail": fail}, each, size_slots)
+            for number, each in enumerate(run_ms)
+        ]
+        created_at_ms = int(self.fleet.clock.wall_ms() - age_ms)
+        return JobRequest(key, created_at_ms, customer, job_class, tasks)
+
+    def submit(
+        self, request: JobRequest, entry: str = "", patience_ms: float = PATIENCE_MS
+    ) -> asyncio.Task[None]:
+        """Let a caller submit a job, and return what can be cancelled to hang up."""
+        caller = Caller(self.fleet, self.oracle, request, entry, patience_ms)
+        self.callers.append(caller)
+        return self._keep(self._open, caller.run())
+
+    async def cancel(self, request: JobRequest, entry: str = "") -> None:
+        """Let a caller cancel a job through an entry."""
+        names = [entry] if entry in self.fleet.entries else sorted(self.fleet.entries)
+        if not names:
+            return
+        node = self.fleet.entries[names[0]].node
+        with contextlib.suppress(CurrantbarrowError):
+            answer = await node.router.cancel(request.customer, request.key, request.created_at_ms)
+            if answer is not None:
+                self.oracle.shown(request, answer, self.now_ms())
+
+    def open_requests(self) -> list[JobRequest]:
+        """Return the jobs whose callers still wait."""
+        return [caller.request for caller in self.callers if not caller.outcome]
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run something beside the callers until the end."""
+        return self._keep(self._background, coroutine)
+
+    @staticmethod
+    def _keep(
+        tasks: set[asyncio.Task[None]], coroutine: Coroutine[Any, Any, None]
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(coroutine)
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        return task
