--- a/src/currantbarrow/scenario/runner.py
+++ b/src/currantbarrow/scenario/runner.py
@@ -126,8 +126,8 @@
             steps.append((work.cancel_after, "cancel", work.cancel_to))
         if work.hang_up_after is not None:
             steps.append((work.hang_up_after, "hang_up", ""))
-        for after, step, to in sorted(steps):
-            await clock.sleep_ms(max(0.0, began_ms + after - world.now_ms()))
+        for after_ms, step, to in sorted(steps):
+            await clock.sleep_ms(max(0.0, began_ms + after_ms - world.now_ms()))
             if step == "resubmit":
                 world.submit(request, to, work.patience)
             elif step == "cancel":
