Add the bench: cases over the real nodes in virtual time

The policies had no figures. The bench runs 18 named cases at both users' sizes over the real entry and side nodes with each policy replaced by its baseline in turn and an all-knowing queue as reference, on the same seeded jobs.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 demo: setup
 	$(VENV)/bin/currantbarrow demo --output build/demo
+
+bench: setup
+	$(PY) -m currantbarrow.bench --case "$(CASE)" --output build
--- /dev/null
+++ b/src/currantbarrow/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure policies over the real nodes in virtual time."""
--- /dev/null
+++ b/src/currantbarrow/bench/__main__.py
@@ -0,0 +1,53 @@
+"""Run the bench from the command line."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from pathlib import Path
+
+from currantbarrow.bench.cases import find_cases
+from currantbarrow.bench.figures import Row
+from currantbarrow.bench.report import as_table, write_report
+from currantbarrow.bench.runner import run_case
+from currantbarrow.bench.variants import REFERENCE, VARIANTS
+from currantbarrow.load.workload import WORKLOADS
+
+__all__ = ["main"]
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser("python -m currantbarrow.bench")
+    parser.add_argument("--case", default="", help="run only this case")
+    parser.add_argument("--policy", default="", help="run only this policy")
+    parser.add_argument("--user", default="", choices=["", *WORKLOADS])
+    parser.add_argument("--seconds", type=float, default=0.0, help="length of the load")
+    parser.add_argument("--seed", type=int, default=7)
+    parser.add_argument("--output", type=Path, default=Path("build"))
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Run the chosen cases one after another and print one table."""
+    options = _parse()
+    cases = find_cases(options.case)
+    if not cases:
+        sys.exit(f"no case is named {options.case}")
+    policies = [name for name in (*VARIANTS, REFERENCE) if options.policy in ("", name)]
+    rows: list[Row] = []
+    for case in cases:
+        for name, user in WORKLOADS.items():
+            if options.user not in ("", name):
+                continue
+            for policy in policies:
+                began_s = time.perf_counter()
+                rows.append(run_case(case, user, policy, options.seed, options.seconds))
+                took_s = time.perf_counter() - began_s
+                print(f"{rows[-1].case} {policy}: {took_s:.1f} s", file=sys.stderr)
+    write_report(rows, options.output)
+    print(as_table(rows))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/currantbarrow/bench/cases.py
@@ -0,0 +1,81 @@
+"""Name the cases of the bench: the load, the customers and the fault of each."""
+
+from __future__ import annotations
+
+import msgspec
+
+from currantbarrow.bench import faults
+from currantbarrow.bench.faults import Fault
+from currantbarrow.load.workload import Workload, WorkloadClass
+
+__all__ = ["CASES", "BenchCase", "find_cases"]
+
+LONG_CLASS = WorkloadClass("rebuild", 10_000.0, 0.03, (2000.0, 5000.0), (10, 40), True)
+BURSTS_OF_LARGE = (("tiny", 0.01), ("huge", 1.0))
+
+
+class BenchCase(msgspec.Struct, frozen=True):
+    """Describe one case; load is in shares of all slots."""
+
+    name: str
+    load: float
+    fault: Fault | None = None
+    load_s: float = 8.0
+    customers: tuple[tuple[str, float], ...] = ()
+    small: str = ""
+    extra_class: WorkloadClass | None = None
+    declared_factors: tuple[float, ...] = (1.0,)
+    straggler_share: float = 0.0
+    burst_customer: str = ""
+    burst_load: float = 0.0
+    burst_s: tuple[float, float] = (0.0, 0.0)
+    cancel_wave: bool = False
+    single_fault: bool = False
+
+    def workload(self, user: Workload) -> Workload:
+        """Return a user's workload as this case changes it."""
+        classes = list(user.classes)
+        if self.extra_class is not None:
+            classes.append(self.extra_class)
+        customers = list(self.customers) or user.customers
+        return msgspec.structs.replace(user, classes=classes, customers=customers)
+
+    def small_customer(self, user: Workload) -> str:
+        """Return the customer whose figures stand as those of small ones."""
+        return self.small or user.customers[0][0]
+
+
+CASES = [
+    BenchCase("steady-30", 0.3, load_s=20.0),
+    BenchCase("steady-70", 0.7, load_s=20.0),
+    BenchCase("steady-90", 0.9, load_s=20.0),
+    BenchCase("steady-120", 1.2, load_s=20.0),
+    BenchCase("small-alone", 0.006, customers=(("tiny", 1.0),), small="tiny", load_s=60.0),
+    BenchCase(
+        "small-beside-100x",
+        0.606,
+        customers=BURSTS_OF_LARGE,
+        small="tiny",
+        burst_customer="huge",
+        burst_load=2.0,
+        burst_s=(2.0, 4.0),
+        load_s=12.0,
+    ),
+    BenchCase("long-tasks", 0.9, extra_class=LONG_CLASS),
+    BenchCase("sizes-wrong-10x", 0.8, declared_factors=(0.1, 1.0, 10.0)),
+    BenchCase("black-hole", 0.6, faults.black_hole, single_fault=True),
+    BenchCase("stragglers", 0.6, straggler_share=0.02, single_fault=True),
+    BenchCase("cancel-wave", 0.5, cancel_wave=True, burst_customer="wave"),
+    BenchCase("log-outage", 0.7, faults.log_outage, single_fault=True),
+    BenchCase("entry-crash", 0.6, faults.entry_crash, single_fault=True),
+    BenchCase("rack-loss", 0.5, faults.rack_loss, single_fault=True),
+    BenchCase("data-centre-loss", 0.4, faults.data_centre_loss, single_fault=True),
+    BenchCase("leaving-one-by-one", 0.6, faults.leaving_one_by_one, single_fault=True),
+    BenchCase("burst-2x", 0.5, burst_load=2.0, burst_s=(2.0, 4.0), load_s=10.0),
+    BenchCase("burst-5x", 0.5, burst_load=5.0, burst_s=(2.0, 4.0), load_s=10.0),
+]
+
+
+def find_cases(name: str) -> list[BenchCase]:
+    """Return the case of a name, all for an empty one."""
+    return [case for case in CASES if name in ("", case.name)]
--- /dev/null
+++ b/src/currantbarrow/bench/figures.py
@@ -0,0 +1,117 @@
+"""Sum up what callers saw and what the links carried in one run."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from currantbarrow.bench.oracle import RunSpan
+from currantbarrow.bench.outcomes import COMPLETE, JobOutcome
+
+__all__ = [
+    "Figures",
+    "Row",
+    "Window",
+    "goodput",
+    "percentile",
+    "ratios",
+    "recovery_s",
+    "share_met",
+]
+
+
+class Window(msgspec.Struct, frozen=True):
+    """Hold the part of a run that is measured, and the capacity in it."""
+
+    begin_ms: float
+    end_ms: float
+    slots: int
+
+
+class Figures(msgspec.Struct):
+    """Hold the figures of one run; ratios are of response over ideal, 0 where none ended."""
+
+    jobs: int
+    p50: float
+    p99: float
+    p999: float
+    small_p50: float
+    small_p99: float
+    small_p999: float
+    large_p99: float
+    target_met_pct: float
+    small_target_met_pct: float
+    goodput_pct: float
+    wasted_per_task: float
+    overhead_per_task: float
+    refused_starts_per_task: float
+    refused: int
+    failed: int
+    no_answer: int
+    broken_promises: int
+    recovery_s: float = 0.0
+    messages_per_cancelled_task: float = 0.0
+    worst_class: str = ""
+    worst_class_met_pct: float = 100.0
+    messages: dict[str, int] = {}
+
+
+class Row(msgspec.Struct, frozen=True):
+    """Hold one line of the bench's table."""
+
+    case: str
+    policy: str
+    figures: Figures
+    seed: int
+
+
+def ratios(outcomes: Iterable[JobOutcome]) -> list[float]:
+    """Return response over ideal of complete jobs, in order of size."""
+    return sorted(
+        outcome.response_ms / outcome.ideal_ms for outcome in outcomes if outcome.status == COMPLETE
+    )
+
+
+def percentile(ordered: Sequence[float], share: float) -> float:
+    """Return the smallest value that a share of all does not exceed, 0 for none."""
+    if not ordered:
+        return 0.0
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+
+
+def share_met(outcomes: Sequence[JobOutcome], targets_ms: dict[str, float]) -> float:
+    """Return the percentage that met their target, of uncancelled jobs that could alone."""
+    counted = [
+        outcome
+        for outcome in outcomes
+        if not outcome.cancelled and outcome.ideal_ms <= targets_ms[outcome.job.job_class]
+    ]
+    if not counted:
+        return 100.0
+    met = sum(outcome.met(targets_ms[outcome.job.job_class]) for outcome in counted)
+    return 100.0 * met / len(counted)
+
+
+def goodput(spans: Iterable[RunSpan], complete: set[bytes], window: Window) -> float:
+    """Return the percentage of the window's capacity that went into complete jobs."""
+    useful_ms = 0.0
+    for span in spans:
+        if span.job_id in complete:
+            began_ms = max(span.began_ms, window.begin_ms)
+            useful_ms += max(0.0, min(span.ended_ms, window.end_ms) - began_ms)
+    return 100.0 * useful_ms / (window.slots * (window.end_ms - window.begin_ms))
+
+
+def recovery_s(
+    outcomes: Iterable[JobOutcome], targets_ms: dict[str, float], burst_end_ms: float
+) -> float:
+    """Return how long after a burst the last job was sent that missed its target by it."""
+    last_ms = burst_end_ms
+    for outcome in outcomes:
+        target_ms = targets_ms[outcome.job.job_class]
+        missed = not outcome.met(target_ms) and not outcome.cancelled
+        if missed and outcome.ideal_ms <= target_ms / 2:
+            last_ms = max(last_ms, outcome.sent_ms)
+    return (last_ms - burst_end_ms) / 1000
--- /dev/null
+++ b/src/currantbarrow/bench/traffic.py
@@ -0,0 +1,121 @@
+"""Submit planned jobs to a fleet as callers behind a balancer do."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from currantbarrow.bench.oracle import Oracle
+from currantbarrow.bench.outcomes import NO_ANSWER, JobOutcome, Venue
+from currantbarrow.exceptions import CurrantbarrowError
+from currantbarrow.jobs import JobAnswer, JobRequest, TaskRequest, make_job_id
+from currantbarrow.load.workload import PlannedJob
+from currantbarrow.standins.fleet import EntryProcess, Fleet
+
+__all__ = ["Traffic"]
+
+RESUBMIT_AFTER_MS = 50.0
+CANCEL_AFTER_MS = 50.0
+RECONNECT_MS = 6.0
+ANSWER_LIMIT_MS = 60_000.0
+
+
+class Traffic:
+    """Send jobs at their times, whatever comes back."""
+
+    def __init__(
+        self, fleet: Fleet, venue: Venue, seed: int, declared_factors: Sequence[float]
+    ) -> None:
+        self.oracle = Oracle(fleet)
+        self.outcomes: list[JobOutcome] = []
+        self._fleet = fleet
+        self._venue = venue
+        self._rng = random.Random(seed)
+        self._factors = declared_factors
+        self._alive = {name: asyncio.Event() for name in fleet.entries}
+
+    async def run(self, jobs: Sequence[PlannedJob]) -> None:
+        """Run an open loop until all jobs have answers."""
+        began_ms = self._fleet.clock.monotonic_ms()
+        async with asyncio.TaskGroup() as group:
+            for number, job in enumerate(jobs):
+                due_ms = began_ms + job.at_s * 1000
+                await asyncio.sleep(max(0.0, due_ms - self._fleet.clock.monotonic_ms()) / 1000)
+                request = self._request(number, job)
+                group.create_task(self._send(job, request, self._rng.random()))
+                choice = self._rng.random()
+                if job.resubmit:
+                    group.create_task(self._resubmit(request, choice))
+                if job.cancel:
+                    group.create_task(self._cancel(request, choice))
+
+    async def lose_entry(self, name: str) -> None:
+        """Crash an entry; its callers notice and ask another."""
+        await self._fleet.kill_entry(name)
+        self._alive.pop(name).set()
+
+    def _request(self, number: int, job: PlannedJob) -> JobRequest:
+        tasks = []
+        for index, run_ms in enumerate(job.run_ms):
+            declared_ms = job.expected_ms[index] * self._rng.choice(self._factors)
+            tasks.append(TaskRequest({"run_ms": run_ms}, declared_ms, 1, job.idempotent))
+        now_ms = self._fleet.clock.wall_ms()
+        return JobRequest(f"job-{number}", now_ms, job.customer, job.job_class, tasks)
+
+    async def _send(self, job: PlannedJob, request: JobRequest, choice: float) -> None:
+        sent_ms = self._fleet.clock.monotonic_ms()
+        answer = await self._ask(request, choice)
+        response_ms = self._fleet.clock.monotonic_ms() - sent_ms
+        job_id = make_job_id(request)
+        status, code = NO_ANSWER, ""
+        if answer is not None:
+            status, code = answer.status.value, answer.code
+        ideal_ms = self._venue.ideal_ms(job.run_ms)
+        outcome = JobOutcome(job, job_id, sent_ms, response_ms, ideal_ms, status, code)
+        self.outcomes.append(outcome)
+
+    async def _ask(self, request: JobRequest, choice: float) -> JobAnswer | None:
+        deadline_ms = self._fleet.clock.monotonic_ms() + ANSWER_LIMIT_MS
+        while self._fleet.clock.monotonic_ms() < deadline_ms:
+            entry = self._pick(choice)
+            answer = await self._ask_entry(entry, request)
+            if answer is not None:
+                self.oracle.note_answer(make_job_id(request), answer)
+                return answer
+            await self._fleet.clock.sleep_ms(RECONNECT_MS)
+        return None
+
+    async def _ask_entry(self, entry: EntryProcess, request: JobRequest) -> JobAnswer | None:
+        lost = self._alive.setdefault(entry.name, asyncio.Event())
+        asking = asyncio.create_task(entry.node.submit(request))
+        losing = asyncio.create_task(lost.wait())
+        await asyncio.wait(
+            {asking, losing},
+            timeout=ANSWER_LIMIT_MS / 1000,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        losing.cancel()
+        if not asking.done():
+            asking.cancel()
+            return None
+        try:
+            return asking.result()
+        except CurrantbarrowError:
+            return None
+
+    async def _resubmit(self, request: JobRequest, choice: float) -> None:
+        await self._fleet.clock.sleep_ms(RESUBMIT_AFTER_MS)
+        await self._ask(request, choice)
+
+    async def _cancel(self, request: JobRequest, choice: float) -> None:
+        await self._fleet.clock.sleep_ms(CANCEL_AFTER_MS)
+        entry = self._pick(choice)
+        try:
+            await entry.node.router.cancel(request.customer, request.key, request.created_at_ms)
+        except CurrantbarrowError:
+            entry.metrics.incr("bench.cancel_failed")
+
+    def _pick(self, choice: float) -> EntryProcess:
+        names = sorted(self._fleet.entries)
+        return self._fleet.entries[names[int(choice * len(names))]]
--- /dev/null
+++ b/src/currantbarrow/bench/variants.py
@@ -0,0 +1,74 @@
+"""Put policies together for the bench: the chosen ones, and each baseline in its place."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from currantbarrow.policy import Policies, create_policies
+from currantbarrow.policy.admission import create_open_admission
+from currantbarrow.policy.estimates import create_declared_estimator
+from currantbarrow.policy.placement import create_random, create_round_robin, create_two_choices
+from currantbarrow.policy.queues import create_fifo_queue
+from currantbarrow.policy.retry import create_fixed_retry
+
+__all__ = ["CHOSEN", "REFERENCE", "VARIANTS", "create_variant"]
+
+CHOSEN = "chosen"
+REFERENCE = "reference"
+
+
+def _keep(policies: Policies, rng: random.Random) -> None:
+    """Change nothing."""
+
+
+def _open_admission(policies: Policies, rng: random.Random) -> None:
+    policies.admission = create_open_admission()
+
+
+def _fifo(policies: Policies, rng: random.Random) -> None:
+    policies.queue = create_fifo_queue()
+
+
+def _random(policies: Policies, rng: random.Random) -> None:
+    policies.placement = create_random(rng)
+
+
+def _round_robin(policies: Policies, rng: random.Random) -> None:
+    policies.placement = create_round_robin()
+
+
+def _two_choices(policies: Policies, rng: random.Random) -> None:
+    policies.placement = create_two_choices(rng)
+
+
+def _fixed_retry(policies: Policies, rng: random.Random) -> None:
+    policies.retry = create_fixed_retry()
+
+
+def _declared(policies: Policies, rng: random.Random) -> None:
+    policies.estimator = create_declared_estimator()
+
+
+VARIANTS: dict[str, Callable[[Policies, random.Random], None]] = {
+    CHOSEN: _keep,
+    "admission none": _open_admission,
+    "queue fifo": _fifo,
+    "placement random": _random,
+    "placement round robin": _round_robin,
+    "placement two choices": _two_choices,
+    "retry fixed": _fixed_retry,
+    "estimator declared": _declared,
+}
+
+
+def create_variant(name: str) -> Callable[[random.Random, str], Policies]:
+    """Return a factory of policies with one of them replaced."""
+    change = VARIANTS[name]
+
+    def create(rng: random.Random, data_centre: str) -> Policies:
+        policies = create_policies(rng, data_centre)
+        change(policies, rng)
+        return policies
+
+    return create
--- a/src/currantbarrow/load/workload.py
+++ b/src/currantbarrow/load/workload.py
@@ -8,12 +8,13 @@
 import msgspec
 import uuid6
 
-__all__ = ["WORKLOADS", "PlannedJob", "Workload", "WorkloadClass", "plan_jobs"]
+__all__ = ["WORKLOADS", "PlannedJob", "Workload", "WorkloadClass", "plan_burst", "plan_jobs"]
 
 LONG_TASK_SHARE = 0.004
 LONG_TASK_MS = (2000.0, 4000.0)
 BURST_EVERY_S = 5.0
 BURST_JOBS = 10
+STRAGGLER_FACTOR = 10.0
 
 
 class WorkloadClass(msgspec.Struct, frozen=True):
@@ -48,6 +49,8 @@
     idempotent: bool
     resubmit: bool
     cancel: bool
+    # What a caller who knows the class would declare; a straggler runs far longer.
+    expected_ms: list[float] = []
 
 
 VAJA = Workload(
@@ -73,7 +76,12 @@
 
 
 def plan_jobs(
-    workload: Workload, *, load_s: float, busy_slots: float, seed: int
+    workload: Workload,
+    *,
+    load_s: float,
+    busy_slots: float,
+    seed: int,
+    straggler_share: float = 0.0,
 ) -> Iterator[PlannedJob]:
     """Yield jobs in the order of their times, keeping a number of slots busy on average."""
     rng = random.Random(seed)
@@ -84,11 +92,28 @@
         at_s += rng.expovariate(jobs_per_s)
         if at_s >= load_s:
             return
-        yield _plan_one(workload, at_s, rng)
+        yield _plan_one(workload, at_s, rng, straggler_share)
         if at_s >= next_burst_s:
             next_burst_s += BURST_EVERY_S
             for _ in range(BURST_JOBS):
-                yield _plan_one(workload, at_s, rng)
+                yield _plan_one(workload, at_s, rng, straggler_share)
+
+
+def plan_burst(
+    workload: Workload,
+    customer: str,
+    *,
+    begin_s: float,
+    end_s: float,
+    busy_slots: float,
+    seed: int,
+) -> Iterator[PlannedJob]:
+    """Yield the jobs that one customer adds for a while; all customers for an empty name."""
+    customers = [(customer, 1.0)] if customer else workload.customers
+    bursting = msgspec.structs.replace(workload, customers=customers)
+    load_s = end_s - begin_s
+    for job in plan_jobs(bursting, load_s=load_s, busy_slots=busy_slots, seed=seed):
+        yield msgspec.structs.replace(job, at_s=begin_s + job.at_s)
 
 
 def _mean_work_s(kind: WorkloadClass) -> float:
@@ -96,12 +121,20 @@
     return sum(kind.tasks) / 2 * (sum(kind.run_ms) / 2 + long_ms) / 1000
 
 
-def _plan_one(workload: Workload, at_s: float, rng: random.Random) -> PlannedJob:
+def _plan_one(
+    workload: Workload, at_s: float, rng: random.Random, straggler_share: float
+) -> PlannedJob:
     kind = rng.choices(workload.classes, [kind.share for kind in workload.classes])[0]
     customer = rng.choices(
         [name for name, _ in workload.customers], [share for _, share in workload.customers]
     )[0]
-    run_ms = [_run_ms(kind, rng) for _ in range(rng.randint(*kind.tasks))]
+    expected_ms = [_run_ms(kind, rng) for _ in range(rng.randint(*kind.tasks))]
+    run_ms = list(expected_ms)
+    if straggler_share:
+        run_ms = [
+            each * (STRAGGLER_FACTOR if rng.random() < straggler_share else 1.0)
+            for each in expected_ms
+        ]
     return PlannedJob(
         at_s,
         str(uuid6.uuid7()),
@@ -111,6 +144,7 @@
         kind.idempotent,
         rng.random() < workload.resubmit_share,
         rng.random() < workload.cancel_share,
+        expected_ms,
     )
 
 
--- a/src/currantbarrow/standins/virtual.py
+++ b/src/currantbarrow/standins/virtual.py
@@ -18,7 +18,8 @@
     """Run a coroutine on a loop of its own whose clock jumps from event to event."""
     base: Any = asyncio.new_event_loop()
     loop: Any = looptime.patch_event_loop(base)
-    loop.setup_looptime(start=0, end=limit_s)
+    # Nothing here waits for real input, so no empty cycles are needed before time moves on.
+    loop.setup_looptime(start=0, end=limit_s, noop_cycles=0)
     try:
         value: ValueT = loop.run_until_complete(coroutine)
         return value
