--- a/src/currantbarrow/bench/__init__.py
+++ b/src/currantbarrow/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measure policies over the real nodes in virtual time."""
+"""Measure decisions, slopes and costs."""
