Send heartbeats on idle links only, and ask a majority of the panel

Cause: at 70 % load heartbeats (819) and lease confirmations (1,260) for 4,611 tasks of the vaja workload made most of the wasted messages. Change: a result or refusal carries load and stamp, so a link that had one within the interval gets no heartbeat; a lease is renewed each second instead of each half second, at a majority of the panel, and the rest is asked when that is not enough. Touches cluster/lease.py, side/node.py and entry/node.py, whose owners should know that a start's stamp may be up to a second old as before.

--- a/src/currantbarrow/cluster/lease.py
+++ b/src/currantbarrow/cluster/lease.py
@@ -11,7 +11,7 @@
 
 __all__ = ["Lease", "majority"]
 
-RENEW_INTERVAL_MS = 500.0
+RENEW_INTERVAL_MS = 1000.0
 CONFIRM_TIMEOUT_MS = 500.0
 
 
@@ -23,7 +23,16 @@
 class Lease:
     """Renew a lease at the panel of the newest version known."""
 
-    __slots__ = ("_clock", "_duration_ms", "_metrics", "_owner", "_panel", "_until_ms", "_was_held")
+    __slots__ = (
+        "_clock",
+        "_duration_ms",
+        "_first",
+        "_metrics",
+        "_owner",
+        "_panel",
+        "_until_ms",
+        "_was_held",
+    )
 
     def __init__(
         self,
@@ -41,6 +50,7 @@
         self._panel = panel
         self._until_ms = 0.0
         self._was_held = False
+        self._first = 0
 
     def held(self) -> bool:
         """Tell whether starts are allowed now, by this process's own clock."""
@@ -57,17 +67,29 @@
             await self._clock.sleep_ms(RENEW_INTERVAL_MS)
 
     async def renew(self) -> None:
-        """Ask the panel once; the lease counts from before the question was sent."""
+        """Ask a majority of the panel, and the rest when that is not enough."""
         version, callers = self._panel()
         if not callers:
             return
+        # The lease counts from before the first question was sent.
         asked_ms = self._clock.monotonic_ms()
-        answers = await asyncio.gather(*(self._ask(caller, version) for caller in callers))
-        if sum(answers) >= majority(len(callers)):
+        wanted = majority(len(callers))
+        first = self._first % len(callers)
+        order = [*callers[first:], *callers[:first]]
+        confirmed = await self._ask_all(order[:wanted], version)
+        if confirmed < wanted:
+            # The next renewal begins with others, so that a silent member costs one delay only.
+            self._first += 1
+            confirmed += await self._ask_all(order[wanted:], version)
+        if confirmed >= wanted:
             self._until_ms = max(self._until_ms, asked_ms + self._duration_ms)
         else:
             self._metrics.incr("entry.lease_not_confirmed")
 
+    async def _ask_all(self, callers: Sequence[Caller | None], version: int) -> int:
+        answers = await asyncio.gather(*(self._ask(caller, version) for caller in callers))
+        return sum(answers)
+
     async def _ask(self, caller: Caller | None, version: int) -> bool:
         if caller is None:
             return False
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -44,6 +44,7 @@
     Role,
     ShowJob,
 )
+from currantbarrow.protocol.heartbeats import HeartbeatSchedule
 from currantbarrow.types import Clock, Link, LogService, Metrics, Network
 
 __all__ = ["EntryNode", "EntryOptions"]
@@ -108,6 +109,7 @@
         self._log = log
         self._rng = rng
         self._links: dict[str, Link] = {}
+        self._heartbeats = HeartbeatSchedule(HEARTBEAT_MS)
         self._tasks: list[asyncio.Task[None]] = []
         self._background: set[asyncio.Task[None]] = set()
         self._handovers = 0
@@ -345,6 +347,7 @@
         except LinkError:
             if self._links.get(peer) is link:
                 del self._links[peer]
+                self._heartbeats.forget(peer)
 
     def _handle(self, link: Link, message: Message) -> None:
         match message:
@@ -370,6 +373,7 @@
             reply = Failure(call.call_id, error.code, str(error))
         finally:
             self._waiting -= 1
+        self._heartbeats.sent(link.peer.incarnation, self._clock.monotonic_ms())
         with contextlib.suppress(LinkError):
             link.post(reply)
 
@@ -449,11 +453,14 @@
 
     async def _beat(self) -> None:
         while True:
-            await self._clock.sleep_ms(HEARTBEAT_MS)
+            await self._clock.sleep_ms(self._heartbeats.look_ms)
             self.dispatcher.table.expire()
-            for link in list(self._links.values()):
-                with contextlib.suppress(LinkError):
-                    link.post(Heartbeat())
+            now_ms = self._clock.monotonic_ms()
+            for peer, link in list(self._links.items()):
+                if self._heartbeats.due(peer, now_ms):
+                    self._heartbeats.sent(peer, now_ms)
+                    with contextlib.suppress(LinkError):
+                        link.post(Heartbeat())
 
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
--- a/src/currantbarrow/side/node.py
+++ b/src/currantbarrow/side/node.py
@@ -33,6 +33,7 @@
     TaskResult,
     TaskStates,
 )
+from currantbarrow.protocol.heartbeats import HeartbeatSchedule
 from currantbarrow.side.gate import Duplicate, StartGate
 from currantbarrow.side.ledger import StartLedger
 from currantbarrow.side.runner import TaskRunner
@@ -90,6 +91,7 @@
         self._metrics = metrics
         self._events = events
         self._links: dict[str, Link] = {}
+        self._heartbeats = HeartbeatSchedule(options.heartbeat_ms)
         self._announced_ms = -1.0
         self._registered = False
         self._records_made = 0
@@ -171,6 +173,7 @@
         except LinkError:
             if self._links.get(owner) is link:
                 del self._links[owner]
+                self._heartbeats.forget(owner)
 
     def _handle(self, link: Link, message: Message) -> None:
         match message:
@@ -283,7 +286,7 @@
             owner = self.ledger.task(task.job_id, task.index).owner
             by_owner.setdefault(owner, []).append(reference)
         for owner, references in by_owner.items():
-            self._post(owner, Refused(reason, references, self.load()))
+            self._post_load(owner, Refused(reason, references, self.load()))
 
     def _note_start(self, task: TaskRun) -> None:
         self.ledger.task(task.job_id, task.index).attempt = task.attempt
@@ -298,7 +301,12 @@
         self._events.record(
             "task_ended", job=result.job_id.hex(), task=result.index, detail=result.state
         )
-        self._post(entry.owner, Result([result], self.load()))
+        self._post_load(entry.owner, Result([result], self.load()))
+
+    def _post_load(self, owner: str, message: Heartbeat | Refused | Result) -> None:
+        """Send a message that brings the load and a stamp, as a heartbeat would."""
+        self._heartbeats.sent(owner, self._clock.monotonic_ms())
+        self._post(owner, message)
 
     def _post(self, owner: str, message: Message) -> None:
         link = self._links.get(owner)
@@ -311,12 +319,12 @@
 
     def _broadcast_load(self) -> None:
         for owner in list(self._links):
-            self._post(owner, Heartbeat(self.load()))
+            self._post_load(owner, Heartbeat(self.load()))
 
     async def _beat(self) -> None:
-        """Send heartbeats, expire the announcement and old ledger entries."""
+        """Send heartbeats on idle links, expire the announcement and old ledger entries."""
         while True:
-            await self._clock.sleep_ms(self.options.heartbeat_ms)
+            await self._clock.sleep_ms(self._heartbeats.look_ms)
             silent_ms = self._clock.monotonic_ms() - self._announced_ms
             if self.runner.slots and silent_ms > self.options.announcement_ttl_ms:
                 logger.info("upstream announcement expired")
@@ -324,7 +332,9 @@
                 self.runner.slots = 0
                 waiting = self.runner.drop_where(lambda run: True)
                 self._return_waiting(waiting, RefusedReason.NO_UPSTREAM)
-            self._broadcast_load()
+            now_ms = self._clock.monotonic_ms()
+            for owner in [each for each in self._links if self._heartbeats.due(each, now_ms)]:
+                self._post_load(owner, Heartbeat(self.load()))
             self.ledger.expire()
 
     async def _keep_registered(self) -> None:
