Tell each owner which slots of a worker are its own

Cause: an owner took the worker's reported load less its own open starts for the load of others, so starts on their way hid as much of the others' load, and the view was wrong exactly when many started at once. Change: the load in a result, refusal or heartbeat says how many slots the receiver's own tasks take. Old peers leave the field out, and get the former estimate.

--- a/src/currantbarrow/entry/sides.py
+++ b/src/currantbarrow/entry/sides.py
@@ -79,7 +79,9 @@
         view.slots = load.slots
         view.leaving = load.leaving
         view.queued = load.queued
-        view.others = max(0, load.running + load.queued - view.outstanding)
+        # Starts on their way are in this owner's own count, and not yet in the worker's.
+        mine = load.yours if load.yours >= 0 else view.outstanding
+        view.others = max(0, load.running + load.queued - mine)
         view.reported_ms = now_ms
 
 
--- a/src/currantbarrow/protocol/messages.py
+++ b/src/currantbarrow/protocol/messages.py
@@ -124,6 +124,8 @@
     running: int
     queued: int
     leaving: bool = False
+    # Slots that the receiver's own tasks take here, running and waiting; -1 when not told.
+    yours: int = -1
 
 
 class Heartbeat(Message, frozen=True):
--- a/src/currantbarrow/side/node.py
+++ b/src/currantbarrow/side/node.py
@@ -152,21 +152,30 @@
         self._return_waiting(waiting, RefusedReason.LEAVING)
         self._broadcast_load()
 
-    def load(self) -> Load:
-        """Return how occupied the worker is."""
+    def load(self, owner: str = "") -> Load:
+        """Return how occupied the worker is, and by how much an owner's own tasks."""
         return Load(
             self._clock.monotonic_ms(),
             self.runner.slots,
             self.runner.used_slots,
             self.runner.queued,
             self.leaving,
+            self._slots_of(owner) if owner else -1,
         )
 
+    def _slots_of(self, owner: str) -> int:
+        held = 0
+        for (job_id, index), size_slots in self.runner.sizes.items():
+            entry = self.ledger.find(job_id, index)
+            if entry is not None and entry.owner == owner:
+                held += size_slots
+        return held
+
     async def _serve(self, link: Link) -> None:
         """Handle the messages of one link until it closes."""
         owner = link.peer.incarnation
         self._links[owner] = link
-        link.post(Heartbeat(self.load()))
+        link.post(Heartbeat(self.load(owner)))
         try:
             while True:
                 self._handle(link, await link.receive())
@@ -231,12 +240,12 @@
             # arriving later, must not be taken.
             self.ledger.refuse(reference)
         self._metrics.incr(f"side.refused.{reason}", len(references))
-        link.post(Refused(reason, references, self.load()))
+        link.post(Refused(reason, references, self.load(link.peer.incarnation)))
 
     def _resend_result(self, link: Link, task: TaskRun) -> None:
         entry = self.ledger.find(task.job_id, task.index)
         if entry is not None and entry.result is not None:
-            link.post(Result([entry.result], self.load()))
+            link.post(Result([entry.result], self.load(link.peer.incarnation)))
 
     def _cancel(self, link: Link, message: Cancel) -> None:
         dropped = []
@@ -286,7 +295,7 @@
             owner = self.ledger.task(task.job_id, task.index).owner
             by_owner.setdefault(owner, []).append(reference)
         for owner, references in by_owner.items():
-            self._post_load(owner, Refused(reason, references, self.load()))
+            self._post_load(owner, Refused(reason, references, self.load(owner)))
 
     def _note_start(self, task: TaskRun) -> None:
         self.ledger.task(task.job_id, task.index).attempt = task.attempt
@@ -301,7 +310,7 @@
         self._events.record(
             "task_ended", job=result.job_id.hex(), task=result.index, detail=result.state
         )
-        self._post_load(entry.owner, Result([result], self.load()))
+        self._post_load(entry.owner, Result([result], self.load(entry.owner)))
 
     def _post_load(self, owner: str, message: Heartbeat | Refused | Result) -> None:
         """Send a message that brings the load and a stamp, as a heartbeat would."""
@@ -319,7 +328,7 @@
 
     def _broadcast_load(self) -> None:
         for owner in list(self._links):
-            self._post_load(owner, Heartbeat(self.load()))
+            self._post_load(owner, Heartbeat(self.load(owner)))
 
     async def _beat(self) -> None:
         """Send heartbeats on idle links, expire the announcement and old ledger entries."""
@@ -334,7 +343,7 @@
                 self._return_waiting(waiting, RefusedReason.NO_UPSTREAM)
             now_ms = self._clock.monotonic_ms()
             for owner in [each for each in self._links if self._heartbeats.due(each, now_ms)]:
-                self._post_load(owner, Heartbeat(self.load()))
+                self._post_load(owner, Heartbeat(self.load(owner)))
             self.ledger.expire()
 
     async def _keep_registered(self) -> None:
--- a/src/currantbarrow/side/runner.py
+++ b/src/currantbarrow/side/runner.py
@@ -43,6 +43,7 @@
         "_running",
         "_sequence",
         "_upstream",
+        "sizes",
         "slots",
         "used_slots",
     )
@@ -57,6 +58,8 @@
     ) -> None:
         self.slots = 0
         self.used_slots = 0
+        # The slots that each task takes or waits for.
+        self.sizes: dict[tuple[bytes, int], int] = {}
         self._upstream = upstream
         self._clock = clock
         self._metrics = metrics
@@ -83,6 +86,7 @@
         due_ms = self._clock.monotonic_ms() + task.slack_ms
         run = QueuedRun(task, epoch, due_ms, self._sequence)
         self._queued[task.job_id, task.index] = run
+        self.sizes[task.job_id, task.index] = task.size_slots
         heapq.heappush(self._heap, run)
         self.fill()
 
@@ -96,6 +100,7 @@
         if run is None:
             return None
         run.dropped = True
+        del self.sizes[job_id, index]
         return run.task
 
     def drop_where(self, unwanted: Callable[[QueuedRun], bool]) -> list[TaskRun]:
@@ -158,6 +163,7 @@
             await self._upstream.stop(task)
         run_ms = self._clock.monotonic_ms() - began_ms
         del self._running[task.job_id, task.index]
+        self.sizes.pop((task.job_id, task.index), None)
         self.used_slots -= task.size_slots
         self._metrics.timing("side.task_run", run_ms)
         self._on_end(
--- a/tests/test_control_messages.py
+++ b/tests/test_control_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 from currantbarrow.protocol import Hello, Message, Start
 from currantbarrow.protocol.heartbeats import HeartbeatSchedule
 from currantbarrow.standins.fleet import Fleet
@@ -21,7 +23,7 @@
                 schedule.sent("a", now_ms)
                 sent_ms.append(now_ms)
         sent_ms.sort()
-        gaps = [later - earlier for earlier, later in zip(sent_ms, sent_ms[1:], strict=False)]
+        gaps = [later - earlier for earlier, later in itertools.pairwise(sent_ms)]
         assert max(gaps) <= schedule.interval_ms
 
     def test_busy_link_gets_no_heartbeat(self) -> None:
