--- a/src/currantbarrow/side/node.py
+++ b/src/currantbarrow/side/node.py
@@ -45,6 +45,7 @@
     TaskResult,
     TaskStates,
 )
+from currantbarrow.protocol.heartbeats import HeartbeatSchedule
 from currantbarrow.side.gate import Duplicate, StartGate
 from currantbarrow.side.ledger import StartLedger
 from currantbarrow.side.runner import TaskRunner
@@ -114,6 +115,7 @@
             rng=rng,
             metrics=metrics,
         )
+        self._heartbeats = HeartbeatSchedule(options.heartbeat_ms)
         self._announced_ms = -1.0
         self._registered = False
         self._records_made = 0
@@ -175,18 +177,27 @@
         self._return_waiting(waiting, RefusedReason.LEAVING)
         self._broadcast_load()
 
-    def load(self) -> Load:
-        """Return how occupied the worker is."""
+    def load(self, owner: str = "") -> Load:
+        """Return how occupied the worker is, and by how much an owner's own tasks."""
         return Load(
             self._clock.monotonic_ms(),
             self.runner.slots,
             self.runner.used_slots,
             self.runner.queued,
             self.leaving,
+            self._slots_of(owner) if owner else -1,
         )
 
-    def _heartbeat(self) -> Heartbeat:
-        return self._sharing.heartbeat(self.load())
+    def _heartbeat(self, owner: str) -> Heartbeat:
+        return self._sharing.heartbeat(self.load(owner))
+
+    def _slots_of(self, owner: str) -> int:
+        held = 0
+        for (job_id, index), size_slots in self.runner.sizes.items():
+            entry = self.ledger.find(job_id, index)
+            if entry is not None and entry.owner == owner:
+                held += size_slots
+        return held
 
     async def _serve(self, link: Link) -> None:
         """Handle the messages of one link until it closes."""
@@ -194,12 +205,13 @@
         self._links[owner] = link
         self._callers[link] = Caller(link)
         try:
-            link.post(self._heartbeat())
+            link.post(self._heartbeat(owner))
             while True:
                 self._handle(link, await link.receive())
         except LinkError:
             if self._links.get(owner) is link:
                 del self._links[owner]
+                self._heartbeats.forget(owner)
         finally:
             self._callers.pop(link).close()
 
@@ -263,12 +275,12 @@
             # arriving later, must not be taken.
             self.ledger.refuse(reference)
         self._metrics.incr(f"side.refused.{reason}", len(references))
-        link.post(Refused(reason, references, self.load()))
+        link.post(Refused(reason, references, self.load(link.peer.incarnation)))
 
     def _resend_result(self, link: Link, task: TaskRun) -> None:
         entry = self.ledger.find(task.job_id, task.index)
         if entry is not None and entry.result is not None:
-            link.post(Result([entry.result], self.load()))
+            link.post(Result([entry.result], self.load(link.peer.incarnation)))
 
     def _cancel(self, link: Link, message: Cancel) -> None:
         dropped = []
@@ -318,7 +330,7 @@
             owner = self.ledger.task(task.job_id, task.index).owner
             by_owner.setdefault(owner, []).append(reference)
         for owner, references in by_owner.items():
-            self._post(owner, Refused(reason, references, self.load()))
+            self._post_load(owner, Refused(reason, references, self.load(owner)))
 
     def _note_start(self, task: TaskRun) -> None:
         self.ledger.task(task.job_id, task.index).attempt = task.attempt
@@ -333,7 +345,12 @@
         self._events.record(
             "task_ended", job=result.job_id.hex(), task=result.index, detail=result.state
         )
-        self._post(entry.owner, Result([result], self.load()))
+        self._post_load(entry.owner, Result([result], self.load(entry.owner)))
+
+    def _post_load(self, owner: str, message: Heartbeat | Refused | Result) -> None:
+        """Send a message that brings the load and a stamp, as a heartbeat would."""
+        self._heartbeats.sent(owner, self._clock.monotonic_ms())
+        self._post(owner, message)
 
     def _post(self, owner: str, message: Message) -> None:
         link = self._links.get(owner)
@@ -346,12 +363,12 @@
 
     def _broadcast_load(self) -> None:
         for owner in list(self._links):
-            self._post(owner, self._heartbeat())
+            self._post_load(owner, self._heartbeat(owner))
 
     async def _beat(self) -> None:
-        """Send heartbeats, expire the announcement and old ledger entries."""
+        """Send heartbeats on idle links, expire the announcement and old ledger entries."""
         while True:
-            await self._clock.sleep_ms(self.options.heartbeat_ms)
+            await self._clock.sleep_ms(self._heartbeats.look_ms)
             silent_ms = self._clock.monotonic_ms() - self._announced_ms
             if self.runner.slots and silent_ms > self.options.announcement_ttl_ms:
                 logger.info("upstream announcement expired")
@@ -359,7 +376,12 @@
                 self.runner.slots = 0
                 waiting = self.runner.drop_where(lambda run: True)
                 self._return_waiting(waiting, RefusedReason.NO_UPSTREAM)
-            self._broadcast_load()
+            now_ms = self._clock.monotonic_ms()
+            news = self._sharing.offsets()
+            for owner in list(self._links):
+                if self._heartbeats.due(owner, now_ms, news):
+                    self._post(owner, self._heartbeat(owner))
+                    self._heartbeats.showed(owner, now_ms, news)
             self.ledger.expire()
 
     async def _keep_registered(self) -> None:
