Let only an owner with a lease speak for keys it does not know

Ruled out: a fault of the fence or of the ledger; no task had started twice. Change: submissions, cancellations and look-ups of keys that the table doesn't hold need a held lease, else the owner is looked for again; waiting tasks of a job that fails without a lease are unknown, not not_run; an unknown class is final only once the class stream has been read. Still open: a successor that is ready before the former lease has run out.

--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -357,7 +357,7 @@
     def _fail(self, job: Job, code: str, reason: str) -> None:
         """Answer a job that cannot complete: waiting tasks are dropped, others stopped."""
         self.policies.queue.discard(job.job_id)
-        answer = job.fail(code, reason)
+        answer = job.fail(code, reason, owned=self._may_start())
         by_side: dict[str, list[TaskReference]] = {}
         for index in range(len(job.tasks)):
             sent = self._sent.get((job.job_id, index))
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -212,6 +212,8 @@
             ownership=self.ownership,
             entries=self.entries,
             dispatcher=self.dispatcher,
+            lease_held=self._may_start,
+            classes_known=self.class_follower.caught_up.is_set,
         )
 
     async def start(self) -> None:
--- a/src/currantbarrow/entry/router.py
+++ b/src/currantbarrow/entry/router.py
@@ -49,7 +49,11 @@
         ownership: Ownership,
         entries: EntryPool,
         dispatcher: Dispatcher,
+        lease_held: Callable[[], bool],
+        classes_known: Callable[[], bool],
     ) -> None:
+        self._lease_held = lease_held
+        self._classes_known = classes_known
         self._owner = owner
         self._options = options
         self._clock = clock
@@ -62,12 +66,12 @@
 
     async def submit(self, request: JobRequest, hops: int = 0) -> JobAnswer:
         """Return the answer to a job; raise JobInvalid, JobConflict or OwnershipError."""
-        self._check(request)
         job_id = make_job_id(request)
         shard = shard_of(job_id)
         deadline_ms = self._clock.monotonic_ms() + OWNER_WAIT_MS
         while True:
             try:
+                self._check(request)
                 return await self._submit_once(request, job_id, shard, hops)
             except (OwnershipError, LinkError) as error:
                 # The key makes it safe to ask again: the owner joins a second copy to the first.
@@ -87,6 +91,7 @@
         await self._ownership.wait_ready(shard_of(job_id), CONTROL_TIMEOUT_MS)
         job = self._dispatcher.table.find(job_id)
         if job is None:
+            self._require_lease()
             self._dispatcher.table.cancel_early(job_id)
             return None
         self._dispatcher.cancel(job)
@@ -105,14 +110,26 @@
         await self._ownership.wait_ready(shard_of(job_id), CONTROL_TIMEOUT_MS)
         job = self._dispatcher.table.find(job_id)
         if job is None:
+            self._require_lease()
             raise JobUnknown("no job is known for the key")
         return job.answer
 
+    def _require_lease(self) -> None:
+        """Raise OwnershipError unless this process may speak for the keys of its shards.
+
+        An owner that was paused may have a successor that knows more, so what is not in
+        this table may have run all the same.
+        """
+        if not self._lease_held():
+            raise OwnershipError("this entry's lease is not confirmed")
+
     def _check(self, request: JobRequest) -> None:
         now_ms = self._clock.wall_ms()
         if request.created_at_ms > now_ms + self._options.skew_ms:
             raise JobInvalid("the key's creation time is in the future", field="created_at_ms")
         if self._classes.find(request.job_class) is None:
+            if not self._classes_known():
+                raise OwnershipError("this entry has not read the classes yet")
             message = f"there is no class named {request.job_class}"
             raise JobInvalid(message, field="class", code="class_unknown")
 
@@ -136,6 +153,7 @@
         if job is not None:
             self._metrics.incr("entry.job_joined")
             return await asyncio.shield(job.future)
+        self._require_lease()
         oldest_ms = self._clock.wall_ms() - self._options.window_ms
         if request.created_at_ms <= oldest_ms:
             return self._refuse_unknown(request, "key_expired", "the key is older than the window")
--- a/src/currantbarrow/jobs/table.py
+++ b/src/currantbarrow/jobs/table.py
@@ -86,24 +86,26 @@
 
     def complete(self) -> JobAnswer:
         """Return the answer of a job whose tasks are all done."""
-        return JobAnswer(JobStatus.COMPLETE, self._answers())
+        answers = [self._describe(entry, TaskState.UNKNOWN) for entry in self.tasks]
+        return JobAnswer(JobStatus.COMPLETE, answers)
 
-    def fail(self, code: str, reason: str) -> JobAnswer:
-        """Return the answer of a failed job, with what is known of each task."""
-        answers = self._answers()
+    def fail(self, code: str, reason: str, *, owned: bool = True) -> JobAnswer:
+        """Return the answer of a failed job, with what is known of each task.
+
+        Only an owner can say of a task that waits here that it never ran: after the lease
+        has lapsed, a successor may have started it.
+        """
+        waiting = TaskState.NOT_RUN if owned else TaskState.UNKNOWN
+        answers = [self._describe(entry, waiting) for entry in self.tasks]
         never = all(answer.state is TaskState.NOT_RUN for answer in answers)
         status = JobStatus.REFUSED if never else JobStatus.FAILED
         return JobAnswer(status, answers, code, reason, 0, never)
 
-    def _answers(self) -> list[TaskAnswer]:
-        return [self._describe(entry) for entry in self.tasks]
-
     @staticmethod
-    def _describe(entry: TaskEntry) -> TaskAnswer:
+    def _describe(entry: TaskEntry, waiting: TaskState) -> TaskAnswer:
         if entry.answer is not None:
             return entry.answer
-        state = TaskState.NOT_RUN if entry.waiting else TaskState.UNKNOWN
-        return TaskAnswer(state)
+        return TaskAnswer(waiting if entry.waiting else TaskState.UNKNOWN)
 
 
 class JobTable:
