Test that configuration is in force in time, also without the log and after expiry

Two faults found on the way are mended: a reply whose records skip some was taken, and the gauge of a gap stayed up after a peer had closed the gap. Fleet: entries name peers, and the log's retention is part of the plan.

--- a/src/currantbarrow/logservice/copy.py
+++ b/src/currantbarrow/logservice/copy.py
@@ -121,7 +121,7 @@
             return Records(call.call_id, self.stream, self.offset)
         if call.offset >= self._recent_from:
             missing = [record for record in self._recent if record.offset > call.offset]
-            return Records(call.call_id, self.stream, self.offset, records=missing)
+            return Records(call.call_id, self.stream, self.offset, b"", missing, call.offset)
         self._metrics.incr(f"log.whole_states_given.{self.stream}")
         return Records(call.call_id, self.stream, self.offset, snapshot=self._pack())
 
@@ -130,8 +130,9 @@
         before = self.offset
         if reply.snapshot:
             self._merge_state(reply)
-        for record in reply.records:
-            self.take(record.offset, record.data)
+        if reply.after <= self.offset:
+            for record in reply.records:
+                self.take(record.offset, record.data)
         if self.offset == before:
             return False
         self._metrics.incr(f"log.moved_by_peer.{self.stream}")
--- a/src/currantbarrow/logservice/follower.py
+++ b/src/currantbarrow/logservice/follower.py
@@ -22,7 +22,7 @@
 class LogFollower:
     """Read a stream from the state's offset on, until cancelled."""
 
-    __slots__ = ("_clock", "_log", "_metrics", "_rng", "caught_up", "copy", "reachable")
+    __slots__ = ("_clock", "_gap", "_log", "_metrics", "_rng", "caught_up", "copy", "reachable")
 
     def __init__(
         self,
@@ -36,6 +36,7 @@
         self.copy = StreamCopy(stream, state, metrics)
         self.caught_up = asyncio.Event()
         self.reachable = False
+        self._gap = False
         self._log = log
         self._clock = clock
         self._rng = rng
@@ -80,6 +81,7 @@
         except RecordsExpired as expired:
             await self._skip_expired(expired.first_offset)
             return
+        self._note_gap(False)
         for record in records:
             self.copy.take(record.offset, record.data)
         if records:
@@ -91,7 +93,7 @@
         """Load the first snapshot from which the kept records go on without a gap."""
         self._metrics.incr("log.expired_skips")
         found = await self._find_snapshot(first_offset)
-        self._metrics.gauge(f"log.gap.{self.stream}", float(found is None))
+        self._note_gap(found is None)
         if found is None:
             raise LogUnavailable("the stream holds no snapshot that its kept records continue")
         if self.copy.load(found.offset, found.state):
@@ -114,6 +116,12 @@
                 if snapshot is not None and first_offset - 1 <= snapshot.offset < stored.offset:
                     return snapshot
 
+    def _note_gap(self, gap: bool) -> None:
+        if gap != self._gap:
+            logger.info("log %s: %s", "has a gap" if gap else "is whole again", self.stream)
+            self._metrics.gauge(f"log.gap.{self.stream}", float(gap))
+        self._gap = gap
+
     def _note_reachable(self, reachable: bool) -> None:
         if reachable != self.reachable:
             logger.info("log %s: %s", "reachable" if reachable else "unreachable", self.stream)
--- a/src/currantbarrow/protocol/messages.py
+++ b/src/currantbarrow/protocol/messages.py
@@ -342,3 +342,5 @@
     offset: int
     snapshot: bytes = b""
     records: list[StreamRecord] = []
+    # The records continue a state at this offset without a gap.
+    after: int = -1
--- a/src/currantbarrow/side/node.py
+++ b/src/currantbarrow/side/node.py
@@ -105,10 +105,13 @@
         self._events = events
         self._links: dict[str, Link] = {}
         self._callers: dict[Link, Caller] = {}
-        self.cluster = StreamCopy(CLUSTER_STREAM, ClusterState(), metrics)
-        self.classes = StreamCopy(CLASS_STREAM, ClassState(), metrics)
+        self.cluster = ClusterState()
+        self.classes = ClassState()
         self._sharing = StateSharing(
-            [self.cluster, self.classes],
+            [
+                StreamCopy(CLUSTER_STREAM, self.cluster, metrics),
+                StreamCopy(CLASS_STREAM, self.classes, metrics),
+            ],
             lambda stream: rng.uniform(0, PULL_SPREAD_MS),
             clock=clock,
             rng=rng,
--- a/src/currantbarrow/standins/fleet.py
+++ b/src/currantbarrow/standins/fleet.py
@@ -69,6 +69,7 @@
     far_ms: float = 1.0
     window_ms: float = 600_000.0
     log_retention_ms: float = 86_400_000.0
+    peers: bool = True
     seed: int = 1
 
 
@@ -270,6 +271,8 @@
 
     def _peer_addresses(self, name: str) -> tuple[str, ...]:
         """Return the addresses that a settings file of an entry would name."""
+        if not self.plan.peers:
+            return ()
         names = [f"entry-{number}" for number in range(self.plan.entries)]
         names += [f"side-{number}" for number in range(min(self.plan.sides, SIDES_AS_PEERS))]
         return tuple(self._address(each) for each in names if each != name)
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,218 @@
+"""Check that configuration is in force everywhere in time, through outages and expiry."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+from currantbarrow.jobs import JobStatus
+from currantbarrow.logservice import CLASS_STREAM, CLUSTER_STREAM
+from currantbarrow.standins.fleet import Fleet, FleetPlan
+from helpers import FleetTest
+
+IN_FORCE_MS = 11_000.0
+SHORT_RETENTION_MS = 40_000.0
+SMALL = FleetPlan(entries=3, sides=5)
+SHORT = FleetPlan(entries=3, sides=5, log_retention_ms=SHORT_RETENTION_MS)
+
+
+async def change(fleet: Fleet, entry: str, target_ms: float) -> int:
+    """Change a class at one entry and return its revision."""
+    node = fleet.entries[entry].node
+    based_on = node.classes.revision_of("quote")
+    definition = node.classes.find("quote")
+    assert definition is not None and definition.definition is not None
+    wanted = type(definition.definition)(target_ms)
+    return await node.change_class("quote", based_on, wanted, "operator")
+
+
+def lagging(fleet: Fleet, revision: int) -> list[str]:
+    """Return the processes in which a revision is not in force."""
+    states = {name: entry.node.classes for name, entry in fleet.entries.items()}
+    states |= {name: side.node.classes for name, side in fleet.sides.items()}
+    return [name for name, state in states.items() if state.revision_of("quote") < revision]
+
+
+async def assert_in_force(fleet: Fleet, revision: int, accepted_ms: float) -> None:
+    """Check that all processes have a revision within the bound."""
+    while lagging(fleet, revision):
+        took_ms = fleet.clock.monotonic_ms() - accepted_ms
+        assert took_ms < IN_FORCE_MS, lagging(fleet, revision)
+        await fleet.clock.sleep_ms(50)
+
+
+class TestInForce(FleetTest):
+    def test_change_is_in_force_on_every_process(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            revision = await change(fleet, "entry-0", 250.0)
+            await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
+
+        self.run_fleet(scenario, SMALL)
+
+    def test_entry_cut_off_from_the_log_alone_has_it_from_its_peers(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            fleet.log_access["entry-2"].cut = True
+            revision = await change(fleet, "entry-0", 250.0)
+            await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
+            assert fleet.entries["entry-2"].metrics.counters["log.moved_by_peer.classes"] == 1
+
+        self.run_fleet(scenario, SMALL)
+
+    def test_entries_that_are_cut_off_one_after_the_other_pass_it_on(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            fleet.log_access["entry-1"].cut = True
+            fleet.log_access["entry-2"].cut = True
+            fleet.fabric.cut("entry-0", "entry-2")
+            revision = await change(fleet, "entry-0", 250.0)
+            await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
+
+        self.run_fleet(scenario, SMALL)
+
+    def test_slow_log_is_no_excuse(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            fleet.log.faults.read_delay_ms = 2000.0
+            revision = await change(fleet, "entry-0", 250.0)
+            await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
+
+        self.run_fleet(scenario, SMALL)
+
+    def test_change_read_by_one_entry_before_an_outage_reaches_the_others(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            for name in ("entry-1", "entry-2"):
+                fleet.log_access[name].cut = True
+            revision = await change(fleet, "entry-0", 250.0)
+            fleet.log.faults.down = True
+            await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
+
+        self.run_fleet(scenario, SMALL)
+
+    def test_racing_operators_get_one_winner_and_one_conflict(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            fleet.log.faults.lost_reply_share = 0.5
+            outcomes = await asyncio.gather(
+                *(change(fleet, f"entry-{n}", 200.0 + n) for n in range(3)),
+                return_exceptions=True,
+            )
+            won = [outcome for outcome in outcomes if isinstance(outcome, int)]
+            lost = [getattr(outcome, "code", outcome) for outcome in outcomes]
+            assert len(won) == 1
+            assert lost.count("class_conflict") == 2
+            await assert_in_force(fleet, won[0], fleet.clock.monotonic_ms())
+
+        self.run_fleet(scenario, SMALL)
+
+
+class TestStartWithoutLog(FleetTest):
+    def test_started_entry_has_the_newest_state_of_its_peers(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            revision = await change(fleet, "entry-0", 250.0)
+            await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
+            await fleet.kill_entry("entry-2")
+            fleet.log.faults.down = True
+            started_ms = fleet.clock.monotonic_ms()
+            await fleet.start_entry(2)
+            await assert_in_force(fleet, revision, started_ms)
+            answer = await self.submit(fleet, 2, self.make_job(fleet, "k", [50.0]))
+            assert answer.status in (JobStatus.COMPLETE, JobStatus.REFUSED)
+
+        self.run_fleet(scenario, SMALL)
+
+    def test_side_processes_keep_the_state_when_no_entry_is_left(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            revision = await change(fleet, "entry-0", 250.0)
+            await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
+            fleet.log.faults.down = True
+            for name in list(fleet.entries):
+                await fleet.kill_entry(name)
+            started_ms = fleet.clock.monotonic_ms()
+            for number in range(3):
+                await fleet.start_entry(number)
+            await assert_in_force(fleet, revision, started_ms)
+
+        self.run_fleet(scenario, SMALL)
+
+    def test_peer_that_is_behind_moves_nobody_back(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            stale = "entry-1"
+            others = [name for name in (*fleet.entries, *fleet.sides) if name != stale]
+            fleet.log_access[stale].cut = True
+            for other in others:
+                fleet.fabric.cut(stale, other)
+            revision = await change(fleet, "entry-0", 250.0)
+            await fleet.clock.sleep_ms(3000)
+            fleet.log.faults.down = True
+            await fleet.kill_entry("entry-2")
+            for other in others:
+                fleet.fabric.mend(stale, other)
+            seen: list[int] = []
+            node = (await fleet.start_entry(2)).node
+            node.class_follower.on_change(lambda: seen.append(node.classes.offset))
+            await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
+            assert seen == sorted(seen)
+
+        self.run_fleet(scenario, SMALL)
+
+
+class TestExpiry(FleetTest):
+    async def _expire(self, fleet: Fleet) -> int:
+        """Let the records of the fleet's start expire, and return a class's revision."""
+        fleet.log.faults.retention_ms = SHORT_RETENTION_MS
+        revision = await change(fleet, "entry-0", 250.0)
+        await fleet.clock.sleep_ms(2 * SHORT_RETENTION_MS)
+        return revision
+
+    def test_reader_after_expiry_finds_the_whole_state(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            revision = await self._expire(fleet)
+            await fleet.kill_entry("entry-2")
+            process = await fleet.start_entry(2)
+            await fleet.wait_ready()
+            await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
+            assert process.metrics.counters["log.expired_skips"] >= 2
+            elder = fleet.entries["entry-0"].node
+            await fleet.clock.sleep_ms(2000)
+            assert process.node.cluster.dump() == elder.cluster.dump()
+            assert process.node.classes.dump() == elder.classes.dump()
+
+        # Without peers in the settings, the log alone must do.
+        self.run_fleet(scenario, FleetPlan(3, 5, log_retention_ms=SHORT_RETENTION_MS, peers=False))
+
+    def test_fleet_writes_few_snapshots_beyond_those_it_needs(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            await self._expire(fleet)
+            written: collections.Counter[str] = collections.Counter()
+            for entry in fleet.entries.values():
+                written.update(entry.metrics.counters)
+            # Four intervals a retention, twice over, and one at the start.
+            for stream in (CLUSTER_STREAM, CLASS_STREAM):
+                assert 4 <= written[f"log.snapshots_written.{stream}"] <= 2 * 9
+
+        self.run_fleet(scenario, SHORT)
+
+    def test_snapshots_go_on_after_an_outage_of_half_the_retention(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            revision = await self._expire(fleet)
+            fleet.log.faults.down = True
+            await fleet.clock.sleep_ms(SHORT_RETENTION_MS / 2)
+            fleet.log.faults.down = False
+            await fleet.clock.sleep_ms(SHORT_RETENTION_MS)
+            await fleet.kill_entry("entry-2")
+            await fleet.start_entry(2)
+            await fleet.wait_ready()
+            await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
+
+        self.run_fleet(scenario, FleetPlan(3, 5, log_retention_ms=SHORT_RETENTION_MS, peers=False))
+
+    def test_takeover_after_expiry_starts_nothing_twice(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            await self._expire(fleet)
+            jobs = [self.make_job(fleet, f"k{n}", [300.0]) for n in range(20)]
+            first = [asyncio.create_task(self.submit(fleet, 0, job)) for job in jobs]
+            await fleet.clock.sleep_ms(100)
+            await fleet.kill_entry("entry-1")
+            await fleet.start_entry(1)
+            await asyncio.gather(*first)
+            again = await asyncio.gather(*(self.submit(fleet, 1, job) for job in jobs))
+            assert all(answer.status is not None for answer in again)
+
+        self.run_fleet(scenario, SHORT)
--- /dev/null
+++ b/tests/test_log_snapshots.py
@@ -0,0 +1,194 @@
+"""Check that copies of a stream only move forward, whatever brings them the state."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from currantbarrow.classes import ClassState
+from currantbarrow.cluster import ClusterState
+from currantbarrow.exceptions import ConfigurationError
+from currantbarrow.jobs import SHARD_COUNT
+from currantbarrow.logservice import (
+    CLASS_STREAM,
+    CLUSTER_STREAM,
+    AssignmentChanged,
+    ClassChanged,
+    ClassDefinition,
+    LogFollower,
+    MemberDraining,
+    MemberJoined,
+    MemberLeft,
+    Record,
+    Snapshot,
+    SnapshotRule,
+    SnapshotWriter,
+    StreamCopy,
+    encode_record,
+)
+from currantbarrow.observe import MetricsBook
+from currantbarrow.protocol import Records, RecordsWanted, Role
+from currantbarrow.standins.fleet import LoopClock
+from currantbarrow.standins.memory_log import MemoryLog
+from currantbarrow.standins.virtual import run_virtual
+
+RETENTION_MS = 120_000.0
+
+
+def make_record(rng: random.Random, number: int) -> Record:
+    """Return a record of the cluster stream, sometimes a copy of an earlier one."""
+    number = rng.choice((number, max(0, number - 3)))
+    name = f"p{number % 7}"
+    who = f"{name}.{number % 3}"
+    match number % 5:
+        case 0 | 1:
+            return MemberJoined(f"r{number}", Role.SIDE, name, who, "a:1", "one", "r", number)
+        case 2:
+            return MemberDraining(f"r{number}", who)
+        case 3:
+            return MemberLeft(f"r{number}", who, number)
+    return AssignmentChanged(
+        f"r{number}", rng.choice((0, number, number - 5)), [who], [0] * SHARD_COUNT, [who]
+    )
+
+
+class TestStreamCopy:
+    @pytest.mark.parametrize("seed", range(20))
+    def test_any_mix_of_records_snapshots_and_peers_gives_the_same_state(self, seed: int) -> None:
+        rng = random.Random(seed)
+        records = [encode_record(make_record(rng, number)) for number in range(700)]
+        elders = [StreamCopy(CLUSTER_STREAM, ClusterState(), MetricsBook()) for _ in range(2)]
+        copy = StreamCopy(CLUSTER_STREAM, ClusterState(), MetricsBook())
+        while copy.offset < len(records) - 1:
+            elder = rng.choice(elders)
+            for _ in range(rng.choice((1, 5, 50, 600))):
+                if elder.offset + 1 < len(records):
+                    elder.take(elder.offset + 1, records[elder.offset + 1])
+            before = copy.offset
+            match rng.randrange(4):
+                case 0 if copy.offset + 1 < len(records):
+                    copy.take(copy.offset + 1, records[copy.offset + 1])
+                case 1:
+                    copy.load(elder.offset, elder.state.dump())
+                case 2:
+                    copy.merge(elder.answer(RecordsWanted(1, CLUSTER_STREAM, copy.offset)))
+                case 3:
+                    # A reply that a later one has overtaken.
+                    copy.merge(elder.answer(RecordsWanted(1, CLUSTER_STREAM, copy.offset - 9)))
+            assert copy.offset >= before
+        for elder in elders:
+            while elder.offset + 1 < len(records):
+                elder.take(elder.offset + 1, records[elder.offset + 1])
+        assert copy.state.dump() == elders[0].state.dump() == elders[1].state.dump()
+
+    def test_reply_that_skips_records_is_not_taken(self) -> None:
+        copy = StreamCopy(CLASS_STREAM, ClassState(), MetricsBook())
+        rng = random.Random(1)
+        elder = StreamCopy(CLASS_STREAM, ClassState(), MetricsBook())
+        for number in range(10):
+            record = ClassChanged(f"r{number}", f"c{number}", 0, ClassDefinition(rng.random()))
+            elder.take(number, encode_record(record))
+        copy.merge(elder.answer(RecordsWanted(1, CLASS_STREAM, 6)))
+        assert copy.offset == -1
+
+    @pytest.mark.parametrize("packed", [b"nonsense", b"x\x9c"])
+    def test_unreadable_state_of_a_peer_is_refused(self, packed: bytes) -> None:
+        copy = StreamCopy(CLASS_STREAM, ClassState(), MetricsBook())
+        with pytest.raises(ConfigurationError):
+            copy.merge(Records(1, CLASS_STREAM, 5, packed))
+        assert copy.offset == -1
+
+
+class TestExpiredStream:
+    def test_snapshot_older_than_the_gap_is_not_used(self) -> None:
+        async def scenario() -> None:
+            clock = LoopClock()
+            log = MemoryLog(clock, random.Random(1))
+            elder = ClassState()
+            for number in range(5):
+                record = ClassChanged(f"r{number}", f"c{number}", 0, ClassDefinition(1.0))
+                await log.append(CLASS_STREAM, encode_record(record))
+                if number <= 1:
+                    elder.apply(number, record)
+            # This writer was slow: records 2 to 4 came between its state and its snapshot.
+            late = Snapshot("late", 1, elder.dump())
+            await log.append(CLASS_STREAM, encode_record(late))
+            log.expire_all(CLASS_STREAM)
+            metrics = MetricsBook()
+            state = ClassState()
+            follower = LogFollower(CLASS_STREAM, state, log, clock, random.Random(2), metrics)
+            reading = asyncio.create_task(follower.run())
+            await clock.sleep_ms(10_000)
+            assert state.offset == -1
+            assert metrics.gauges["log.gap.classes"] == 1.0
+            # Bounded waiting between tries, not a hot loop.
+            assert log.reads < 100
+            elder_copy = StreamCopy(CLASS_STREAM, ClassState(), MetricsBook())
+            for number in range(5):
+                record = ClassChanged(f"r{number}", f"c{number}", 0, ClassDefinition(1.0))
+                elder_copy.take(number, encode_record(record))
+            follower.copy.merge(elder_copy.answer(RecordsWanted(1, CLASS_STREAM, -1)))
+            await clock.sleep_ms(5000)
+            assert follower.caught_up.is_set()
+            assert state.names() == [f"c{number}" for number in range(5)]
+            assert metrics.gauges["log.gap.classes"] == 0.0
+            reading.cancel()
+
+        run_virtual(scenario())
+
+
+class TestSnapshotWriter:
+    def test_process_with_a_fast_wall_clock_does_not_write_at_every_look(self) -> None:
+        async def scenario() -> None:
+            clock = LoopClock()
+            log = MemoryLog(clock, random.Random(1))
+            record = ClassChanged("r", "c", 0, ClassDefinition(1.0))
+            await log.append(CLASS_STREAM, encode_record(record))
+            tasks: list[asyncio.Task[None]] = []
+            for number, skew_ms in enumerate((0.0, 50 * RETENTION_MS)):
+                own = LoopClock(skew_ms)
+                metrics, rng = MetricsBook(), random.Random(number)
+                follower = LogFollower(CLASS_STREAM, ClassState(), log, own, rng, metrics)
+                writer = SnapshotWriter(
+                    f"w{number}",
+                    follower,
+                    SnapshotRule(RETENTION_MS),
+                    log=log,
+                    clock=own,
+                    rng=rng,
+                    metrics=metrics,
+                )
+                tasks.append(asyncio.create_task(follower.run()))
+                tasks.append(asyncio.create_task(writer.run()))
+            await clock.sleep_ms(4 * RETENTION_MS)
+            # A fast clock writes at most four times an interval, of which four make a retention.
+            assert 4 <= log.appends <= 4 * 16 + 8
+
+        run_virtual(scenario())
+
+    def test_count_of_records_alone_makes_a_snapshot_due(self) -> None:
+        async def scenario() -> None:
+            clock = LoopClock()
+            log = MemoryLog(clock, random.Random(1))
+            metrics, rng = MetricsBook(), random.Random(2)
+            follower = LogFollower(CLASS_STREAM, ClassState(), log, clock, rng, metrics)
+            writer = SnapshotWriter(
+                "w",
+                follower,
+                SnapshotRule(RETENTION_MS, 10),
+                log=log,
+                clock=clock,
+                rng=rng,
+                metrics=metrics,
+            )
+            follower.copy.note_snapshot(Snapshot("s", 0, None, clock.wall_ms()))
+            for number in range(9):
+                follower.copy.take(number, encode_record(ClassChanged(f"r{number}", "c", 0, None)))
+            follower.reachable = True
+            assert not writer.is_due()
+            follower.copy.take(9, encode_record(ClassChanged("r9", "c", 0, None)))
+            assert writer.is_due()
+
+        run_virtual(scenario())
