--- a/src/currantbarrow/logservice/sharing.py
+++ b/src/currantbarrow/logservice/sharing.py
@@ -61,9 +61,11 @@
 
     def heartbeat(self, load: Load | None = None) -> Heartbeat:
         """Return a heartbeat that shows this process's offsets."""
-        return Heartbeat(
-            load, self._copies[CLUSTER_STREAM].offset, self._copies[CLASS_STREAM].offset
-        )
+        return Heartbeat(load, *self.offsets())
+
+    def offsets(self) -> tuple[int, int]:
+        """Return the offsets of the cluster stream and of the class stream."""
+        return self._copies[CLUSTER_STREAM].offset, self._copies[CLASS_STREAM].offset
 
     def note(self, caller: Caller, heartbeat: Heartbeat) -> None:
         """Take note of the offsets that a peer shows."""
