Make a repeated change of class idempotent by a change id of the client

Cause: a client that lost the reply of an entry and asked again got a conflict with its own change, because each request made a new record.

Change: the record id follows from the client's change id and the change itself, so a repetition at any entry returns the first one's revision; the same id with another change is another record. Tests repeat it after and before the first was read.

--- a/src/currantbarrow/classes/__init__.py
+++ b/src/currantbarrow/classes/__init__.py
@@ -1,6 +1,6 @@
 """Hold the classes of work that operators create."""
 
-from currantbarrow.classes.change import change_class
+from currantbarrow.classes.change import change_class, change_record_id
 from currantbarrow.classes.state import ClassRevision, ClassState
 
-__all__ = ["ClassRevision", "ClassState", "change_class"]
+__all__ = ["ClassRevision", "ClassState", "change_class", "change_record_id"]
--- a/src/currantbarrow/classes/change.py
+++ b/src/currantbarrow/classes/change.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import random
 
+import msgspec
+
 from currantbarrow.classes.state import ClassState
 from currantbarrow.exceptions import AppendUnknown, ClassConflict, ConfigurationError
 from currantbarrow.logservice import (
@@ -16,10 +19,11 @@
 )
 from currantbarrow.types import Clock, LogService
 
-__all__ = ["change_class"]
+__all__ = ["change_class", "change_record_id"]
 
 APPEND_GIVE_UP_MS = 5000.0
 OUTCOME_WAIT_MS = 5000.0
+RECORD_ID_BYTES = 12
 MAX_TARGET_MS = 3_600_000.0
 
 
@@ -70,6 +74,14 @@
     return _settle(state.outcome(record_id) or 0, name, based_on, state)
 
 
+def change_record_id(
+    change_id: str, name: str, based_on: int, definition: ClassDefinition | None
+) -> str:
+    """Return the record id of a change, which differs when the same id names another change."""
+    content = msgspec.json.encode((change_id, name, based_on, definition))
+    return f"change-{hashlib.blake2b(content, digest_size=RECORD_ID_BYTES).hexdigest()}"
+
+
 def _settle(made: int, name: str, based_on: int, state: ClassState) -> int:
     if not made:
         present = state.revision_of(name)
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from currantbarrow.classes import ClassState, change_class
+from currantbarrow.classes import ClassState, change_class, change_record_id
 from currantbarrow.cluster import ClusterState, Lease, Member
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.handover import build_handovers, take_handover
@@ -295,15 +295,24 @@
             self.metrics.incr(f"entry.background_job_failed.{error.code}")
 
     async def change_class(
-        self, name: str, based_on: int, definition: ClassDefinition | None, operator: str
+        self,
+        name: str,
+        based_on: int,
+        definition: ClassDefinition | None,
+        operator: str,
+        change_id: str = "",
     ) -> int:
-        """Change a class and return its new revision; raise ConfigurationError."""
+        """Change a class and return its new revision; raise ConfigurationError.
+
+        A change repeated under the same change id, at any entry, is made once.
+        """
+        unique = change_id or f"{self.options.incarnation}-{self._rng.getrandbits(64):016x}"
         return await change_class(
             name,
             based_on,
             definition,
             operator,
-            record_id=f"{self.options.incarnation}-class-{self._rng.getrandbits(64):016x}",
+            record_id=change_record_id(unique, name, based_on, definition),
             state=self.classes,
             follower=self.class_follower,
             log=self._log,
--- a/src/currantbarrow/entry/operator_api.py
+++ b/src/currantbarrow/entry/operator_api.py
@@ -35,6 +35,8 @@
     based_on: int
     definition: ClassDefinition | None = None
     operator: str = ""
+    # A client that repeats a request whose reply was lost sends the same id again.
+    change_id: str = ""
 
 
 class ErrorBody(msgspec.Struct):
@@ -61,7 +63,9 @@
     @app.post("/classes")
     async def change_class(request: Request) -> HTTPResponse:
         body = msgspec.json.decode(request.body, type=ClassChangeBody)
-        revision = await node.change_class(body.name, body.based_on, body.definition, body.operator)
+        revision = await node.change_class(
+            body.name, body.based_on, body.definition, body.operator, body.change_id
+        )
         return _json({"name": body.name, "revision": revision})
 
     @app.get("/members")
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,8 +5,11 @@
 import asyncio
 import collections
 
+import pytest
+
+from currantbarrow.exceptions import ClassConflict
 from currantbarrow.jobs import JobStatus
-from currantbarrow.logservice import CLASS_STREAM, CLUSTER_STREAM
+from currantbarrow.logservice import CLASS_STREAM, CLUSTER_STREAM, ClassDefinition
 from currantbarrow.standins.fleet import Fleet, FleetPlan
 from helpers import FleetTest
 
@@ -20,10 +23,7 @@
     """Change a class at one entry and return its revision."""
     node = fleet.entries[entry].node
     based_on = node.classes.revision_of("quote")
-    definition = node.classes.find("quote")
-    assert definition is not None and definition.definition is not None
-    wanted = type(definition.definition)(target_ms)
-    return await node.change_class("quote", based_on, wanted, "operator")
+    return await node.change_class("quote", based_on, ClassDefinition(target_ms), "operator")
 
 
 def lagging(fleet: Fleet, revision: int) -> list[str]:
@@ -51,7 +51,7 @@
 
     def test_entry_cut_off_from_the_log_alone_has_it_from_its_peers(self) -> None:
         async def scenario(fleet: Fleet) -> None:
-            fleet.log_access["entry-2"].cut = True
+            fleet.fabric.cut("entry-2", "log")
             revision = await change(fleet, "entry-0", 250.0)
             await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
             assert fleet.entries["entry-2"].metrics.counters["log.moved_by_peer.classes"] == 1
@@ -60,8 +60,8 @@
 
     def test_entries_that_are_cut_off_one_after_the_other_pass_it_on(self) -> None:
         async def scenario(fleet: Fleet) -> None:
-            fleet.log_access["entry-1"].cut = True
-            fleet.log_access["entry-2"].cut = True
+            fleet.fabric.cut("entry-1", "log")
+            fleet.fabric.cut("entry-2", "log")
             fleet.fabric.cut("entry-0", "entry-2")
             revision = await change(fleet, "entry-0", 250.0)
             await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
@@ -79,7 +79,7 @@
     def test_change_read_by_one_entry_before_an_outage_reaches_the_others(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             for name in ("entry-1", "entry-2"):
-                fleet.log_access[name].cut = True
+                fleet.fabric.cut(name, "log")
             revision = await change(fleet, "entry-0", 250.0)
             fleet.log.faults.down = True
             await assert_in_force(fleet, revision, fleet.clock.monotonic_ms())
@@ -102,6 +102,36 @@
         self.run_fleet(scenario, SMALL)
 
 
+class TestRepeatedChange(FleetTest):
+    def test_change_repeated_at_another_entry_is_made_once(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            first, other = fleet.entries["entry-0"].node, fleet.entries["entry-1"].node
+            based_on = first.classes.revision_of("quote")
+            wanted = ClassDefinition(250.0)
+            made = await first.change_class("quote", based_on, wanted, "ana", "c1")
+            await fleet.clock.sleep_ms(100)
+            assert await other.change_class("quote", based_on, wanted, "ana", "c1") == made
+            with pytest.raises(ClassConflict):
+                await other.change_class("quote", based_on, ClassDefinition(9.0), "bo", "c1")
+
+        self.run_fleet(scenario, SMALL)
+
+    def test_change_repeated_before_the_first_was_read_is_made_once(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            nodes = [entry.node for entry in fleet.entries.values()]
+            based_on = nodes[0].classes.revision_of("quote")
+            made = await asyncio.gather(
+                *(
+                    node.change_class("quote", based_on, ClassDefinition(2.0), "ana", "c1")
+                    for node in nodes
+                )
+            )
+            assert len(set(made)) == 1
+            assert len(nodes[0].classes.history("quote")) == 2
+
+        self.run_fleet(scenario, SMALL)
+
+
 class TestStartWithoutLog(FleetTest):
     def test_started_entry_has_the_newest_state_of_its_peers(self) -> None:
         async def scenario(fleet: Fleet) -> None:
@@ -135,7 +165,7 @@
         async def scenario(fleet: Fleet) -> None:
             stale = "entry-1"
             others = [name for name in (*fleet.entries, *fleet.sides) if name != stale]
-            fleet.log_access[stale].cut = True
+            fleet.fabric.cut(stale, "log")
             for other in others:
                 fleet.fabric.cut(stale, other)
             revision = await change(fleet, "entry-0", 250.0)
