--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from currantbarrow.classes import ClassState, change_class
+from currantbarrow.classes import ClassState, change_class, change_record_id
 from currantbarrow.cluster import ClusterState, Lease, Member
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.handover import build_handovers, take_handover
@@ -26,7 +26,16 @@
 )
 from currantbarrow.jobs import JobAnswer, JobRequest, retention_ms
 from currantbarrow.jobs.table import JobTable
-from currantbarrow.logservice import CLASS_STREAM, CLUSTER_STREAM, ClassDefinition, LogFollower
+from currantbarrow.logservice import (
+    CLASS_STREAM,
+    CLUSTER_STREAM,
+    ClassDefinition,
+    LogFollower,
+    SnapshotRule,
+    SnapshotWriter,
+    StateSharing,
+    ask_peers,
+)
 from currantbarrow.observe import EventRing, logger
 from currantbarrow.policy import Policies
 from currantbarrow.protocol import (
@@ -42,10 +51,12 @@
     JobShown,
     LastSeen,
     Message,
+    RecordsWanted,
     Role,
     Seen,
     ShowJob,
 )
+from currantbarrow.protocol.heartbeats import HeartbeatSchedule
 from currantbarrow.types import Clock, Link, LogService, Metrics, Network
 
 __all__ = ["EntryNode", "EntryOptions"]
@@ -54,6 +65,8 @@
 HANDOVER_TIMEOUT_MS = 1000.0
 HANDOVER_GIVE_UP_MS = 4000.0
 DRAIN_LOOK_MS = 20.0
+# An entry that follows the log itself leaves peers alone until it lags by this much.
+LAG_PATIENCE_MS = 1500.0
 
 
 class EntryOptions(msgspec.Struct, frozen=True):
@@ -71,6 +84,8 @@
     skew_ms: float = 1000.0
     window_ms: float = 600_000.0
     drain_ms: float = 20_000.0
+    peers: tuple[str, ...] = ()
+    log_retention_ms: float = 86_400_000.0
 
 
 class MemberRow(msgspec.Struct, frozen=True):
@@ -110,6 +125,7 @@
         self._log = log
         self._rng = rng
         self._links: dict[str, Link] = {}
+        self._heartbeats = HeartbeatSchedule(HEARTBEAT_MS)
         self._tasks: list[asyncio.Task[None]] = []
         self._background: set[asyncio.Task[None]] = set()
         self._handovers = 0
@@ -128,6 +144,14 @@
         options = self.options
         self.cluster_follower = self._follow(CLUSTER_STREAM, self.cluster)
         self.class_follower = self._follow(CLASS_STREAM, self.classes)
+        self._followers = [self.cluster_follower, self.class_follower]
+        self.sharing = StateSharing(
+            [follower.copy for follower in self._followers],
+            self._patience_ms,
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self.metrics,
+        )
         self.dispatcher = Dispatcher(
             clock=self._clock,
             rng=self._rng,
@@ -145,6 +169,7 @@
             rng=self._rng,
             metrics=self.metrics,
             listener=self.dispatcher,
+            sharing=self.sharing,
         )
         self.dispatcher.pool = self.sides
         self.entries = EntryPool(
@@ -153,6 +178,7 @@
             network=self._network,
             rng=self._rng,
             on_change=lambda: None,
+            sharing=self.sharing,
         )
         times = OwnershipOptions(
             lease_ms=options.lease_ms,
@@ -188,6 +214,8 @@
             ownership=self.ownership,
             entries=self.entries,
             dispatcher=self.dispatcher,
+            lease_held=self._may_start,
+            classes_known=self.class_follower.caught_up.is_set,
         )
 
     async def start(self) -> None:
@@ -225,7 +253,10 @@
             asyncio.create_task(self.lease.run(self.dispatcher.pump)),
             asyncio.create_task(self._beat()),
             asyncio.create_task(self.sides.beat()),
+            asyncio.create_task(self.sharing.run()),
+            asyncio.create_task(self._ask_peers()),
         ]
+        self._tasks += [asyncio.create_task(writer.run()) for writer in self._create_writers()]
 
     async def drain(self) -> None:
         """Give all shards away, wait for the last answers, and stop."""
@@ -270,15 +301,24 @@
             self.metrics.incr(f"entry.background_job_failed.{error.code}")
 
     async def change_class(
-        self, name: str, based_on: int, definition: ClassDefinition | None, operator: str
+        self,
+        name: str,
+        based_on: int,
+        definition: ClassDefinition | None,
+        operator: str,
+        change_id: str = "",
     ) -> int:
-        """Change a class and return its new revision; raise ConfigurationError."""
+        """Change a class and return its new revision; raise ConfigurationError.
+
+        A change repeated under the same change id, at any entry, is made once.
+        """
+        unique = change_id or f"{self.options.incarnation}-{self._rng.getrandbits(64):016x}"
         return await change_class(
             name,
             based_on,
             definition,
             operator,
-            record_id=f"{self.options.incarnation}-class-{self._rng.getrandbits(64):016x}",
+            record_id=change_record_id(unique, name, based_on, definition),
             state=self.classes,
             follower=self.class_follower,
             log=self._log,
@@ -316,6 +356,38 @@
     def _follow(self, stream: str, state: ClusterState | ClassState) -> LogFollower:
         return LogFollower(stream, state, self._log, self._clock, self._rng, self.metrics)
 
+    def _create_writers(self) -> list[SnapshotWriter]:
+        rule = SnapshotRule(self.options.log_retention_ms)
+        return [
+            SnapshotWriter(
+                self.options.incarnation,
+                follower,
+                rule,
+                log=self._log,
+                clock=self._clock,
+                rng=self._rng,
+                metrics=self.metrics,
+            )
+            for follower in self._followers
+        ]
+
+    async def _ask_peers(self) -> None:
+        # The link has an incarnation of its own, so that peers don't take it for the
+        # lasting one.
+        incarnation = f"{self.options.incarnation}/state"
+        await ask_peers(
+            self.options.peers,
+            msgspec.structs.replace(self._hello, incarnation=incarnation),
+            [follower.copy for follower in self._followers],
+            clock=self._clock,
+            network=self._network,
+            rng=self._rng,
+        )
+
+    def _patience_ms(self, stream: str) -> float:
+        follower = next(each for each in self._followers if each.stream == stream)
+        return LAG_PATIENCE_MS if follower.reachable else 0.0
+
     def _may_start(self) -> bool:
         return self.lease.held()
 
@@ -343,12 +415,13 @@
         peer = link.peer.incarnation
         self._links[peer] = link
         try:
-            link.post(Heartbeat())
+            link.post(self.sharing.heartbeat())
             while True:
                 self._handle(link, await link.receive())
         except LinkError:
             if self._links.get(peer) is link:
                 del self._links[peer]
+                self._heartbeats.forget(peer)
 
     def _handle(self, link: Link, message: Message) -> None:
         match message:
@@ -362,6 +435,8 @@
                 link.post(self._take_handover(link, message))
             case LastSeen():
                 link.post(self._last_seen(message))
+            case RecordsWanted():
+                link.post(self.sharing.answer(message))
             case Heartbeat():
                 pass
             case _:
@@ -380,6 +455,7 @@
             reply = Failure(call.call_id, error.code, str(error))
         finally:
             self._waiting -= 1
+        self._heartbeats.sent(link.peer.incarnation, self._clock.monotonic_ms())
         with contextlib.suppress(LinkError):
             link.post(reply)
 
@@ -466,12 +542,17 @@
 
     async def _beat(self) -> None:
         while True:
-            await self._clock.sleep_ms(HEARTBEAT_MS)
+            await self._clock.sleep_ms(self._heartbeats.look_ms)
             self.dispatcher.table.expire()
             self.ownership.expire()
-            for link in list(self._links.values()):
-                with contextlib.suppress(LinkError):
-                    link.post(Heartbeat())
+            now_ms = self._clock.monotonic_ms()
+            news = self.sharing.offsets()
+            for peer, link in list(self._links.items()):
+                if self._heartbeats.due(peer, now_ms, news):
+                    self._heartbeats.showed(peer, now_ms, news)
+                    with contextlib.suppress(LinkError):
+                        link.post(self.sharing.heartbeat())
+            self.sides.show_offsets()
 
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
--- a/src/currantbarrow/side/node.py
+++ b/src/currantbarrow/side/node.py
@@ -8,12 +8,22 @@
 
 import msgspec
 
-from currantbarrow.cluster import PanelMember
+from currantbarrow.classes import ClassState
+from currantbarrow.cluster import ClusterState, PanelMember
 from currantbarrow.exceptions import AppendUnknown, LinkError, LogUnavailable
 from currantbarrow.jobs import TaskRun, retention_ms
-from currantbarrow.logservice import CLUSTER_STREAM, MemberJoined, MemberLeft, append_once
+from currantbarrow.logservice import (
+    CLASS_STREAM,
+    CLUSTER_STREAM,
+    MemberJoined,
+    MemberLeft,
+    StateSharing,
+    StreamCopy,
+    append_once,
+)
 from currantbarrow.observe import EventRing, logger
 from currantbarrow.protocol import (
+    Caller,
     Cancel,
     CloseVersion,
     Confirm,
@@ -25,8 +35,10 @@
     Load,
     Message,
     QueryTasks,
+    RecordsWanted,
     Refused,
     RefusedReason,
+    Reply,
     Result,
     Role,
     Start,
@@ -34,6 +46,7 @@
     TaskResult,
     TaskStates,
 )
+from currantbarrow.protocol.heartbeats import HeartbeatSchedule
 from currantbarrow.side.gate import Duplicate, StartGate
 from currantbarrow.side.ledger import StartLedger
 from currantbarrow.side.runner import TaskRunner
@@ -44,6 +57,8 @@
 APPEND_GIVE_UP_MS = 5000.0
 REGISTER_RETRY_MS = 500.0
 ENTRY_SILENCE_LIMIT_MS = 15_000.0
+# Side processes spread their pulls over this time after a change.
+PULL_SPREAD_MS = 1000.0
 REJOIN_FIRST_MS = 10_000.0
 REJOIN_LIMIT_MS = 120_000.0
 
@@ -95,6 +110,20 @@
         self._metrics = metrics
         self._events = events
         self._links: dict[str, Link] = {}
+        self._callers: dict[Link, Caller] = {}
+        self.cluster = ClusterState()
+        self.classes = ClassState()
+        self._sharing = StateSharing(
+            [
+                StreamCopy(CLUSTER_STREAM, self.cluster, metrics),
+                StreamCopy(CLASS_STREAM, self.classes, metrics),
+            ],
+            lambda stream: rng.uniform(0, PULL_SPREAD_MS),
+            clock=clock,
+            rng=rng,
+            metrics=metrics,
+        )
+        self._heartbeats = HeartbeatSchedule(options.heartbeat_ms)
         self._announced_ms = -1.0
         self._registered = False
         self._register_wait_ms = REGISTER_RETRY_MS
@@ -115,6 +144,7 @@
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._beat()),
+            asyncio.create_task(self._sharing.run()),
         ]
 
     async def stop(self) -> None:
@@ -158,22 +188,35 @@
         self._return_waiting(waiting, RefusedReason.LEAVING)
         self._broadcast_load()
 
-    def load(self) -> Load:
-        """Return how occupied the worker is."""
+    def load(self, owner: str = "") -> Load:
+        """Return how occupied the worker is, and by how much an owner's own tasks."""
         return Load(
             self._clock.monotonic_ms(),
             self.runner.slots,
             self.runner.used_slots,
             self.runner.queued,
             self.leaving,
+            self._slots_of(owner) if owner else -1,
         )
 
+    def _heartbeat(self, owner: str) -> Heartbeat:
+        return self._sharing.heartbeat(self.load(owner))
+
+    def _slots_of(self, owner: str) -> int:
+        held = 0
+        for (job_id, index), size_slots in self.runner.sizes.items():
+            entry = self.ledger.find(job_id, index)
+            if entry is not None and entry.owner == owner:
+                held += size_slots
+        return held
+
     async def _serve(self, link: Link) -> None:
         """Handle the messages of one link until it closes."""
         owner = link.peer.incarnation
         self._links[owner] = link
-        link.post(Heartbeat(self.load()))
+        self._callers[link] = Caller(link)
         try:
+            link.post(self._heartbeat(owner))
             while True:
                 async with asyncio.timeout(ENTRY_SILENCE_LIMIT_MS / 1000):
                     message = await link.receive()
@@ -183,6 +226,8 @@
         finally:
             if self._links.get(owner) is link:
                 del self._links[owner]
+                self._heartbeats.forget(owner)
+            self._callers.pop(link).close()
 
     def _handle(self, link: Link, message: Message) -> None:
         match message:
@@ -200,8 +245,12 @@
                 link.post(self.panel.close(message))
             case LastSeen():
                 link.post(self.panel.last_seen(message))
+            case RecordsWanted():
+                link.post(self._sharing.answer(message))
             case Heartbeat():
-                pass
+                self._sharing.note(self._callers[link], message)
+            case Reply():
+                self._callers[link].settle(message)
             case _:
                 self._metrics.incr("side.unexpected_message")
 
@@ -242,12 +291,12 @@
             # arriving later, must not be taken.
             self.ledger.refuse(reference)
         self._metrics.incr(f"side.refused.{reason}", len(references))
-        link.post(Refused(reason, references, self.load()))
+        link.post(Refused(reason, references, self.load(link.peer.incarnation)))
 
     def _resend_result(self, link: Link, task: TaskRun) -> None:
         entry = self.ledger.find(task.job_id, task.index)
         if entry is not None and entry.result is not None:
-            link.post(Result([entry.result], self.load()))
+            link.post(Result([entry.result], self.load(link.peer.incarnation)))
 
     def _cancel(self, link: Link, message: Cancel) -> None:
         dropped = []
@@ -297,7 +346,7 @@
             owner = self.ledger.task(task.job_id, task.index).owner
             by_owner.setdefault(owner, []).append(reference)
         for owner, references in by_owner.items():
-            self._post(owner, Refused(reason, references, self.load()))
+            self._post_load(owner, Refused(reason, references, self.load(owner)))
 
     def _note_start(self, task: TaskRun) -> None:
         self.ledger.task(task.job_id, task.index).attempt = task.attempt
@@ -312,7 +361,12 @@
         self._events.record(
             "task_ended", job=result.job_id.hex(), task=result.index, detail=result.state
         )
-        self._post(entry.owner, Result([result], self.load()))
+        self._post_load(entry.owner, Result([result], self.load(entry.owner)))
+
+    def _post_load(self, owner: str, message: Heartbeat | Refused | Result) -> None:
+        """Send a message that brings the load and a stamp, as a heartbeat would."""
+        self._heartbeats.sent(owner, self._clock.monotonic_ms())
+        self._post(owner, message)
 
     def _post(self, owner: str, message: Message) -> None:
         link = self._links.get(owner)
@@ -325,12 +379,12 @@
 
     def _broadcast_load(self) -> None:
         for owner in list(self._links):
-            self._post(owner, Heartbeat(self.load()))
+            self._post_load(owner, self._heartbeat(owner))
 
     async def _beat(self) -> None:
-        """Send heartbeats, expire the announcement and old ledger entries."""
+        """Send heartbeats on idle links, expire the announcement and old ledger entries."""
         while True:
-            await self._clock.sleep_ms(self.options.heartbeat_ms)
+            await self._clock.sleep_ms(self._heartbeats.look_ms)
             silent_ms = self._clock.monotonic_ms() - self._announced_ms
             if self.runner.slots and silent_ms > self.options.announcement_ttl_ms:
                 logger.info("upstream announcement expired")
@@ -338,7 +392,12 @@
                 self.runner.slots = 0
                 waiting = self.runner.drop_where(lambda run: True)
                 self._return_waiting(waiting, RefusedReason.NO_UPSTREAM)
-            self._broadcast_load()
+            now_ms = self._clock.monotonic_ms()
+            news = self._sharing.offsets()
+            for owner in list(self._links):
+                if self._heartbeats.due(owner, now_ms, news):
+                    self._post(owner, self._heartbeat(owner))
+                    self._heartbeats.showed(owner, now_ms, news)
             self.ledger.expire()
 
     async def _keep_registered(self) -> None:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -11,35 +11,12 @@
 from currantbarrow.exceptions import JobInvalid, OwnershipError
 from currantbarrow.jobs import JobAnswer, JobRequest, JobStatus, TaskState, make_job_id, shard_of
 from currantbarrow.standins.fleet import Fleet, FleetPlan
-from currantbarrow.types import LogRecord, LogService
 from helpers import FleetTest
 
 SCENARIO_LIMIT_S = 300
 QUIET_PLAN = FleetPlan(sides=6)
 
 
-class HeldLog:
-    """Keep one process from reading the log while held."""
-
-    def __init__(self, log: LogService) -> None:
-        self._log = log
-        self.free = asyncio.Event()
-        self.free.set()
-
-    async def append(self, stream: str, data: bytes) -> int:
-        """Append as the log does."""
-        return await self._log.append(stream, data)
-
-    async def read(self, stream: str, offset: int, wait_ms: int) -> Sequence[LogRecord]:
-        """Read as the log does, but not while held."""
-        await self.free.wait()
-        records = await self._log.read(stream, offset, wait_ms)
-        if not self.free.is_set():
-            await self.free.wait()
-            return []
-        return records
-
-
 class OwnershipTest(FleetTest):
     """Be the base of these tests: each scenario ends in bounded virtual time."""
 
@@ -54,16 +31,6 @@
 
         return self.run_fleet(bounded, plan)
 
-    @staticmethod
-    async def add_entry_with_held_log(fleet: Fleet, number: int) -> HeldLog:
-        """Start one more entry whose reading of the log can be held."""
-        log = HeldLog(fleet.log)
-        fleet.log_of = lambda name: log
-        await fleet.start_entry(number)
-        fleet.log_of = lambda name: fleet.log
-        await fleet.wait_ready()
-        return log
-
     def make_job_of(self, fleet: Fleet, owner: str, name: str, run_ms: list[float]) -> JobRequest:
         """Return a job whose shard an entry owns."""
         for number in range(10_000):
@@ -92,14 +59,15 @@
 class TestHandover(OwnershipTest):
     def test_part_that_comes_before_the_record_is_read_is_sent_again(self) -> None:
         async def scenario(fleet: Fleet) -> None:
-            log = await self.add_entry_with_held_log(fleet, 3)
+            await fleet.start_entry(3)
+            await fleet.wait_ready()
             jobs = [self.make_job_of(fleet, "entry-1", f"k{n}", [800.0]) for n in range(8)]
             waiting = [asyncio.create_task(self.submit(fleet, 0, job)) for job in jobs]
             await fleet.clock.sleep_ms(100)
-            log.free.clear()
+            fleet.fabric.cut("entry-3", "log")
             draining = asyncio.create_task(fleet.entries.pop("entry-1").node.drain())
             await fleet.clock.sleep_ms(400)
-            log.free.set()
+            fleet.fabric.mend("entry-3", "log")
             answers = await asyncio.gather(*waiting)
             await draining
             assert {answer.status for answer in answers} == {JobStatus.COMPLETE}
@@ -124,9 +92,10 @@
 
     def test_table_of_an_owner_that_slept_through_another_is_not_taken(self) -> None:
         async def scenario(fleet: Fleet) -> None:
-            log = await self.add_entry_with_held_log(fleet, 3)
+            await fleet.start_entry(3)
+            await fleet.wait_ready()
             job = self.make_job_of(fleet, "entry-3", "k", [50.0])
-            log.free.clear()
+            fleet.fabric.cut("entry-3", "log")
             for name in ("entry-1", "entry-2"):
                 fleet.fabric.cut("entry-3", name)
             fleet.fabric.cut("entry-3", "entry-0")
@@ -139,7 +108,7 @@
                 fleet.fabric.mend("entry-3", name)
             for number in range(6):
                 fleet.fabric.mend("entry-3", f"side-{number}")
-            log.free.set()
+            fleet.fabric.mend("entry-3", "log")
             await fleet.wait_ready()
             for number in range(4):
                 again = await self.submit(fleet, number, job)
@@ -151,13 +120,14 @@
 class TestTakeover(OwnershipTest):
     def test_two_changes_in_one_read_leave_all_shards_ready(self) -> None:
         async def scenario(fleet: Fleet) -> None:
-            log = await self.add_entry_with_held_log(fleet, 3)
-            log.free.clear()
+            await fleet.start_entry(3)
+            await fleet.wait_ready()
+            fleet.fabric.cut("entry-3", "log")
             await fleet.kill_entry("entry-0")
             await fleet.clock.sleep_ms(2_400)
             await fleet.kill_entry("entry-1")
             await fleet.clock.sleep_ms(2_400)
-            log.free.set()
+            fleet.fabric.mend("entry-3", "log")
             await fleet.wait_ready()
             answer = await self.submit(fleet, 3, self.make_job(fleet, "k", [50.0] * 20))
             assert answer.status is JobStatus.COMPLETE
@@ -185,8 +155,9 @@
 
     def test_side_process_that_only_the_dead_owner_could_reach_is_reckoned_with(self) -> None:
         async def scenario(fleet: Fleet) -> None:
-            log = await self.add_entry_with_held_log(fleet, 3)
-            log.free.clear()
+            await fleet.start_entry(3)
+            await fleet.wait_ready()
+            fleet.fabric.cut("entry-3", "log")
             for number in range(3):
                 fleet.fabric.cut(f"entry-{number}", "side-5")
             await fleet.clock.sleep_ms(11_500)
