--- a/Makefile
+++ b/Makefile
@@ -29,4 +29,4 @@
 	$(PY) -m pytest
 
 demo: setup
-	$(VENV)/bin/currantbarrow demo --output build/demo
+	$(VENV)/bin/currantbarrow demo --examples examples --output build/demo
--- /dev/null
+++ b/src/currantbarrow/cli/classes.py
@@ -0,0 +1,232 @@
+"""Steer classes of work."""
+
+from __future__ import annotations
+
+import datetime
+import getpass
+from typing import Any
+
+import msgspec
+from cleo.helpers import argument, option
+
+from currantbarrow.cli.client import HttpClient
+from currantbarrow.cli.command import FleetCommand, fleet_options
+from currantbarrow.cli.errors import EXIT_OK
+from currantbarrow.cli.fleet import ClassRow, read_history, wait_in_force
+from currantbarrow.cli.tables import format_table
+from currantbarrow.exceptions import OperatorError
+from currantbarrow.logservice import ClassDefinition
+
+__all__ = ["CLASS_COMMANDS"]
+
+HEADINGS = ["class", "revision", "target ms", "changed", "by", "description"]
+NAME = argument("name", "The class.")
+WAIT = option("wait", None, "Wait until the change is in force on all entry processes.")
+WAIT_S = option("wait-seconds", None, "How long to wait at most.", flag=False, default="11")
+BY = option("by", None, "Who makes the change; the login name by default.", flag=False)
+TARGET = option("target-ms", None, "The response that the class is to meet.", flag=False)
+DESCRIPTION = option("description", None, "What the class is for.", flag=False)
+REVISION = option(
+    "revision", None, "The revision the change is based on; the present one by default.", flag=False
+)
+
+
+class _ChangeCommand(FleetCommand):
+    """Make a change of a class and wait for it on demand."""
+
+    async def change(
+        self, client: HttpClient, based_on: int, definition: ClassDefinition | None
+    ) -> int:
+        """Send the change, show its revision, and wait when asked to."""
+        name = self.argument("name")
+        body = {
+            "name": name,
+            "based_on": based_on,
+            "definition": definition,
+            "operator": self.option("by") or _login_name(),
+        }
+        made = await client.post(f"{self.operator_url}/classes", body)
+        revision = int(made["revision"])
+        result: dict[str, Any] = {"name": name, "revision": revision, "in_force_on": None}
+        if self.option("wait"):
+            wait_s = self.number("wait-seconds", least=0.1)
+            result["in_force_on"] = await wait_in_force(
+                client, self.operator_url, name, revision, wait_s
+            )
+        self._show_result(result, removed=definition is None)
+        return EXIT_OK
+
+    def target_ms(self) -> float:
+        """Return the target that was given; raise OperatorError."""
+        if self.option("target-ms") is None:
+            raise OperatorError("--target-ms is missing", code="argument_invalid")
+        return self.number("target-ms", least=0.001)
+
+    async def history(self, client: HttpClient) -> list[ClassRow]:
+        """Return the latest revisions of the class."""
+        return await read_history(client, self.operator_url, self.argument("name"))
+
+    def _show_result(self, result: dict[str, Any], *, removed: bool) -> None:
+        if self.as_json:
+            self.show_json(result)
+            return
+        what = "removed by" if removed else "at"
+        text = f"{result['name']}: {what} revision {result['revision']}"
+        if result["in_force_on"] is not None:
+            text = f"{text}, in force on {result['in_force_on']} entry processes"
+        self.show(text)
+
+
+class ClassCreateCommand(_ChangeCommand):
+    """Create a class that does not exist."""
+
+    name = "class create"
+    description = "Create a class of work with its response target."
+    arguments = [NAME]
+    options = fleet_options(TARGET, DESCRIPTION, WAIT, WAIT_S, BY)
+
+    async def work(self, client: HttpClient) -> int:
+        """Create the class."""
+        definition = ClassDefinition(self.target_ms(), self.option("description") or "")
+        history = await self.history(client)
+        if history and history[-1].target_ms is not None:
+            raise OperatorError(
+                f"{history[-1].name} exists at revision {history[-1].revision}",
+                code="class_exists",
+                hint="Change it with: currantbarrow class set",
+            )
+        return await self.change(client, history[-1].revision if history else 0, definition)
+
+
+class ClassSetCommand(_ChangeCommand):
+    """Change the target of a class."""
+
+    name = "class set"
+    description = "Change a class's response target or description."
+    arguments = [NAME]
+    options = fleet_options(TARGET, DESCRIPTION, REVISION, WAIT, WAIT_S, BY)
+
+    async def work(self, client: HttpClient) -> int:
+        """Change the class."""
+        present = _require(self.argument("name"), await self.history(client))
+        target_ms = present.target_ms or 0.0
+        if self.option("target-ms") is not None:
+            target_ms = self.target_ms()
+        description = self.option("description")
+        definition = ClassDefinition(
+            target_ms, present.description if description is None else description
+        )
+        revision = self.whole("revision")
+        based_on = present.revision if revision is None else revision
+        return await self.change(client, based_on, definition)
+
+
+class ClassRemoveCommand(_ChangeCommand):
+    """Remove a class."""
+
+    name = "class remove"
+    description = "Remove a class; jobs of it are refused from then on."
+    arguments = [NAME]
+    options = fleet_options(REVISION, WAIT, WAIT_S, BY)
+
+    async def work(self, client: HttpClient) -> int:
+        """Remove the class."""
+        present = _require(self.argument("name"), await self.history(client))
+        revision = self.whole("revision")
+        return await self.change(client, present.revision if revision is None else revision, None)
+
+
+class ClassShowCommand(FleetCommand):
+    """Show one class."""
+
+    name = "class show"
+    description = "Show a class as it is in force."
+    arguments = [NAME]
+    options = fleet_options()
+
+    async def work(self, client: HttpClient) -> int:
+        """Show the class."""
+        name = self.argument("name")
+        present = _require(name, await read_history(client, self.operator_url, name))
+        _show_rows(self, [present], one=True)
+        return EXIT_OK
+
+
+class ClassListCommand(FleetCommand):
+    """Show all classes."""
+
+    name = "class list"
+    description = "Show all classes in force."
+    options = fleet_options()
+
+    async def work(self, client: HttpClient) -> int:
+        """Show the classes."""
+        plain = await client.get(f"{self.operator_url}/classes")
+        _show_rows(self, msgspec.convert(plain, list[ClassRow]))
+        return EXIT_OK
+
+
+class ClassHistoryCommand(FleetCommand):
+    """Show the latest revisions of a class."""
+
+    name = "class history"
+    description = "Show the latest revisions of a class, oldest first."
+    arguments = [NAME]
+    options = fleet_options()
+
+    async def work(self, client: HttpClient) -> int:
+        """Show the revisions."""
+        name = self.argument("name")
+        history = await read_history(client, self.operator_url, name)
+        if not history:
+            raise _unknown(name)
+        _show_rows(self, history)
+        return EXIT_OK
+
+
+CLASS_COMMANDS = [
+    ClassCreateCommand,
+    ClassSetCommand,
+    ClassShowCommand,
+    ClassListCommand,
+    ClassHistoryCommand,
+    ClassRemoveCommand,
+]
+
+
+def _show_rows(command: FleetCommand, rows: list[ClassRow], *, one: bool = False) -> None:
+    if command.as_json:
+        command.show_json(rows[0] if one else rows)
+        return
+    command.show(format_table(HEADINGS, [_cells(row) for row in rows]))
+
+
+def _cells(row: ClassRow) -> list[object]:
+    changed = datetime.datetime.fromtimestamp(row.at_ms / 1000, datetime.UTC)
+    return [
+        row.name,
+        row.revision,
+        "removed" if row.target_ms is None else row.target_ms,
+        changed.strftime("%Y-%m-%d %H:%M:%SZ"),
+        row.operator or "-",
+        row.description,
+    ]
+
+
+def _require(name: str, history: list[ClassRow]) -> ClassRow:
+    if not history or history[-1].target_ms is None:
+        raise _unknown(name)
+    return history[-1]
+
+
+def _unknown(name: str) -> OperatorError:
+    hint = "List the classes with: currantbarrow class list"
+    return OperatorError(f"there is no class named {name}", code="class_unknown", hint=hint)
+
+
+def _login_name() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        # A container's user may have no name.
+        return ""
--- /dev/null
+++ b/src/currantbarrow/cli/command.py
@@ -0,0 +1,133 @@
+"""Be the base of all commands: options they share, output and errors."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import os
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+import uvloop
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+from cleo.io.outputs.output import Type
+
+from currantbarrow.cli.client import HttpClient
+from currantbarrow.cli.errors import describe_fault, exit_code_of, write_error
+from currantbarrow.exceptions import OperatorError
+from currantbarrow.settings import OperatorSettings, load_settings
+
+__all__ = ["FleetCommand", "LocalCommand", "fleet_options"]
+
+SETTINGS_VARIABLE = "CURRANTBARROW_SETTINGS"
+DEFAULT_SETTINGS = OperatorSettings("http://127.0.0.1:7101", "http://127.0.0.1:7102")
+FLEET_OPTIONS = [
+    option("json", None, "Print JSON instead of a table."),
+    option("settings", None, f"The operator's settings, or ${SETTINGS_VARIABLE}.", flag=False),
+    option("operator", None, "The operator URL of an entry process.", flag=False),
+    option("entry", None, "The callers' URL of an entry process.", flag=False),
+    option("timeout", None, "Seconds to wait for each answer.", flag=False, default="10"),
+]
+
+T = TypeVar("T")
+
+
+class LocalCommand(Command):
+    """Run a command, showing errors without a traceback."""
+
+    def handle(self) -> int:
+        """Run the command and return the exit code."""
+        try:
+            return self.carry_out()
+        except Exception as error:
+            fault = describe_fault(error)
+            write_error(self.io, fault)
+            return exit_code_of(fault)
+
+    def carry_out(self) -> int:
+        """Do what the command is for."""
+        raise NotImplementedError
+
+    def show(self, text: str) -> None:
+        """Print text as it is, without reading any of it as style."""
+        self.io.write_line(text, type=Type.RAW)
+
+    def show_json(self, plain: Any) -> None:
+        """Print JSON."""
+        self.show(msgspec.json.format(msgspec.json.encode(plain)).decode())
+
+    def tell(self, text: str) -> None:
+        """Print progress or a warning to stderr."""
+        self.io.write_error_line(text, type=Type.RAW)
+
+    def number(self, name: str, *, least: float = 0.0) -> float:
+        """Return an option as a number; raise OperatorError."""
+        given = str(self.option(name))
+        try:
+            value = float(given)
+        except ValueError:
+            value = math.nan
+        if not math.isfinite(value) or value < least:
+            message = f"--{name}: a number from {least:g} on, not {given}"
+            raise OperatorError(message, code="argument_invalid")
+        return value
+
+    def whole(self, name: str) -> int | None:
+        """Return an option as a whole number, None when it isn't given; raise OperatorError."""
+        given = self.option(name)
+        if given is None:
+            return None
+        if not str(given).isascii() or not str(given).isdigit():
+            message = f"--{name}: a whole number, not {given}"
+            raise OperatorError(message, code="argument_invalid")
+        return int(given)
+
+    @staticmethod
+    def run_loop(work: Coroutine[Any, Any, T]) -> T:
+        """Run work to its end on an event loop."""
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            return runner.run(work)
+
+
+class FleetCommand(LocalCommand):
+    """Run a command that talks to the processes of a fleet."""
+
+    def carry_out(self) -> int:
+        """Open a client and do the work."""
+        return self.run_loop(self._with_client())
+
+    async def work(self, client: HttpClient) -> int:
+        """Do what the command is for and return the exit code."""
+        raise NotImplementedError
+
+    @property
+    def as_json(self) -> bool:
+        """Tell whether JSON is wanted."""
+        return bool(self.option("json"))
+
+    @property
+    def entry_url(self) -> str:
+        """Return where callers reach an entry process."""
+        return str(self.option("entry") or self._settings().entry_url).rstrip("/")
+
+    @property
+    def operator_url(self) -> str:
+        """Return where operators reach an entry process."""
+        return str(self.option("operator") or self._settings().operator_url).rstrip("/")
+
+    async def _with_client(self) -> int:
+        async with HttpClient(self.number("timeout", least=0.001)) as client:
+            return await self.work(client)
+
+    def _settings(self) -> OperatorSettings:
+        path = self.option("settings") or os.environ.get(SETTINGS_VARIABLE)
+        return load_settings(Path(path), OperatorSettings) if path else DEFAULT_SETTINGS
+
+
+def fleet_options(*more: Option) -> list[Option]:
+    """Return a command's own options together with those of all fleet commands."""
+    return [*more, *FLEET_OPTIONS]
--- a/src/currantbarrow/cli/demo.py
+++ b/src/currantbarrow/cli/demo.py
@@ -2,34 +2,40 @@
 
 from __future__ import annotations
 
-import asyncio
 from pathlib import Path
 
-import uvloop
-from cleo.commands.command import Command
 from cleo.helpers import option
 
+from currantbarrow.cli.command import LocalCommand
+from currantbarrow.cli.errors import EXIT_FAILED, EXIT_OK
 from currantbarrow.load.demo import DemoPlan, run_demo
 
 __all__ = ["DemoCommand"]
 
 
-class DemoCommand(Command):
+class DemoCommand(LocalCommand):
     """Run entries, sides, the log and workers in one process, with load."""
 
     name = "demo"
     description = "Run both users' workloads over loopback sockets in one process."
     options = [
-        option("output", None, "Folder for the report and the time line.", flag=False),
+        option("output", None, "Where to write.", flag=False, default="build/demo"),
+        option("examples", None, "The ready sets of settings.", flag=False, default="examples"),
         option("seconds", None, "How long load comes, for each user.", flag=False, default="15"),
+        option("json", None, "Print JSON instead of tables."),
     ]
 
-    def handle(self) -> int:
+    def carry_out(self) -> int:
         """Run the demo and print its report."""
-        output = Path(self.option("output") or "build/demo")
-        plan = DemoPlan(load_s=float(self.option("seconds")))
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            report = runner.run(run_demo(plan, output))
-        self.line(report.as_table())
-        self.line(f"report and time line: {output}")
-        return 0 if report.promises_held() else 1
+        output = Path(self.option("output"))
+        output.mkdir(parents=True, exist_ok=True)
+        plan = DemoPlan(
+            Path(self.option("examples")), output, load_s=self.number("seconds", least=0.5)
+        )
+        report = self.run_loop(run_demo(plan, self.tell))
+        if self.option("json"):
+            self.show_json([each.as_plain() for each in report.reports])
+        else:
+            self.show(report.as_table())
+        self.tell(f"reports, plot and time lines: {output}")
+        return EXIT_OK if report.promises_held() else EXIT_FAILED
--- /dev/null
+++ b/src/currantbarrow/cli/load.py
@@ -0,0 +1,114 @@
+"""Put load on a running fleet."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+from cleo.helpers import option
+
+from currantbarrow.cli.client import HttpClient
+from currantbarrow.cli.command import FleetCommand, fleet_options
+from currantbarrow.cli.errors import EXIT_FAILED, EXIT_OK
+from currantbarrow.cli.fleet import ClassRow, MemberRow, ask_all, list_members
+from currantbarrow.exceptions import OperatorError
+from currantbarrow.load.plot import plot_ratios
+from currantbarrow.load.report import LoadReport
+from currantbarrow.load.runner import run_load
+from currantbarrow.load.traffic import Traffic, count_traffic
+from currantbarrow.load.workload import WORKLOADS, PlannedJob, Workload, plan_jobs
+
+__all__ = ["LoadCommand"]
+
+PROGRESS_EVERY_JOBS = 200
+
+
+class LoadCommand(FleetCommand):
+    """Send a user's workload to a fleet in an open loop, and report on it."""
+
+    name = "load"
+    description = "Put a workload on a running fleet and report response over ideal."
+    options = fleet_options(
+        option("workload", None, f"One of {', '.join(WORKLOADS)}.", flag=False, default="vaja"),
+        option("seconds", None, "How long load comes.", flag=False, default="10"),
+        option("busy", None, "The share of all slots to keep busy.", flag=False, default="0.6"),
+        option("seed", None, "What the jobs follow from.", flag=False, default="7"),
+        option("also", None, "Another callers' URL; may be repeated.", flag=False, multiple=True),
+        option("output", None, "Write the report and a plot here.", flag=False),
+    )
+
+    async def work(self, client: HttpClient) -> int:
+        """Run the load."""
+        workload = self._workload()
+        rows = await list_members(client, self.operator_url)
+        slots = sum(row.slots for row in rows)
+        await self._check_fleet(client, workload, slots)
+        seed = self.whole("seed") or 0
+        report = LoadReport(workload.name, slots)
+        jobs = plan_jobs(
+            workload,
+            load_s=self.number("seconds", least=0.1),
+            busy_slots=slots * self.number("busy", least=0.001),
+            seed=seed,
+        )
+        before = await self._traffic(client, rows)
+        await run_load(jobs, [self.entry_url, *self.option("also")], report, seed, self._progress())
+        report.traffic = (await self._traffic(client, rows)).since(before)
+        self._show_report(report)
+        return EXIT_OK if report.promises_held() else EXIT_FAILED
+
+    def _workload(self) -> Workload:
+        name = self.option("workload")
+        if name not in WORKLOADS:
+            message = f"--workload: one of {', '.join(WORKLOADS)}, not {name}"
+            raise OperatorError(message, code="argument_invalid")
+        return WORKLOADS[name]
+
+    async def _check_fleet(self, client: HttpClient, workload: Workload, slots: int) -> None:
+        if not slots:
+            raise OperatorError(
+                "no worker has announced itself",
+                code="no_workers",
+                hint="See: currantbarrow members",
+            )
+        plain = await client.get(f"{self.operator_url}/classes")
+        known = {row.name for row in msgspec.convert(plain, list[ClassRow])}
+        missing = [kind.name for kind in workload.classes if kind.name not in known]
+        if missing:
+            raise OperatorError(
+                f"there is no class named {', '.join(missing)}",
+                code="class_unknown",
+                hint=f"Create them with: examples/{workload.name}/classes.sh",
+            )
+
+    async def _traffic(self, client: HttpClient, rows: list[MemberRow]) -> Traffic:
+        replies = await ask_all(client, [row.member for row in rows], "/status")
+        return count_traffic(reply.body["counters"] for reply in replies if reply.body)
+
+    def _progress(self) -> _Progress:
+        return _Progress(self)
+
+    def _show_report(self, report: LoadReport) -> None:
+        if self.option("output"):
+            folder = Path(self.option("output"))
+            report.write(folder)
+            plot_ratios({report.title: report.curves()}, folder / f"{report.title}-ratios.svg")
+        if self.as_json:
+            self.show_json(report.as_plain())
+        else:
+            self.show(report.as_table())
+            self.tell("double starts can't be seen from outside; the demo and the tests count them")
+
+
+class _Progress:
+    """Tell now and then how many jobs were sent."""
+
+    def __init__(self, command: LoadCommand) -> None:
+        self._command = command
+        self._sent = 0
+
+    def __call__(self, job: PlannedJob) -> None:
+        """Take in one job that was sent."""
+        self._sent += 1
+        if self._sent % PROGRESS_EVERY_JOBS == 0:
+            self._command.tell(f"{self._sent} jobs sent, {job.at_s:.1f} s in")
--- a/src/currantbarrow/cli/main.py
+++ b/src/currantbarrow/cli/main.py
@@ -5,17 +5,48 @@
 import sys
 
 from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.io import IO
 
 from currantbarrow import __version__
+from currantbarrow.cli.classes import CLASS_COMMANDS
 from currantbarrow.cli.demo import DemoCommand
+from currantbarrow.cli.errors import describe_fault, exit_code_of, write_error
+from currantbarrow.cli.jobs import JOB_COMMANDS
+from currantbarrow.cli.load import LoadCommand
+from currantbarrow.cli.members import MembersCommand, StatusCommand
+from currantbarrow.cli.settings import SettingsCheckCommand
+from currantbarrow.cli.timeline import TimelineCommand
 
 __all__ = ["create_application", "main"]
 
+OTHER_COMMANDS = [
+    MembersCommand,
+    StatusCommand,
+    TimelineCommand,
+    SettingsCheckCommand,
+    DemoCommand,
+    LoadCommand,
+]
+
+
+class OperatorApplication(Application):
+    """Show mistakes in arguments as all other errors are shown."""
+
+    def _run(self, io: IO) -> int:
+        try:
+            return super()._run(io)
+        except CleoError as error:
+            fault = describe_fault(error)
+            write_error(io, fault)
+            return exit_code_of(fault)
+
 
 def create_application() -> Application:
     """Return the application with all commands."""
-    application = Application("currantbarrow", __version__)
-    application.add(DemoCommand())
+    application = OperatorApplication("currantbarrow", __version__)
+    for command in [*CLASS_COMMANDS, *JOB_COMMANDS, *OTHER_COMMANDS]:
+        application.add(command())
     return application
 
 
--- /dev/null
+++ b/src/currantbarrow/cli/members.py
@@ -0,0 +1,128 @@
+"""Show members and what each of them is doing."""
+
+from __future__ import annotations
+
+import fnmatch
+from typing import Any
+
+from cleo.helpers import option
+
+from currantbarrow.cli.client import HttpClient
+from currantbarrow.cli.command import FleetCommand, fleet_options
+from currantbarrow.cli.errors import EXIT_FAILED, EXIT_OK
+from currantbarrow.cli.fleet import MemberReply, MemberRow, ask_all, list_members
+from currantbarrow.cli.tables import format_table
+
+__all__ = ["MembersCommand", "StatusCommand"]
+
+MEMBER_HEADINGS = [
+    "role",
+    "name",
+    "data centre",
+    "rack",
+    "link address",
+    "up",
+    "state",
+    "shards",
+    "panel",
+    "slots",
+    "used",
+]
+STATUS_HEADINGS = ["role", "name", "state", "lease", "version", "classes at", "slots", "running"]
+
+
+class MembersCommand(FleetCommand):
+    """Show all members as one entry process sees them."""
+
+    name = "members"
+    description = "Show all processes of the fleet."
+    options = fleet_options()
+
+    async def work(self, client: HttpClient) -> int:
+        """Show the members."""
+        rows = await list_members(client, self.operator_url)
+        if self.as_json:
+            self.show_json(rows)
+        else:
+            self.show(format_table(MEMBER_HEADINGS, [_member_cells(row) for row in rows]))
+        return EXIT_OK
+
+
+class StatusCommand(FleetCommand):
+    """Show the state and the counters of all members."""
+
+    name = "status"
+    description = "Ask every process for its state; exit code 1 when one doesn't answer."
+    options = fleet_options(
+        option("counters", None, "Show counters too whose names match, e.g. 'entry.*'.", flag=False)
+    )
+
+    async def work(self, client: HttpClient) -> int:
+        """Show the states."""
+        rows = await list_members(client, self.operator_url)
+        replies = await ask_all(client, [row.member for row in rows], "/status")
+        if self.as_json:
+            self.show_json(replies)
+        else:
+            self._show_tables(replies)
+        return EXIT_FAILED if any(reply.error for reply in replies) else EXIT_OK
+
+    def _show_tables(self, replies: list[MemberReply]) -> None:
+        self.show(format_table(STATUS_HEADINGS, [_status_cells(reply) for reply in replies]))
+        pattern = self.option("counters")
+        if pattern:
+            rows = [
+                [reply.member.name, name, count]
+                for reply in replies
+                for name, count in sorted((reply.body or {}).get("counters", {}).items())
+                if fnmatch.fnmatchcase(name, pattern)
+            ]
+            self.show("")
+            self.show(format_table(["process", "counter", "count"], rows))
+        for reply in replies:
+            if reply.error:
+                self.tell(f"warning: {reply.member.name}: {reply.error}")
+
+
+def _member_cells(row: MemberRow) -> list[object]:
+    member = row.member
+    return [
+        member.role,
+        member.name,
+        member.data_centre,
+        member.rack,
+        member.address,
+        row.up,
+        "draining" if member.draining else "member",
+        row.shards,
+        row.on_panel,
+        row.slots,
+        row.used_slots,
+    ]
+
+
+def _status_cells(reply: MemberReply) -> list[object]:
+    body: dict[str, Any] = reply.body or {}
+    load: dict[str, Any] | list[Any] = body.get("load") or {}
+    slots, running = (load[1], load[2]) if isinstance(load, list) else (None, None)
+    return [
+        reply.member.role,
+        reply.member.name,
+        _state(reply),
+        body.get("lease_held"),
+        body.get("version"),
+        body.get("class_offset"),
+        slots,
+        running,
+    ]
+
+
+def _state(reply: MemberReply) -> str:
+    if reply.error:
+        return "no answer"
+    body = reply.body
+    if body.get("draining"):
+        return "draining"
+    if "load" in body:
+        return "leaving" if body["load"][4] else "ok"
+    return "ready" if body.get("ready") else "not ready"
--- /dev/null
+++ b/src/currantbarrow/cli/tables.py
@@ -0,0 +1,43 @@
+"""Lay out tables for people."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+__all__ = ["format_table"]
+
+GAP = "  "
+
+
+def format_table(headings: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    """Return lines with aligned columns; numbers stand to the right."""
+    cells = [[_show(cell) for cell in row] for row in rows]
+    widths = [
+        max(len(heading), *(len(row[column]) for row in cells)) if cells else len(heading)
+        for column, heading in enumerate(headings)
+    ]
+    right = [
+        bool(rows) and all(isinstance(row[column], int | float) for row in rows)
+        for column in range(len(headings))
+    ]
+    lines = [_line(list(headings), widths, right)]
+    lines += [_line(row, widths, right) for row in cells]
+    return "\n".join(lines)
+
+
+def _show(cell: object) -> str:
+    if cell is None:
+        return "-"
+    if isinstance(cell, bool):
+        return "yes" if cell else "no"
+    if isinstance(cell, float):
+        return f"{cell:g}"
+    return " ".join(str(cell).split())
+
+
+def _line(cells: list[str], widths: list[int], right: list[bool]) -> str:
+    shown = [
+        cell.rjust(width) if to_right else cell.ljust(width)
+        for cell, width, to_right in zip(cells, widths, right, strict=True)
+    ]
+    return GAP.join(shown).rstrip()
--- a/src/currantbarrow/entry/main.py
+++ b/src/currantbarrow/entry/main.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import random
+import socket
 import sys
 
-from currantbarrow.entry.api import HttpServer, create_api, serve_app
+from currantbarrow.entry.api import create_api
+from currantbarrow.entry.http_server import HttpServer, serve_app
 from currantbarrow.entry.node import EntryNode, EntryOptions
 from currantbarrow.entry.operator_api import create_operator_api
+from currantbarrow.listening import bind_address, bound_address
 from currantbarrow.logservice.client import HttpLogService, create_log_service
 from currantbarrow.observe import (
     EventRing,
@@ -16,6 +19,7 @@
     MetricsBook,
     create_clock,
     flush_to_statsd,
+    logger,
 )
 from currantbarrow.policy import create_policies
 from currantbarrow.protocol.websocket import create_network
@@ -24,31 +28,48 @@
 
 __all__ = ["EntryDaemon", "main", "start_entry"]
 
+GOODBYE_MS = 10_000.0
+
 
 class EntryDaemon:
     """Hold a running entry node and its HTTP servers."""
 
-    __slots__ = ("_log", "_tasks", "book", "node", "servers")
+    __slots__ = ("_listeners", "_log", "_servers", "_tasks", "book", "node")
 
-    def __init__(self, node: EntryNode, book: MetricsBook, log: HttpLogService) -> None:
+    def __init__(
+        self,
+        node: EntryNode,
+        book: MetricsBook,
+        log: HttpLogService,
+        listeners: tuple[socket.socket, socket.socket],
+    ) -> None:
         self.node = node
         self._log = log
+        self._listeners = listeners
         self.book = book
-        self.servers: list[HttpServer] = []
+        self._servers: list[HttpServer] = []
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def callers_address(self) -> str:
+        """Return the address that callers reach, with its real port."""
+        return bound_address(self._listeners[0])
+
+    @property
+    def operator_address(self) -> str:
+        """Return the address that operators reach, with its real port."""
+        return bound_address(self._listeners[1])
+
     async def start(self, settings: EntrySettings) -> None:
         """Start the node, then the servers of callers and operators."""
         await self.node.start()
-        app_name = settings.name.replace(".", "_")
+        app_name = self.node.options.incarnation.replace(".", "_")
         callers = create_api(
             self.node, settings.max_tasks, settings.max_body_bytes, f"callers-{app_name}"
         )
         operators = create_operator_api(self.node, self.book, f"operators-{app_name}")
-        self.servers = [
-            await serve_app(callers, settings.callers_address),
-            await serve_app(operators, settings.operator_address),
-        ]
+        for app, listener in zip((callers, operators), self._listeners, strict=True):
+            self._servers.append(await serve_app(app, listener))
         if settings.statsd_address:
             flush = flush_to_statsd(
                 self.book, settings.statsd_address, settings.name, create_clock()
@@ -68,13 +89,19 @@
     async def _stop_servers(self) -> None:
         for task in self._tasks:
             task.cancel()
-        for server in self.servers:
+        for server in self._servers:
             await server.stop()
+        for listener in self._listeners:
+            listener.close()
         await self._log.close()
 
 
 def start_entry(settings: EntrySettings, token: str) -> EntryDaemon:
-    """Return an entry daemon that is not started yet."""
+    """Return an entry daemon that is not started yet; raise AddressUnavailable."""
+    listeners = (
+        bind_address(settings.callers_address, "callers_address"),
+        bind_address(settings.operator_address, "operator_address"),
+    )
     clock = create_clock()
     book = MetricsBook()
     hybrid = HybridClock(clock)
@@ -86,7 +113,7 @@
         settings.data_centre,
         settings.rack,
         token,
-        settings.operator_address,
+        bound_address(listeners[1]),
         settings.lease_ms,
         settings.permission_ms,
         settings.skew_ms,
@@ -104,15 +131,21 @@
         events=EventRing(settings.name, hybrid),
         policies=create_policies(rng, settings.data_centre),
     )
-    return EntryDaemon(node, book, log)
+    return EntryDaemon(node, book, log, listeners)
 
 
 async def _serve(settings: EntrySettings) -> None:
     daemon = start_entry(settings, read_token(settings.token_file))
     stop = StopSignal()
     await daemon.start(settings)
+    logger.info(
+        "listening",
+        extra={"callers": daemon.callers_address, "operators": daemon.operator_address},
+    )
     await stop.drain.wait()
-    await stop.drain_unless_ended(daemon.drain())
+    # The node keeps its own bound; answers and goodbyes need a little more.
+    limit_ms = settings.drain_ms + GOODBYE_MS
+    await stop.drain_unless_ended(daemon.drain(), limit_ms)
 
 
 def main() -> None:
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -110,6 +110,7 @@
         self._links: dict[str, Link] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._background: set[asyncio.Task[None]] = set()
+        self._submissions: set[asyncio.Task[JobAnswer]] = set()
         self._handovers = 0
         self._waiting = 0
         self._hello = Hello(
@@ -239,7 +240,7 @@
 
     async def kill(self) -> None:
         """End at once, as a crash does."""
-        for task in [*self._tasks, *self._background]:
+        for task in [*self._tasks, *self._background, *self._submissions]:
             task.cancel()
         self.ownership.stop()
         self.dispatcher.stop()
@@ -255,14 +256,18 @@
         finally:
             self._waiting -= 1
 
-    def submit_in_background(self, request: JobRequest) -> None:
-        """Let a job in whose caller comes back for the answer."""
-        self._spawn(self._submit_and_forget(request))
-
-    async def _submit_and_forget(self, request: JobRequest) -> None:
-        try:
-            await self.submit(request)
-        except CurrantbarrowError as error:
+    def submit_in_background(self, request: JobRequest) -> asyncio.Task[JobAnswer]:
+        """Let a job in whose caller comes back for the answer; raise JobInvalid."""
+        self.router.check(request)
+        task = asyncio.create_task(self.submit(request))
+        self._submissions.add(task)
+        task.add_done_callback(self._submission_ended)
+        return task
+
+    def _submission_ended(self, task: asyncio.Task[JobAnswer]) -> None:
+        self._submissions.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, CurrantbarrowError):
             self.metrics.incr(f"entry.background_job_failed.{error.code}")
 
     async def change_class(
--- a/src/currantbarrow/entry/operator_api.py
+++ b/src/currantbarrow/entry/operator_api.py
@@ -6,19 +6,23 @@
 
 import msgspec
 from sanic import Request, Sanic
+from sanic.exceptions import SanicException
 from sanic.response import HTTPResponse
 
 from currantbarrow.classes import ClassRevision
+from currantbarrow.entry.http_server import create_app, json_response
 from currantbarrow.entry.node import EntryNode
 from currantbarrow.exceptions import ClassConflict, ConfigurationError, CurrantbarrowError
 from currantbarrow.logservice import ClassDefinition
-from currantbarrow.observe import MetricsBook
+from currantbarrow.observe import MetricsBook, logger, read_since_ms
 
 __all__ = ["create_operator_api"]
 
+MAX_BODY_BYTES = 100_000
+
 
 class ClassBody(msgspec.Struct):
-    """Show a class in force."""
+    """Show a revision of a class."""
 
     name: str
     revision: int
@@ -45,60 +49,81 @@
     hint: str = ""
 
 
+class StatusBody(msgspec.Struct):
+    """Show what an entry process is doing."""
+
+    name: str
+    incarnation: str
+    ready: bool
+    draining: bool
+    lease_held: bool
+    version: int
+    class_offset: int
+    cluster_offset: int
+    counters: dict[str, int]
+    gauges: dict[str, float]
+
+
 def create_operator_api(node: EntryNode, book: MetricsBook, name: str) -> Sanic[Any, Any]:
     """Return the application that operators reach."""
-    app: Sanic[Any, Any] = Sanic(name, configure_logging=False)
+    app = create_app(name, MAX_BODY_BYTES)
+    _route_classes(app, node)
+
+    @app.get("/members")
+    async def list_members(request: Request) -> HTTPResponse:
+        return json_response(node.describe_members())
+
+    @app.get("/status")
+    async def status(request: Request) -> HTTPResponse:
+        return json_response(_describe_status(node, book))
+
+    @app.get("/events")
+    async def events(request: Request) -> HTTPResponse:
+        since_ms = read_since_ms(request.args.get("since_ms"))
+        return json_response(
+            node.events.select(job=request.args.get("job") or "", since_ms=since_ms)
+        )
 
+    _handle_errors(app)
+    return app
+
+
+def _route_classes(app: Sanic[Any, Any], node: EntryNode) -> None:
     @app.get("/classes")
     async def list_classes(request: Request) -> HTTPResponse:
         found = [(name, node.classes.find(name)) for name in node.classes.names()]
-        return _json([_describe(name, revision) for name, revision in found if revision])
+        return json_response([_describe(name, revision) for name, revision in found if revision])
 
-    @app.get("/classes/<name:str>")
+    @app.get("/classes/<name:str>", unquote=True)
     async def show_history(request: Request, name: str) -> HTTPResponse:
-        return _json([_describe(name, revision) for revision in node.classes.history(name)])
+        return json_response([_describe(name, revision) for revision in node.classes.history(name)])
 
     @app.post("/classes")
     async def change_class(request: Request) -> HTTPResponse:
         body = msgspec.json.decode(request.body, type=ClassChangeBody)
         revision = await node.change_class(body.name, body.based_on, body.definition, body.operator)
-        return _json({"name": body.name, "revision": revision})
+        return json_response({"name": body.name, "revision": revision})
 
-    @app.get("/members")
-    async def list_members(request: Request) -> HTTPResponse:
-        return _json(node.describe_members())
-
-    @app.get("/status")
-    async def status(request: Request) -> HTTPResponse:
-        return _json(
-            {
-                "name": node.options.name,
-                "incarnation": node.options.incarnation,
-                "ready": node.is_ready(),
-                "lease_held": node.lease.held(),
-                "version": node.ownership.version,
-                "class_offset": node.classes.offset,
-                "counters": dict(book.counters),
-                "gauges": book.gauges,
-            }
-        )
-
-    @app.get("/events")
-    async def events(request: Request) -> HTTPResponse:
-        since_ms = int(request.args.get("since_ms") or 0)
-        return _json(node.events.select(job=request.args.get("job") or "", since_ms=since_ms))
 
+def _handle_errors(app: Sanic[Any, Any]) -> None:
     @app.exception(CurrantbarrowError)
     async def handle(request: Request, error: CurrantbarrowError) -> HTTPResponse:
         status = 409 if isinstance(error, ClassConflict) else 503
         status = 422 if type(error) is ConfigurationError else status
-        return _json(ErrorBody(error.code, str(error), error.hint), status)
+        return json_response(ErrorBody(error.code, str(error), error.hint), status)
 
-    @app.exception(msgspec.MsgspecError, ValueError)
+    @app.exception(msgspec.MsgspecError, ValueError, RecursionError)
     async def handle_body(request: Request, error: Exception) -> HTTPResponse:
-        return _json(ErrorBody("request_invalid", str(error)), 422)
+        return json_response(ErrorBody("request_invalid", str(error)), 422)
 
-    return app
+    @app.exception(SanicException)
+    async def handle_http(request: Request, error: SanicException) -> HTTPResponse:
+        return json_response(ErrorBody("http_error", str(error)), error.status_code)
+
+    @app.exception(Exception)
+    async def handle_fault(request: Request, error: Exception) -> HTTPResponse:
+        logger.error("operator request failed inside", exc_info=error, extra={"path": request.path})
+        return json_response(ErrorBody("internal", "see the process's log lines"), 500)
 
 
 def _describe(name: str, revision: ClassRevision) -> ClassBody:
@@ -113,5 +138,16 @@
     )
 
 
-def _json(body: Any, status: int = 200) -> HTTPResponse:
-    return HTTPResponse(msgspec.json.encode(body), status, {}, "application/json")
+def _describe_status(node: EntryNode, book: MetricsBook) -> StatusBody:
+    return StatusBody(
+        node.options.name,
+        node.options.incarnation,
+        node.is_ready(),
+        node.draining,
+        node.lease.held(),
+        node.ownership.version,
+        node.classes.offset,
+        node.cluster.offset,
+        dict(book.counters),
+        book.gauges,
+    )
--- a/src/currantbarrow/entry/router.py
+++ b/src/currantbarrow/entry/router.py
@@ -62,7 +62,7 @@
 
     async def submit(self, request: JobRequest, hops: int = 0) -> JobAnswer:
         """Return the answer to a job; raise JobInvalid, JobConflict or OwnershipError."""
-        self._check(request)
+        self.check(request)
         job_id = make_job_id(request)
         shard = shard_of(job_id)
         deadline_ms = self._clock.monotonic_ms() + OWNER_WAIT_MS
@@ -108,7 +108,8 @@
             raise JobUnknown("no job is known for the key")
         return job.answer
 
-    def _check(self, request: JobRequest) -> None:
+    def check(self, request: JobRequest) -> None:
+        """Raise JobInvalid for a job that can't be let in, whoever owns it."""
         now_ms = self._clock.wall_ms()
         if request.created_at_ms > now_ms + self._options.skew_ms:
             raise JobInvalid("the key's creation time is in the future", field="created_at_ms")
--- a/src/currantbarrow/entry/submission.py
+++ b/src/currantbarrow/entry/submission.py
@@ -2,58 +2,70 @@
 
 from __future__ import annotations
 
+import re
 import uuid
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
-from currantbarrow.exceptions import JobInvalid
+from currantbarrow.exceptions import JobInvalid, ValueTooComplex
 from currantbarrow.jobs import JobRequest, TaskRequest
+from currantbarrow.protocol.values import check_value
 
-__all__ = ["creation_time_ms", "read_submission"]
+__all__ = ["creation_time_ms", "read_name", "read_submission"]
 
 UUID7_VERSION = 7
 UUID7_TIME_SHIFT = 80
-MAX_KEY_CHARS = 200
+# Names take part in the identity of a job, so control characters have no place in them.
+NAME_PATTERN = r"^[^\x00-\x1f\x7f]{1,200}$"
+MAX_TIME_MS = 2**53
+MAX_RUN_MS = 86_400_000.0
+MAX_SLOTS = 100_000
+# What msgspec says of a field that is too much or too little, with the field's name.
+_FIELD_MISTAKE = re.compile(r"(?:unknown|missing required) field `([^`]*)`")
+
+_Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
+_TimeMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+_RunMs = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RUN_MS)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class _Task(msgspec.Struct, forbid_unknown_fields=True):
     payload: Any = None
-    declared_ms: float = 0.0
-    size_slots: int = 1
+    declared_ms: _RunMs = 0.0
+    size_slots: _Slots = 1
     idempotent: bool = False
 
 
 class _Submission(msgspec.Struct, forbid_unknown_fields=True):
-    key: str
-    customer: str
-    job_class: str = msgspec.field(name="class")
+    key: _Name
+    customer: _Name
+    job_class: _Name = msgspec.field(name="class")
     tasks: list[_Task]
-    created_at_ms: int | None = None
+    created_at_ms: _TimeMs | None = None
     wait: bool = True
 
 
 def read_submission(body: bytes, max_tasks: int) -> tuple[JobRequest, bool]:
     """Return a job and whether its caller waits for the answer; raise JobInvalid."""
-    try:
-        submission = msgspec.json.decode(body, type=_Submission)
-    except msgspec.ValidationError as error:
-        message, _, path = str(error).partition(" - at `$")
-        raise JobInvalid(message, field=path.strip("`.")) from error
-    except msgspec.DecodeError as error:
-        raise JobInvalid(f"the body is not JSON: {error}", code="json_invalid") from error
-    _check(submission, max_tasks)
-    tasks = [
-        TaskRequest(task.payload, task.declared_ms, task.size_slots, task.idempotent)
-        for task in submission.tasks
-    ]
+    submission = _decode(body)
+    if not 0 < len(submission.tasks) <= max_tasks:
+        raise JobInvalid(f"a job has 1 to {max_tasks} tasks", field="tasks", code="task_count")
     created_at_ms = creation_time_ms(submission.key, submission.created_at_ms)
+    tasks = [_read_task(index, task) for index, task in enumerate(submission.tasks)]
     request = JobRequest(
         submission.key, created_at_ms, submission.customer, submission.job_class, tasks
     )
     return request, submission.wait
 
 
+def read_name(text: str | None, field: str) -> str:
+    """Return a name given outside a body; raise JobInvalid."""
+    if not text or not re.fullmatch(NAME_PATTERN, text):
+        raise JobInvalid("a name has 1 to 200 characters, none a control character", field=field)
+    return text
+
+
 def creation_time_ms(key: str, created_at_ms: int | None) -> int:
     """Return a key's creation time, its own or the one given beside it; raise JobInvalid."""
     if created_at_ms is not None:
@@ -68,15 +80,29 @@
     return parsed.int >> UUID7_TIME_SHIFT
 
 
-def _check(submission: _Submission, max_tasks: int) -> None:
-    if not 0 < len(submission.key) <= MAX_KEY_CHARS:
-        raise JobInvalid(f"a key has 1 to {MAX_KEY_CHARS} characters", field="key")
-    if not submission.customer:
-        raise JobInvalid("the customer is missing", field="customer")
-    if not 0 < len(submission.tasks) <= max_tasks:
-        raise JobInvalid(f"a job has 1 to {max_tasks} tasks", field="tasks")
-    for index, task in enumerate(submission.tasks):
-        if task.size_slots < 1:
-            raise JobInvalid("a task needs at least 1 slot", field=f"tasks[{index}].size_slots")
-        if task.declared_ms < 0:
-            raise JobInvalid("a run time is not negative", field=f"tasks[{index}].declared_ms")
+def _decode(body: bytes) -> _Submission:
+    try:
+        return msgspec.json.decode(body, type=_Submission)
+    except msgspec.ValidationError as error:
+        message, _, path = str(error).partition(" - at `$")
+        raise JobInvalid(message, field=_field_of(message, path)) from error
+    except msgspec.DecodeError as error:
+        raise JobInvalid(f"the body is not JSON: {error}", code="json_invalid") from error
+    except RecursionError as error:
+        raise JobInvalid("the body is nested too deep", code="json_invalid") from error
+
+
+def _field_of(message: str, path: str) -> str:
+    place = path.strip("`.")
+    mistake = _FIELD_MISTAKE.search(message)
+    if mistake is None:
+        return place
+    return f"{place}.{mistake[1]}" if place else mistake[1]
+
+
+def _read_task(index: int, task: _Task) -> TaskRequest:
+    try:
+        check_value(task.payload, f"tasks[{index}].payload")
+    except ValueTooComplex as error:
+        raise JobInvalid(str(error), field=error.path, code=error.code) from error
+    return TaskRequest(task.payload, task.declared_ms, task.size_slots, task.idempotent)
--- a/src/currantbarrow/exceptions.py
+++ b/src/currantbarrow/exceptions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 __all__ = [
+    "AddressUnavailable",
     "AppendUnknown",
     "BadFrame",
     "ClassConflict",
@@ -18,6 +19,7 @@
     "LinkTimeout",
     "LogServiceError",
     "LogUnavailable",
+    "OperatorError",
     "OwnershipError",
     "ProtocolMismatch",
     "RecordsExpired",
@@ -25,6 +27,8 @@
     "SettingsError",
     "UpstreamError",
     "UpstreamLost",
+    "ValueTooComplex",
+    "WaitEnded",
 ]
 
 
@@ -47,6 +51,40 @@
     hint = "Run the program with --check to see every mistake with its path."
 
 
+class AddressUnavailable(CurrantbarrowError):
+    """Report an address from the settings that this process can't listen on."""
+
+    code = "address_unavailable"
+    hint = "Another process listens there, or this host has no such address; see the settings."
+
+
+class ValueTooComplex(CurrantbarrowError):
+    """Report a value that can't travel between processes, with its path."""
+
+    code = "value_too_complex"
+
+    def __init__(self, message: str, path: str) -> None:
+        super().__init__(message)
+        self.path = path
+
+
+class OperatorError(CurrantbarrowError):
+    """Report a command that could not be carried out, with the code of the cause."""
+
+    code = "command_failed"
+
+    def __init__(self, message: str, *, code: str, hint: str = "") -> None:
+        super().__init__(message, hint=hint)
+        self.code = code
+
+
+class WaitEnded(CurrantbarrowError):
+    """Report that what a command waited for did not come about in time."""
+
+    code = "wait_ended"
+    hint = "The change is accepted; members that are cut off take it when they are back."
+
+
 class LogServiceError(CurrantbarrowError):
     """Report a failure of the platform's log service."""
 
--- a/src/currantbarrow/load/demo.py
+++ b/src/currantbarrow/load/demo.py
@@ -1,50 +1,33 @@
-"""Run both users' fleets in one process over loopback sockets, with load."""
+"""Run both users' workloads through whole fleets on loopback, and write the reports."""
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
-import tempfile
-from collections.abc import AsyncIterator
+import time
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import msgspec
-from aiohttp import web
 
-from currantbarrow.entry.main import EntryDaemon, start_entry
+from currantbarrow.entry.submission import creation_time_ms
+from currantbarrow.jobs import JobRequest, make_job_id
+from currantbarrow.load.loopback import LoopbackFleet, start_loopback_fleet
+from currantbarrow.load.plot import plot_ratios
 from currantbarrow.load.report import LoadReport
 from currantbarrow.load.runner import run_load
-from currantbarrow.load.workload import WORKLOADS, Workload, plan_jobs
-from currantbarrow.logservice import ClassDefinition
-from currantbarrow.settings import (
-    EntrySettings,
-    LogStandinSettings,
-    SideSettings,
-    WorkerStandinSettings,
-)
-from currantbarrow.side.main import SideDaemon, start_side
-from currantbarrow.standins.log_main import create_log_app, create_log_standin
-from currantbarrow.standins.upstream import StartBook
-from currantbarrow.standins.worker_main import WorkerStandin
+from currantbarrow.load.settings_set import load_set
+from currantbarrow.load.workload import WORKLOADS, PlannedJob, Workload, plan_jobs
+from currantbarrow.timeline import merge_events, render_picture
 
 __all__ = ["DemoPlan", "DemoReport", "run_demo"]
 
-TOKEN = "demo"
-READY_LOOK_S = 0.05
-READY_LIMIT_S = 20.0
-BASE_PORTS = {"vaja": 21000, "sorachi": 22000}
-DATA_CENTRES = {
-    "vaja": ("moste", "siska", "vic"),
-    "sorachi": ("asahikawa", "nayoro", "wakkanai"),
-}
+PICTURE_MS = 2000
 
 
 class DemoPlan(msgspec.Struct, frozen=True):
     """Say how large the demo is."""
 
-    entries: int = 3
-    workers: int = 11
-    slots: int = 8
+    settings_folder: Path
+    output: Path
     load_s: float = 15.0
     busy_share: float = 0.6
     seed: int = 7
@@ -65,144 +48,51 @@
         return all(report.promises_held() for report in self.reports)
 
 
-async def run_demo(plan: DemoPlan, output: Path) -> DemoReport:
-    """Run one user after the other and write their reports."""
+async def run_demo(plan: DemoPlan, on_step: Callable[[str], None]) -> DemoReport:
+    """Run one user after the other, write their reports and pictures."""
     reports = []
     for workload in WORKLOADS.values():
-        reports.append(await _run_workload(workload, plan, output))
+        reports.append(await _run_workload(workload, plan, on_step))
+    plot_ratios({report.title: report.curves() for report in reports}, plan.output / "ratios.svg")
     return DemoReport(reports)
 
 
-async def _run_workload(workload: Workload, plan: DemoPlan, output: Path) -> LoadReport:
-    report = LoadReport(workload.name)
-    book = StartBook()
-    async with _start_fleet(workload.name, plan, book) as (entries, sides):
-        await _wait_ready(entries, plan)
+async def _run_workload(
+    workload: Workload, plan: DemoPlan, on_step: Callable[[str], None]
+) -> LoadReport:
+    settings = load_set(plan.settings_folder / workload.name)
+    on_step(f"{workload.name}: starting the fleet")
+    async with start_loopback_fleet(settings) as fleet:
         for kind in workload.classes:
-            definition = ClassDefinition(kind.target_ms)
-            await entries[0].node.change_class(kind.name, 0, definition, "demo")
-        await _wait_classes(entries, len(workload.classes))
-        busy_slots = plan.workers * plan.slots * plan.busy_share
+            await fleet.create_class(kind.name, kind.target_ms)
+        report = LoadReport(workload.name, fleet.slots)
+        busy_slots = fleet.slots * plan.busy_share
         jobs = plan_jobs(workload, load_s=plan.load_s, busy_slots=busy_slots, seed=plan.seed)
-        urls = [f"http://127.0.0.1:{_port(workload.name, n, 0)}" for n in range(plan.entries)]
-        before = _messages(entries, sides)
-        await run_load(jobs, urls, report, plan.seed)
-        report.messages = _messages(entries, sides) - before
-        report.started_tasks = len(book.starts)
-        report.double_starts = len(book.double_starts())
-    report.write(output)
+        sent: list[PlannedJob] = []
+        before = fleet.traffic()
+        on_step(f"{workload.name}: {plan.load_s:g} s of load")
+        middle_ms = int((time.time() + plan.load_s / 2) * 1000)
+        await run_load(jobs, fleet.entry_urls, report, plan.seed, sent.append)
+        report.traffic = fleet.traffic().since(before)
+        _note_double_starts(fleet, sent, report)
+        report.write(plan.output)
+        _write_picture(fleet, middle_ms, plan.output / f"{workload.name}-timeline.html")
     return report
 
 
-def _messages(entries: list[EntryDaemon], sides: list[SideDaemon]) -> int:
-    books = [entry.book for entry in entries] + [side.book for side in sides]
-    return sum(book.counters["link.messages_sent"] for book in books)
-
-
-async def _wait_ready(entries: list[EntryDaemon], plan: DemoPlan) -> None:
-    async with asyncio.timeout(READY_LIMIT_S):
-        while not all(_is_ready(entry, plan) for entry in entries):
-            await asyncio.sleep(READY_LOOK_S)
-
-
-def _is_ready(entry: EntryDaemon, plan: DemoPlan) -> bool:
-    node = entry.node
-    owners = set(node.cluster.assignment.owners)
-    sides_up = len(node.sides.views())
-    settled = node.ownership.is_settled() and node.lease.held()
-    return len(owners) == plan.entries and sides_up == plan.workers and settled
-
-
-async def _wait_classes(entries: list[EntryDaemon], count: int) -> None:
-    async with asyncio.timeout(READY_LIMIT_S):
-        while not all(len(entry.node.classes.names()) >= count for entry in entries):
-            await asyncio.sleep(READY_LOOK_S)
-
-
-def _port(user: str, number: int, kind: int) -> int:
-    return BASE_PORTS[user] + 10 * number + kind
-
-
-@contextlib.asynccontextmanager
-async def _start_fleet(
-    user: str, plan: DemoPlan, book: StartBook
-) -> AsyncIterator[tuple[list[EntryDaemon], list[SideDaemon]]]:
-    async with contextlib.AsyncExitStack() as stack:
-        folder = stack.enter_context(tempfile.TemporaryDirectory())
-        token_file = Path(folder) / "token"
-        token_file.write_text(TOKEN)
-        log_address = f"127.0.0.1:{BASE_PORTS[user] + 999}"
-        await _start_log(stack, log_address)
-        entries, sides = [], []
-        for number in range(plan.workers):
-            sides.append(
-                await _start_side(stack, user, plan, number, book, log_address, token_file)
-            )
-        for number in range(plan.entries):
-            settings = _entry_settings(user, number, log_address, str(token_file))
-            entry = start_entry(settings, TOKEN)
-            await entry.start(settings)
-            stack.push_async_callback(entry.stop)
-            entries.append(entry)
-        yield entries, sides
-
-
-async def _start_log(stack: contextlib.AsyncExitStack, address: str) -> None:
-    app = create_log_app(create_log_standin(LogStandinSettings(address)))
-    runner = web.AppRunner(app, access_log=None)
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    host, _, port = address.rpartition(":")
-    await web.TCPSite(runner, host, int(port)).start()
-
-
-async def _start_side(
-    stack: contextlib.AsyncExitStack,
-    user: str,
-    plan: DemoPlan,
-    number: int,
-    book: StartBook,
-    log_address: str,
-    token_file: Path,
-) -> SideDaemon:
-    centres = DATA_CENTRES[user]
-    worker = 100 + number * 10
-    settings = SideSettings(
-        f"side-{number}",
-        centres[number % len(centres)],
-        f"rack-{number // 3}",
-        f"127.0.0.1:{BASE_PORTS[user] + worker}",
-        f"127.0.0.1:{BASE_PORTS[user] + worker + 1}",
-        f"http://127.0.0.1:{BASE_PORTS[user] + worker + 2}",
-        f"http://{log_address}",
-        str(token_file),
-    )
-    side = start_side(settings, TOKEN)
-    await side.start(settings)
-    stack.push_async_callback(side.drain)
-    upstream = WorkerStandin(
-        WorkerStandinSettings(
-            f"worker-{number}",
-            f"127.0.0.1:{BASE_PORTS[user] + worker + 2}",
-            f"http://127.0.0.1:{BASE_PORTS[user] + worker + 1}",
-            plan.slots,
-        ),
-        book,
-    )
-    await upstream.start()
-    stack.push_async_callback(upstream.stop)
-    return side
-
-
-def _entry_settings(user: str, number: int, log_address: str, token_file: str) -> EntrySettings:
-    centres = DATA_CENTRES[user]
-    return EntrySettings(
-        f"{user}-entry-{number}",
-        centres[number % len(centres)],
-        f"entry-rack-{number}",
-        f"127.0.0.1:{_port(user, number, 0)}",
-        f"127.0.0.1:{_port(user, number, 1)}",
-        f"127.0.0.1:{_port(user, number, 2)}",
-        f"http://{log_address}",
-        token_file,
-    )
+def _note_double_starts(
+    fleet: LoopbackFleet, jobs: Iterable[PlannedJob], report: LoadReport
+) -> None:
+    classes = {_job_id(job): job.job_class for job in jobs}
+    for job_id, _ in fleet.book.double_starts():
+        report.note_double_start(classes[job_id])
+
+
+def _job_id(job: PlannedJob) -> bytes:
+    created_at_ms = creation_time_ms(job.key, None)
+    return make_job_id(JobRequest(job.key, created_at_ms, job.customer, job.job_class, []))
+
+
+def _write_picture(fleet: LoopbackFleet, from_ms: int, path: Path) -> None:
+    line = merge_events(fleet.events(), from_ms=from_ms, to_ms=from_ms + PICTURE_MS)
+    path.write_text(render_picture(line, f"{PICTURE_MS / 1000:g} s of load"))
--- a/src/currantbarrow/load/runner.py
+++ b/src/currantbarrow/load/runner.py
@@ -1,11 +1,12 @@
-"""Send planned jobs to an entry at their times, whatever comes back."""
+"""Send planned jobs to entries at their times, whatever comes back."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import aiohttp
@@ -20,16 +21,23 @@
 RESUBMIT_AFTER_S = 0.05
 CANCEL_AFTER_S = 0.05
 HTTP_OK = 200
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+OnSent = Callable[[PlannedJob], None]
 
 
 class _Answer(msgspec.Struct):
-    status: str = "refused"
+    status: str | int = "refused"
     tasks: list[Any] = []
     code: str = ""
 
 
 async def run_load(
-    jobs: Iterable[PlannedJob], entry_urls: Sequence[str], report: LoadReport, seed: int
+    jobs: Iterable[PlannedJob],
+    entry_urls: Sequence[str],
+    report: LoadReport,
+    seed: int,
+    on_sent: OnSent = lambda job: None,
 ) -> None:
     """Run an open loop: a job is sent at its time, however many are unanswered."""
     rng = random.Random(seed)
@@ -37,7 +45,9 @@
     connector = aiohttp.TCPConnector(limit=0)
     began_s = time.monotonic()
     async with (
-        aiohttp.ClientSession(timeout=timeout, connector=connector) as session,
+        aiohttp.ClientSession(
+            timeout=timeout, connector=connector, headers=JSON_HEADERS
+        ) as session,
         asyncio.TaskGroup() as group,
     ):
         for job in jobs:
@@ -47,6 +57,7 @@
                 group.create_task(_resubmit(session, job, rng.choice(entry_urls)))
             if job.cancel:
                 group.create_task(_cancel(session, job, rng.choice(entry_urls)))
+            on_sent(job)
 
 
 async def _send(
@@ -55,7 +66,7 @@
     began_s = time.monotonic()
     answer = await _post(session, job, url)
     response_ms = (time.monotonic() - began_s) * 1000
-    report.note(job, answer.status, answer.code, len(answer.tasks), response_ms)
+    report.note(job, str(answer.status), answer.code, len(answer.tasks), response_ms)
 
 
 async def _resubmit(session: aiohttp.ClientSession, job: PlannedJob, url: str) -> None:
@@ -66,8 +77,10 @@
 async def _cancel(session: aiohttp.ClientSession, job: PlannedJob, url: str) -> None:
     await asyncio.sleep(CANCEL_AFTER_S)
     params = {"customer": job.customer}
-    async with session.delete(f"{url}/v1/jobs/{job.key}", params=params) as response:
-        await response.read()
+    # A cancellation that gets no answer shows in the outcome of its job.
+    with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+        async with session.delete(f"{url}/v1/jobs/{job.key}", params=params) as response:
+            await response.read()
 
 
 async def _post(session: aiohttp.ClientSession, job: PlannedJob, url: str) -> _Answer:
@@ -79,9 +92,9 @@
     try:
         async with session.post(f"{url}/v1/jobs", data=msgspec.json.encode(body)) as response:
             content = await response.read()
-    except (aiohttp.ClientError, TimeoutError) as error:
+        answer = msgspec.json.decode(content, type=_Answer)
+    except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
         return _Answer("no answer", [], type(error).__name__)
     if response.status == HTTP_OK:
-        return msgspec.json.decode(content, type=_Answer)
-    problem = msgspec.json.decode(content, type=_Answer)
-    return _Answer("refused", [], problem.code)
+        return answer
+    return _Answer("refused", [], answer.code)
--- /dev/null
+++ b/src/currantbarrow/load/settings_set.py
@@ -0,0 +1,69 @@
+"""Load a folder with the settings of a whole fleet, for use on ephemeral ports."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+
+from currantbarrow.exceptions import SettingsError
+from currantbarrow.settings import (
+    EntrySettings,
+    LogStandinSettings,
+    SideSettings,
+    WorkerStandinSettings,
+    load_settings,
+)
+
+__all__ = ["SettingsSet", "load_set"]
+
+EPHEMERAL = "127.0.0.1:0"
+
+SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
+
+
+class SettingsSet(msgspec.Struct, frozen=True):
+    """Hold the settings of one user's processes, all on ports that the system picks."""
+
+    log: LogStandinSettings
+    entries: list[EntrySettings]
+    sides: list[SideSettings]
+    workers: list[WorkerStandinSettings]
+
+    def side_on(self, number: int, log_url: str, upstream_url: str) -> SideSettings:
+        """Return the settings of a side process with the addresses of this run."""
+        return msgspec.structs.replace(
+            self.sides[number],
+            link_address=EPHEMERAL,
+            upstream_address=EPHEMERAL,
+            log_service_url=log_url,
+            upstream_url=upstream_url,
+        )
+
+    def entry_on(self, number: int, log_url: str) -> EntrySettings:
+        """Return the settings of an entry process with the addresses of this run."""
+        return msgspec.structs.replace(
+            self.entries[number],
+            callers_address=EPHEMERAL,
+            operator_address=EPHEMERAL,
+            link_address=EPHEMERAL,
+            log_service_url=log_url,
+        )
+
+
+def load_set(folder: Path) -> SettingsSet:
+    """Return the settings in a folder; raise SettingsError."""
+    found = SettingsSet(
+        load_settings(folder / "log.yaml", LogStandinSettings),
+        _load_all(folder, "entry", EntrySettings),
+        _load_all(folder, "side", SideSettings),
+        _load_all(folder, "worker", WorkerStandinSettings),
+    )
+    if not found.entries or not found.sides or len(found.sides) != len(found.workers):
+        raise SettingsError(f"{folder}: needs entries, and as many sides as workers")
+    return found
+
+
+def _load_all(folder: Path, role: str, schema: type[SettingsT]) -> list[SettingsT]:
+    return [load_settings(path, schema) for path in sorted(folder.glob(f"{role}-*.yaml"))]
--- /dev/null
+++ b/src/currantbarrow/load/traffic.py
@@ -0,0 +1,54 @@
+"""Count the messages that processes exchanged, and what part of them was of no use."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+__all__ = ["Traffic", "count_traffic"]
+
+SENT_PREFIX = "link.sent."
+STARTED = "side.task_started"
+
+
+class Traffic(msgspec.Struct, frozen=True):
+    """Hold how many messages and task starts there were, a batch counting as one message."""
+
+    messages: int = 0
+    starts: int = 0
+    results: int = 0
+    refusals: int = 0
+    started_tasks: int = 0
+
+    def since(self, earlier: Traffic) -> Traffic:
+        """Return what came after an earlier count."""
+        return Traffic(
+            self.messages - earlier.messages,
+            self.starts - earlier.starts,
+            self.results - earlier.results,
+            self.refusals - earlier.refusals,
+            self.started_tasks - earlier.started_tasks,
+        )
+
+    def wasted_per_task(self) -> float:
+        """Return the messages a started task beyond its start and its result."""
+        # A refused start was of no use either, although it counts as a start.
+        wasted = self.messages - self.starts - self.results + self.refusals
+        return wasted / self.started_tasks if self.started_tasks else 0.0
+
+
+def count_traffic(counters: Iterable[Mapping[str, int]]) -> Traffic:
+    """Sum up the counters of all processes."""
+    total: collections.Counter[str] = collections.Counter()
+    for each in counters:
+        total.update(each)
+    messages = sum(count for name, count in total.items() if name.startswith(SENT_PREFIX))
+    return Traffic(
+        messages,
+        total[f"{SENT_PREFIX}Start"],
+        total[f"{SENT_PREFIX}Result"],
+        total[f"{SENT_PREFIX}Refused"],
+        total[STARTED],
+    )
--- a/src/currantbarrow/load/workload.py
+++ b/src/currantbarrow/load/workload.py
@@ -48,6 +48,7 @@
     idempotent: bool
     resubmit: bool
     cancel: bool
+    target_ms: float = 0.0
 
 
 VAJA = Workload(
@@ -111,6 +112,7 @@
         kind.idempotent,
         rng.random() < workload.resubmit_share,
         rng.random() < workload.cancel_share,
+        kind.target_ms,
     )
 
 
--- a/src/currantbarrow/observe/__init__.py
+++ b/src/currantbarrow/observe/__init__.py
@@ -3,7 +3,7 @@
 from currantbarrow.observe.clock import HybridClock, create_clock
 from currantbarrow.observe.log import DEBUG_TOPICS, configure_logging, logger
 from currantbarrow.observe.metrics import MetricsBook, flush_to_statsd
-from currantbarrow.observe.timeline import Event, EventRing
+from currantbarrow.observe.timeline import Event, EventRing, read_since_ms
 
 __all__ = [
     "DEBUG_TOPICS",
@@ -15,4 +15,5 @@
     "create_clock",
     "flush_to_statsd",
     "logger",
+    "read_since_ms",
 ]
--- a/src/currantbarrow/observe/timeline.py
+++ b/src/currantbarrow/observe/timeline.py
@@ -8,7 +8,7 @@
 
 from currantbarrow.observe.clock import COUNTER_BITS, HybridClock
 
-__all__ = ["Event", "EventRing"]
+__all__ = ["Event", "EventRing", "read_since_ms"]
 
 DEFAULT_RING_EVENTS = 4096
 
@@ -29,6 +29,11 @@
         """Return the wall clock part of the stamp."""
         return self.stamp >> COUNTER_BITS
 
+    @property
+    def exact_ms(self) -> float:
+        """Return a time in milliseconds that keeps the order of the stamps."""
+        return self.stamp / (1 << COUNTER_BITS)
+
 
 class EventRing:
     """Record events and forget the oldest."""
@@ -54,3 +59,12 @@
             for event in self._ring
             if event.wall_ms >= since_ms and (not job or event.job == job)
         ]
+
+
+def read_since_ms(text: str | None) -> int:
+    """Return the time that a request asks for events from; raise ValueError."""
+    if not text:
+        return 0
+    if not text.isascii() or not text.isdigit():
+        raise ValueError("since_ms: a whole number of milliseconds since the epoch")
+    return int(text[:20])
--- a/src/currantbarrow/protocol/codec.py
+++ b/src/currantbarrow/protocol/codec.py
@@ -13,17 +13,17 @@
 from currantbarrow.exceptions import BadFrame
 from currantbarrow.protocol import messages
 
-__all__ = ["decode_frame", "encode_frame"]
+__all__ = ["CONCRETE_MESSAGES", "decode_frame", "encode_frame"]
 
 # Only concrete messages travel; the three bases exist to type calls and replies.
-_CONCRETE: list[type[messages.Message]] = [
+CONCRETE_MESSAGES: list[type[messages.Message]] = [
     item
     for item in vars(messages).values()
     if isinstance(item, type)
     and issubclass(item, messages.Message)
     and item not in (messages.Message, messages.Call, messages.Reply)
 ]
-_AnyMessage: Any = functools.reduce(operator.or_, _CONCRETE)
+_AnyMessage: Any = functools.reduce(operator.or_, CONCRETE_MESSAGES)
 _Frame: Any = tuple[int, list[_AnyMessage]]
 
 
--- a/src/currantbarrow/protocol/websocket.py
+++ b/src/currantbarrow/protocol/websocket.py
@@ -20,8 +20,9 @@
     LinkTimeout,
     ProtocolMismatch,
 )
+from currantbarrow.listening import bind_address
 from currantbarrow.observe import HybridClock
-from currantbarrow.protocol.codec import decode_frame, encode_frame
+from currantbarrow.protocol.codec import CONCRETE_MESSAGES, decode_frame, encode_frame
 from currantbarrow.protocol.messages import OLDEST_VERSION, PROTOCOL_VERSION, Hello, Message
 from currantbarrow.types import Link, LinkHandler, Metrics, Network
 
@@ -32,6 +33,7 @@
 MAX_QUEUED_MESSAGES = 20_000
 HANDSHAKE_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
+SENT_COUNTERS = {kind: f"link.sent.{kind.__name__}" for kind in CONCRETE_MESSAGES}
 
 
 class WebsocketLink:
@@ -125,7 +127,9 @@
         except ConnectionClosed:
             self._end()
             return False
-        self._metrics.incr("link.messages_sent", len(batch))
+        for message in batch:
+            self._metrics.incr(SENT_COUNTERS[type(message)])
+        self._metrics.incr("link.frames_sent")
         self._metrics.incr("link.bytes_sent", len(frame))
         return True
 
@@ -187,11 +191,9 @@
                 self._links.discard(link)
                 await link.close()
 
-        host, _, port = address.rpartition(":")
         self._server = await serve(
             accept,
-            host,
-            int(port),
+            sock=bind_address(address, "link_address"),
             ping_interval=None,
             compression=None,
             max_size=MAX_FRAME_BYTES,
--- a/src/currantbarrow/runtime.py
+++ b/src/currantbarrow/runtime.py
@@ -15,7 +15,7 @@
 import uvloop
 
 from currantbarrow.exceptions import CurrantbarrowError
-from currantbarrow.observe import DEBUG_TOPICS, configure_logging
+from currantbarrow.observe import DEBUG_TOPICS, configure_logging, logger
 from currantbarrow.settings import load_settings
 
 __all__ = ["StopSignal", "new_incarnation", "run_daemon"]
@@ -37,13 +37,20 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
 
-    async def drain_unless_ended(self, drain: Awaitable[None]) -> None:
-        """Wait for a drain to finish, or for the second signal."""
+    async def drain_unless_ended(self, drain: Awaitable[None], limit_ms: float) -> None:
+        """Wait for a drain to finish, for the second signal, or for the limit."""
         draining = asyncio.ensure_future(drain)
         ending = asyncio.ensure_future(self.end.wait())
-        await asyncio.wait([draining, ending], return_when=asyncio.FIRST_COMPLETED)
-        draining.cancel()
+        done, _ = await asyncio.wait(
+            [draining, ending], timeout=limit_ms / 1000, return_when=asyncio.FIRST_COMPLETED
+        )
         ending.cancel()
+        if draining in done:
+            draining.result()
+            logger.info("drained")
+            return
+        draining.cancel()
+        logger.warning("ended before it had drained")
 
     def _on_signal(self) -> None:
         if self.drain.is_set():
@@ -67,7 +74,7 @@
     try:
         settings = load_settings(options.settings, schema)
     except CurrantbarrowError as error:
-        print(f"{program}: {error.code}: {error}\nhint: {error.hint}", file=sys.stderr)
+        _report(program, error)
         return EXIT_SETTINGS
     if options.check:
         print(f"{options.settings}: no mistakes")
@@ -76,7 +83,7 @@
     try:
         uvloop.run(_run(serve, settings))
     except CurrantbarrowError as error:
-        print(f"{program}: {error.code}: {error}\nhint: {error.hint}", file=sys.stderr)
+        _report(program, error)
         return EXIT_ERROR
     except OSError as error:
         print(f"{program}: os_error: {error}", file=sys.stderr)
@@ -88,6 +95,12 @@
     await serve(settings)
 
 
+def _report(program: str, error: CurrantbarrowError) -> None:
+    print(f"{program}: {error.code}: {error}", file=sys.stderr)
+    if error.hint:
+        print(f"hint: {error.hint}", file=sys.stderr)
+
+
 def _parse(program: str, argv: list[str] | None) -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog=program)
     parser.add_argument("--settings", type=Path, required=True, help="the YAML settings file")
--- a/src/currantbarrow/settings/__init__.py
+++ b/src/currantbarrow/settings/__init__.py
@@ -1,6 +1,7 @@
 """Check and load the settings of each program."""
 
-from currantbarrow.settings.loading import find_mistakes, load_settings, read_token
+from currantbarrow.settings.checks import find_mistakes
+from currantbarrow.settings.loading import load_settings, read_token
 from currantbarrow.settings.schema import (
     EntrySettings,
     LogStandinSettings,
--- /dev/null
+++ b/src/currantbarrow/settings/checks.py
@@ -0,0 +1,79 @@
+"""Find every mistake in settings, with the path of its field."""
+
+from __future__ import annotations
+
+import typing
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+__all__ = ["find_contradictions", "find_mistakes"]
+
+MAX_PORT = 65_535
+
+
+def find_mistakes(plain: Any, schema: Any, path: str = "") -> list[str]:
+    """Return every mistake in plain data against a schema."""
+    if isinstance(schema, type) and issubclass(schema, msgspec.Struct):
+        return _find_in_struct(plain, schema, path)
+    if typing.get_origin(schema) is list and isinstance(plain, list):
+        (item,) = typing.get_args(schema)
+        mistakes = [
+            find_mistakes(each, item, f"{path}[{index}]") for index, each in enumerate(plain)
+        ]
+        return [mistake for found in mistakes for mistake in found]
+    try:
+        msgspec.convert(plain, schema)
+    except msgspec.ValidationError as error:
+        return [f"{path}: {str(error).partition(' - at `$')[0]}"]
+    return []
+
+
+def find_contradictions(settings: msgspec.Struct) -> list[str]:
+    """Return the mistakes of settings that are right one by one."""
+    mistakes = []
+    users: dict[str, str] = {}
+    for field in msgspec.structs.fields(type(settings)):
+        value = getattr(settings, field.name)
+        if field.name.endswith("address") and isinstance(value, str):
+            mistakes += _check_address(field.name, value, users)
+        if field.name == "token_file":
+            mistakes += _check_token_file(value)
+    lease_ms = getattr(settings, "lease_ms", None)
+    permission_ms = getattr(settings, "permission_ms", 0.0)
+    if lease_ms is not None and lease_ms < permission_ms:
+        mistakes.append("lease_ms: a lease is at least as long as permission_ms")
+    return mistakes
+
+
+def _find_in_struct(plain: Any, schema: type[msgspec.Struct], path: str) -> list[str]:
+    if not isinstance(plain, dict):
+        return [f"{path or 'the file'}: has to be a mapping of settings"]
+    prefix = f"{path}." if path else ""
+    fields = {field.encode_name: field for field in msgspec.structs.fields(schema)}
+    mistakes = [f"{prefix}{name}: unknown setting" for name in plain if name not in fields]
+    for name, field in fields.items():
+        if name in plain:
+            mistakes += find_mistakes(plain[name], field.type, f"{prefix}{name}")
+        elif field.required:
+            mistakes.append(f"{prefix}{name}: missing")
+    return mistakes
+
+
+def _check_address(name: str, address: str, users: dict[str, str]) -> list[str]:
+    port = int(address.rpartition(":")[2])
+    if port > MAX_PORT:
+        return [f"{name}: a port is at most {MAX_PORT}"]
+    if port and address in users:
+        return [f"{name}: {address} is {users[address]} too"]
+    users[address] = name
+    return []
+
+
+def _check_token_file(path: str) -> list[str]:
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        return [f"token_file: {path}: {getattr(error, 'strerror', 'is not text')}"]
+    return [] if text.strip() else [f"token_file: {path} is empty"]
--- a/src/currantbarrow/settings/loading.py
+++ b/src/currantbarrow/settings/loading.py
@@ -9,42 +9,23 @@
 import yaml
 
 from currantbarrow.exceptions import SettingsError
+from currantbarrow.settings.checks import find_contradictions, find_mistakes
 
-__all__ = ["find_mistakes", "load_settings", "read_token"]
+__all__ = ["load_settings", "read_token"]
 
 SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
 
 
 def load_settings(path: Path, schema: type[SettingsT]) -> SettingsT:
     """Return the settings in a YAML file; raise SettingsError with every mistake."""
-    try:
-        plain = yaml.safe_load(path.read_text())
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
-    except yaml.YAMLError as error:
-        raise SettingsError(f"{path}: {error}") from error
+    plain = _read(path)
     mistakes = find_mistakes(plain, schema)
-    if mistakes:
-        raise SettingsError("\n".join(f"{path}: {mistake}" for mistake in mistakes))
-    return msgspec.convert(plain, schema)
-
-
-def find_mistakes(plain: Any, schema: type[msgspec.Struct]) -> list[str]:
-    """Return every mistake with the path of its field."""
-    if not isinstance(plain, dict):
-        return ["the file must hold a mapping of settings"]
-    fields = {field.name: field for field in msgspec.structs.fields(schema)}
-    mistakes = [f"{name}: unknown setting" for name in plain if name not in fields]
-    for name, field in fields.items():
-        if name not in plain:
-            if field.required:
-                mistakes.append(f"{name}: missing")
-            continue
-        try:
-            msgspec.convert(plain[name], field.type)
-        except msgspec.ValidationError as error:
-            mistakes.append(f"{name}: {error}")
-    return mistakes
+    if not mistakes:
+        settings = _resolve(msgspec.convert(plain, schema), path.parent)
+        mistakes = find_contradictions(settings)
+        if not mistakes:
+            return settings
+    raise SettingsError("\n".join(f"{path}: {mistake}" for mistake in mistakes))
 
 
 def read_token(path: str) -> str:
@@ -53,6 +34,40 @@
         token = Path(path).read_text().strip()
     except OSError as error:
         raise SettingsError(f"token_file: {path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"token_file: {path} is not text") from error
     if not token:
         raise SettingsError(f"token_file: {path} is empty")
     return token
+
+
+def _read(path: Path) -> Any:
+    try:
+        return yaml.load(path.read_text(), _UniqueKeyLoader)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (yaml.YAMLError, UnicodeDecodeError, RecursionError) as error:
+        raise SettingsError(f"{path}: not YAML: {error}") from error
+
+
+def _resolve(settings: SettingsT, folder: Path) -> SettingsT:
+    """Take a relative path of the token's file from the folder of the settings."""
+    token_file = getattr(settings, "token_file", None)
+    if token_file is None:
+        return settings
+    return msgspec.structs.replace(settings, token_file=str(folder / token_file))
+
+
+class _UniqueKeyLoader(yaml.SafeLoader):
+    """Report a key that stands twice, where plain YAML loaders keep the last."""
+
+    def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict[Any, Any]:
+        """Return the mapping of a node."""
+        seen: set[str] = set()
+        for key_node, _ in node.value:
+            if key_node.value in seen:
+                place = f"line {key_node.start_mark.line + 1}"
+                raise yaml.YAMLError(f"{place}: {key_node.value} is set twice")
+            if isinstance(key_node, yaml.ScalarNode):
+                seen.add(key_node.value)
+        return super().construct_mapping(node, deep)
--- a/src/currantbarrow/settings/schema.py
+++ b/src/currantbarrow/settings/schema.py
@@ -61,6 +61,8 @@
     permission_ms: Milliseconds = 2000.0
     announcement_ttl_ms: Milliseconds = 3000.0
     window_ms: Milliseconds = 600_000.0
+    drain_ms: Milliseconds = 20_000.0
+    max_result_bytes: Count = 1_000_000
 
 
 class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/currantbarrow/side/api.py
+++ b/src/currantbarrow/side/api.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from currantbarrow.observe import EventRing, MetricsBook
+from currantbarrow.observe import EventRing, MetricsBook, read_since_ms
 from currantbarrow.side.node import SideNode
 
 __all__ = ["create_side_api"]
@@ -48,7 +48,10 @@
         )
 
     async def show_events(request: web.Request) -> web.Response:
-        since_ms = int(request.query.get("since_ms", "0"))
+        try:
+            since_ms = read_since_ms(request.query.get("since_ms"))
+        except ValueError as error:
+            return _json({"code": "request_invalid", "detail": str(error)}, 422)
         return _json(events.select(job=request.query.get("job", ""), since_ms=since_ms))
 
     app = web.Application()
--- a/src/currantbarrow/side/main.py
+++ b/src/currantbarrow/side/main.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import random
+import socket
 import sys
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
+from currantbarrow.listening import bind_address, bound_address
 from currantbarrow.logservice.client import create_log_service
 from currantbarrow.observe import (
     EventRing,
@@ -16,6 +18,7 @@
     MetricsBook,
     create_clock,
     flush_to_statsd,
+    logger,
 )
 from currantbarrow.protocol.websocket import create_network
 from currantbarrow.runtime import StopSignal, new_incarnation, run_daemon
@@ -30,22 +33,29 @@
 class SideDaemon:
     """Hold a running side node and its HTTP server."""
 
-    __slots__ = ("_closing", "_runner", "_tasks", "book", "events", "node")
+    __slots__ = ("_closing", "_listener", "_runner", "_tasks", "book", "events", "node")
 
     def __init__(
         self,
         node: SideNode,
         book: MetricsBook,
         events: EventRing,
+        listener: socket.socket,
         closing: list[Callable[[], Awaitable[None]]],
     ) -> None:
         self.node = node
+        self._listener = listener
         self._closing = closing
         self.book = book
         self.events = events
         self._runner: web.AppRunner | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def upstream_address(self) -> str:
+        """Return the address that the upstream reaches, with its real port."""
+        return bound_address(self._listener)
+
     async def start(self, settings: SideSettings) -> None:
         """Start the node, then the server that the upstream reaches."""
         await self.node.start()
@@ -53,8 +63,7 @@
             create_side_api(self.node, self.events, self.book), access_log=None
         )
         await self._runner.setup()
-        host, _, port = settings.upstream_address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        await web.SockSite(self._runner, self._listener).start()
         if settings.statsd_address:
             flush = flush_to_statsd(
                 self.book, settings.statsd_address, settings.name, create_clock()
@@ -73,7 +82,8 @@
 
 
 def start_side(settings: SideSettings, token: str) -> SideDaemon:
-    """Return a side daemon that is not started yet."""
+    """Return a side daemon that is not started yet; raise AddressUnavailable."""
+    listener = bind_address(settings.upstream_address, "upstream_address")
     clock = create_clock()
     book = MetricsBook()
     hybrid = HybridClock(clock)
@@ -85,7 +95,7 @@
         settings.data_centre,
         settings.rack,
         token,
-        settings.upstream_address,
+        bound_address(listener),
         settings.queue_limit,
         settings.heartbeat_ms,
         settings.permission_ms,
@@ -93,7 +103,9 @@
         settings.window_ms,
     )
     log = create_log_service(settings.log_service_url)
-    upstream = create_upstream(settings.upstream_url, settings.connections)
+    upstream = create_upstream(
+        settings.upstream_url, settings.connections, settings.max_result_bytes
+    )
     node = SideNode(
         options,
         clock=clock,
@@ -104,15 +116,16 @@
         metrics=book,
         events=events,
     )
-    return SideDaemon(node, book, events, [log.close, upstream.close])
+    return SideDaemon(node, book, events, listener, [log.close, upstream.close])
 
 
 async def _serve(settings: SideSettings) -> None:
     daemon = start_side(settings, read_token(settings.token_file))
     stop = StopSignal()
     await daemon.start(settings)
+    logger.info("listening", extra={"upstream": daemon.upstream_address})
     await stop.drain.wait()
-    await stop.drain_unless_ended(daemon.drain())
+    await stop.drain_unless_ended(daemon.drain(), settings.drain_ms)
 
 
 def main() -> None:
--- a/src/currantbarrow/side/upstream.py
+++ b/src/currantbarrow/side/upstream.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import aiohttp
 import msgspec
 
-from currantbarrow.exceptions import UpstreamError, UpstreamLost
+from currantbarrow.exceptions import UpstreamError, UpstreamLost, ValueTooComplex
 from currantbarrow.jobs import TaskRun, TaskRunResult
+from currantbarrow.protocol.values import check_value
 
 __all__ = ["HttpUpstream", "create_upstream"]
 
@@ -26,11 +29,12 @@
 class HttpUpstream:
     """Post each task to the upstream, over a bounded number of connections."""
 
-    __slots__ = ("_connections", "_session", "_url")
+    __slots__ = ("_connections", "_max_result_bytes", "_session", "_url")
 
-    def __init__(self, url: str, connections: int) -> None:
+    def __init__(self, url: str, connections: int, max_result_bytes: int) -> None:
         self._url = url.rstrip("/")
         self._connections = connections
+        self._max_result_bytes = max_result_bytes
         self._session: aiohttp.ClientSession | None = None
 
     async def run(self, task: TaskRun) -> TaskRunResult:
@@ -45,13 +49,7 @@
             raise UpstreamError(f"the upstream refused the connection: {error}") from error
         except (aiohttp.ClientError, TimeoutError) as error:
             raise UpstreamLost(f"the upstream's answer never came: {error}") from error
-        if response.status != HTTP_OK:
-            text = content[:ERROR_CHARS].decode(errors="replace")
-            raise UpstreamError(f"the upstream answered {response.status}: {text}")
-        try:
-            return TaskRunResult(msgspec.json.decode(content))
-        except msgspec.DecodeError as error:
-            raise UpstreamError(f"the upstream's answer is not JSON: {error}") from error
+        return TaskRunResult(self._read_value(response.status, content))
 
     async def stop(self, task: TaskRun) -> None:
         """Ask the upstream to stop a running task; failures leave it running."""
@@ -67,6 +65,21 @@
         if self._session is not None:
             await self._session.close()
 
+    def _read_value(self, status: int, content: bytes) -> Any:
+        if status != HTTP_OK:
+            text = content[:ERROR_CHARS].decode(errors="replace")
+            raise UpstreamError(f"the upstream answered {status}: {text}")
+        if len(content) > self._max_result_bytes:
+            raise UpstreamError(f"the upstream's answer is over {self._max_result_bytes} bytes")
+        try:
+            value = msgspec.json.decode(content)
+            check_value(value, "answer")
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise UpstreamError(f"the upstream's answer is not JSON: {error}") from error
+        except ValueTooComplex as error:
+            raise UpstreamError(f"{error.path}: {error}") from error
+        return value
+
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
@@ -76,6 +89,6 @@
         return self._session
 
 
-def create_upstream(url: str, connections: int) -> HttpUpstream:
+def create_upstream(url: str, connections: int, max_result_bytes: int) -> HttpUpstream:
     """Return a client of the upstream at a URL."""
-    return HttpUpstream(url, connections)
+    return HttpUpstream(url, connections, max_result_bytes)
--- a/src/currantbarrow/standins/log_main.py
+++ b/src/currantbarrow/standins/log_main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 import sys
 from typing import Any
 
@@ -10,26 +11,42 @@
 from aiohttp import web
 
 from currantbarrow.exceptions import AppendUnknown, LogUnavailable, RecordsExpired
-from currantbarrow.observe import create_clock
+from currantbarrow.listening import bind_address, bound_address
+from currantbarrow.observe import create_clock, logger
 from currantbarrow.runtime import StopSignal, run_daemon
 from currantbarrow.settings import LogStandinSettings
+from currantbarrow.standins.faults import change_faults
 from currantbarrow.standins.memory_log import MemoryLog
 
-__all__ = ["create_log_app", "create_log_standin", "main"]
+__all__ = ["LogStandin", "main"]
 
+SHUTDOWN_TIMEOUT_S = 0.2
 
-def create_log_standin(settings: LogStandinSettings) -> MemoryLog:
-    """Return the log that the stand-in serves."""
-    log = MemoryLog(create_clock(), random.Random())
-    log.faults.append_delay_ms = settings.append_delay_ms
-    log.faults.appends_per_s = settings.appends_per_s
-    log.faults.retention_ms = settings.retention_ms
-    return log
 
+class LogStandin:
+    """Serve a log in memory over HTTP, on a listening socket."""
 
-def create_log_app(log: MemoryLog) -> web.Application:
-    """Return the application that serves a log."""
+    def __init__(self, settings: LogStandinSettings, listener: socket.socket) -> None:
+        self.log = MemoryLog(create_clock(), random.Random())
+        self.log.faults.append_delay_ms = settings.append_delay_ms
+        self.log.faults.appends_per_s = settings.appends_per_s
+        self.log.faults.retention_ms = settings.retention_ms
+        self._listener = listener
+        self._runner = web.AppRunner(
+            _create_app(self.log), access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
 
+    async def start(self) -> None:
+        """Serve the log."""
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._listener).start()
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        await self._runner.cleanup()
+
+
+def _create_app(log: MemoryLog) -> web.Application:
     async def append(request: web.Request) -> web.Response:
         try:
             offset = await log.append(request.match_info["stream"], await request.read())
@@ -40,8 +57,11 @@
         return _json({"offset": offset})
 
     async def read(request: web.Request) -> web.Response:
-        offset = int(request.query.get("from", "0"))
-        wait_ms = int(request.query.get("wait_ms", "0"))
+        try:
+            offset = int(request.query.get("from", "0"))
+            wait_ms = int(request.query.get("wait_ms", "0"))
+        except ValueError as error:
+            return _json({"detail": str(error)}, 422)
         try:
             records = await log.read(request.match_info["stream"], offset, wait_ms)
         except RecordsExpired as expired:
@@ -51,11 +71,8 @@
         return _json({"records": records})
 
     async def set_faults(request: web.Request) -> web.Response:
-        for name, value in msgspec.json.decode(await request.read()).items():
-            if name not in log.faults.__slots__:
-                return _json({"detail": f"{name}: no such fault"}, 422)
-            setattr(log.faults, name, value)
-        return _json({"ok": True})
+        mistakes = change_faults(log.faults, await request.read())
+        return _json({"mistakes": mistakes}, 422 if mistakes else 200)
 
     app = web.Application()
     app.router.add_post("/streams/{stream}/records", append)
@@ -72,12 +89,12 @@
 
 async def _serve(settings: LogStandinSettings) -> None:
     stop = StopSignal()
-    runner = web.AppRunner(create_log_app(create_log_standin(settings)), access_log=None)
-    await runner.setup()
-    host, _, port = settings.address.rpartition(":")
-    await web.TCPSite(runner, host, int(port)).start()
+    listener = bind_address(settings.address, "address")
+    standin = LogStandin(settings, listener)
+    await standin.start()
+    logger.info("listening", extra={"address": bound_address(listener)})
     await stop.drain.wait()
-    await runner.cleanup()
+    await standin.stop()
 
 
 def main() -> None:
--- a/src/currantbarrow/standins/worker_main.py
+++ b/src/currantbarrow/standins/worker_main.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 import sys
 from typing import Any
 
@@ -14,9 +15,11 @@
 
 from currantbarrow.exceptions import UpstreamError, UpstreamLost
 from currantbarrow.jobs import TaskRun
-from currantbarrow.observe import create_clock
+from currantbarrow.listening import bind_address, bound_address
+from currantbarrow.observe import create_clock, logger
 from currantbarrow.runtime import StopSignal, run_daemon
 from currantbarrow.settings import WorkerStandinSettings
+from currantbarrow.standins.faults import change_faults
 from currantbarrow.standins.upstream import MemoryUpstream, StartBook
 
 __all__ = ["WorkerStandin", "main"]
@@ -33,9 +36,13 @@
 class WorkerStandin:
     """Serve an upstream over HTTP, and announce it to its side process."""
 
-    def __init__(self, settings: WorkerStandinSettings, book: StartBook) -> None:
+    def __init__(
+        self, settings: WorkerStandinSettings, book: StartBook, listener: socket.socket
+    ) -> None:
         self.upstream = MemoryUpstream(settings.name, create_clock(), random.Random(), book)
         self._settings = settings
+        self._book = book
+        self._listener = listener
         self._runner: web.AppRunner | None = None
         self._announcing: asyncio.Task[None] | None = None
 
@@ -45,10 +52,10 @@
         app.router.add_post("/tasks", self._run)
         app.router.add_delete("/tasks/{job}/{index}", self._stop)
         app.router.add_put("/faults", self._set_faults)
+        app.router.add_get("/starts", self._show_starts)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
-        host, _, port = self._settings.address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        await web.SockSite(self._runner, self._listener).start()
         self._announcing = asyncio.create_task(self._announce())
 
     async def leave(self) -> None:
@@ -102,17 +109,22 @@
         return web.Response(status=202)
 
     async def _set_faults(self, request: web.Request) -> web.Response:
-        for name, value in msgspec.json.decode(await request.read()).items():
-            if name not in self.upstream.faults.__slots__:
-                return web.Response(status=422, text=f"{name}: no such fault")
-            setattr(self.upstream.faults, name, value)
-        return web.Response(status=204)
+        mistakes = change_faults(self.upstream.faults, await request.read())
+        status = 422 if mistakes else 200
+        body = msgspec.json.encode({"mistakes": mistakes})
+        return web.Response(body=body, status=status, content_type="application/json")
+
+    async def _show_starts(self, request: web.Request) -> web.Response:
+        starts = {f"{job.hex()}/{index}": n for (job, index), n in self._book.starts.items()}
+        return web.Response(body=msgspec.json.encode(starts), content_type="application/json")
 
 
 async def _serve(settings: WorkerStandinSettings) -> None:
     stop = StopSignal()
-    worker = WorkerStandin(settings, StartBook())
+    listener = bind_address(settings.address, "address")
+    worker = WorkerStandin(settings, StartBook(), listener)
     await worker.start()
+    logger.info("listening", extra={"address": bound_address(listener)})
     await stop.drain.wait()
     await worker.leave()
     await worker.stop()
--- /dev/null
+++ b/src/currantbarrow/timeline/merge.py
@@ -0,0 +1,117 @@
+"""Order the events of all processes and pair the starts and ends of jobs and tasks."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from currantbarrow.observe import Event
+
+__all__ = ["Lane", "Span", "TimeLine", "merge_events"]
+
+TASK_START = "task_started"
+TASK_END = "task_ended"
+JOB_STARTS = ("job_accepted", "job_adopted")
+JOB_ENDS = ("job_complete", "job_failed", "job_refused")
+# Sent tasks are drawn where they run, so that an entry's lane shows its jobs.
+UNDRAWN = ("task_sent",)
+
+
+class Span(msgspec.Struct, frozen=True):
+    """Hold what a process was occupied with between two events."""
+
+    from_ms: float
+    to_ms: float
+    job: str
+    task: int
+    job_class: str
+    outcome: str
+
+
+class Lane(msgspec.Struct):
+    """Hold what one process did."""
+
+    process: str
+    spans: list[Span]
+    marks: list[Event]
+
+
+class TimeLine(msgspec.Struct):
+    """Hold all events in order, and a lane for each process."""
+
+    events: list[Event]
+    lanes: list[Lane]
+
+    @property
+    def from_ms(self) -> float:
+        """Return the time of the first event."""
+        return self.events[0].exact_ms if self.events else 0.0
+
+    @property
+    def to_ms(self) -> float:
+        """Return the time of the last event."""
+        return self.events[-1].exact_ms if self.events else 0.0
+
+
+def merge_events(
+    events: Iterable[Event], *, from_ms: float = 0.0, to_ms: float = math.inf
+) -> TimeLine:
+    """Return the time line of events in any order, with what lies between two times."""
+    # The clock orders an effect after its cause; names settle what happened apart.
+    ordered = sorted(events, key=lambda event: (event.stamp, event.process))
+    classes = {event.job: event.job_class for event in ordered if event.job_class}
+    shown = [event for event in ordered if from_ms <= event.exact_ms <= to_ms]
+    line = TimeLine(shown, [])
+    by_process: dict[str, list[Event]] = {}
+    for event in ordered:
+        by_process.setdefault(event.process, []).append(event)
+    line.lanes = [
+        _clip(_build_lane(process, found, classes, line), line)
+        for process, found in sorted(by_process.items())
+    ]
+    return line
+
+
+def _build_lane(process: str, events: list[Event], classes: dict[str, str], line: TimeLine) -> Lane:
+    lane = Lane(process, [], [])
+    open_events: dict[tuple[str, int], Event] = {}
+    for event in events:
+        key = (event.job, event.task)
+        if event.kind == TASK_START or event.kind in JOB_STARTS:
+            open_events[key] = event
+        elif event.kind == TASK_END or event.kind in JOB_ENDS:
+            began = open_events.pop(key, None)
+            began_ms = began.exact_ms if began else line.from_ms
+            outcome = event.detail if event.kind == TASK_END else event.kind.removeprefix("job_")
+            lane.spans.append(_span(began_ms, event.exact_ms, event, classes, outcome))
+        elif event.kind not in UNDRAWN:
+            lane.marks.append(event)
+    for event in open_events.values():
+        lane.spans.append(_span(event.exact_ms, line.to_ms, event, classes, "open"))
+    lane.spans.sort(key=lambda span: span.from_ms)
+    return lane
+
+
+def _span(
+    from_ms: float, to_ms: float, event: Event, classes: dict[str, str], outcome: str
+) -> Span:
+    job_class = classes.get(event.job, "")
+    return Span(from_ms, to_ms, event.job, event.task, job_class, outcome)
+
+
+def _clip(lane: Lane, line: TimeLine) -> Lane:
+    """Keep what lies at least partly between the first and the last event shown."""
+    spans = [
+        msgspec.structs.replace(
+            span,
+            from_ms=max(span.from_ms, line.from_ms),
+            to_ms=min(span.to_ms, line.to_ms),
+            outcome=span.outcome if span.to_ms <= line.to_ms else "open",
+        )
+        for span in lane.spans
+        if span.to_ms >= line.from_ms and span.from_ms <= line.to_ms
+    ]
+    marks = [mark for mark in lane.marks if line.from_ms <= mark.exact_ms <= line.to_ms]
+    return Lane(lane.process, spans, marks)
