--- a/src/currantbarrow/cli/demo.py
+++ b/src/currantbarrow/cli/demo.py
@@ -8,7 +8,6 @@
 
 from currantbarrow.cli.command import LocalCommand
 from currantbarrow.cli.errors import EXIT_FAILED, EXIT_OK
-from currantbarrow.load.demo import DemoPlan, run_demo
 
 __all__ = ["DemoCommand"]
 
@@ -27,6 +26,9 @@
 
     def carry_out(self) -> int:
         """Run the demo and print its report."""
+        # The daemons and the plots are loaded only by the commands that need them.
+        from currantbarrow.load.demo import DemoPlan, run_demo
+
         output = Path(self.option("output"))
         output.mkdir(parents=True, exist_ok=True)
         plan = DemoPlan(
--- a/src/currantbarrow/cli/load.py
+++ b/src/currantbarrow/cli/load.py
@@ -12,7 +12,6 @@
 from currantbarrow.cli.errors import EXIT_FAILED, EXIT_OK
 from currantbarrow.cli.fleet import ClassRow, MemberRow, ask_all, list_members
 from currantbarrow.exceptions import OperatorError
-from currantbarrow.load.plot import plot_ratios
 from currantbarrow.load.report import LoadReport
 from currantbarrow.load.runner import run_load
 from currantbarrow.load.traffic import Traffic, count_traffic
@@ -90,6 +89,9 @@
 
     def _show_report(self, report: LoadReport) -> None:
         if self.option("output"):
+            # Plotting is loaded only when a plot is wanted.
+            from currantbarrow.load.plot import plot_ratios
+
             folder = Path(self.option("output"))
             report.write(folder)
             plot_ratios({report.title: report.curves()}, folder / f"{report.title}-ratios.svg")
--- a/src/currantbarrow/entry/api.py
+++ b/src/currantbarrow/entry/api.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import urllib.parse
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 from sanic import Request, Sanic
@@ -26,10 +26,10 @@
     read_submission,
 )
 from currantbarrow.exceptions import CurrantbarrowError, JobInvalid
-from currantbarrow.jobs import JobAnswer, JobStatus
+from currantbarrow.jobs import JobAnswer, JobStatus, TaskState
 from currantbarrow.observe import logger
 
-__all__ = ["create_api"]
+__all__ = ["AnswerBody", "OpenBody", "create_api"]
 
 RESPONSE_TIMEOUT_S = 130
 REQUEST_TIMEOUT_S = 30
@@ -41,7 +41,7 @@
 class TaskBody(msgspec.Struct, omit_defaults=True):
     """Show one task of an answer."""
 
-    state: str
+    state: TaskState
     value: Any = None
     error: str = ""
 
@@ -50,7 +50,7 @@
     """Show the answer of a job."""
 
     key: str
-    status: str
+    status: JobStatus
     tasks: list[TaskBody]
     code: str = ""
     reason: str = ""
@@ -60,7 +60,7 @@
     """Show a job that has no answer yet."""
 
     key: str
-    status: str
+    status: Literal["open", "cancelled"]
     created_at_ms: int
 
 
--- a/src/currantbarrow/entry/submission.py
+++ b/src/currantbarrow/entry/submission.py
@@ -12,7 +12,7 @@
 from currantbarrow.jobs import JobRequest, TaskRequest
 from currantbarrow.protocol.values import check_value
 
-__all__ = ["creation_time_ms", "read_name", "read_submission"]
+__all__ = ["SubmissionBody", "creation_time_ms", "read_name", "read_submission"]
 
 UUID7_VERSION = 7
 UUID7_TIME_SHIFT = 80
@@ -30,18 +30,22 @@
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
-class _Task(msgspec.Struct, forbid_unknown_fields=True):
+class TaskSubmission(msgspec.Struct, forbid_unknown_fields=True):
+    """Take in one task of a submission."""
+
     payload: Any = None
     declared_ms: _RunMs = 0.0
     size_slots: _Slots = 1
     idempotent: bool = False
 
 
-class _Submission(msgspec.Struct, forbid_unknown_fields=True):
+class SubmissionBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Take in a job; a key that is no UUIDv7 needs its creation time beside it."""
+
     key: _Name
     customer: _Name
     job_class: _Name = msgspec.field(name="class")
-    tasks: list[_Task]
+    tasks: list[TaskSubmission]
     created_at_ms: _TimeMs | None = None
     wait: bool = True
 
@@ -49,6 +53,10 @@
 def read_submission(body: bytes, max_tasks: int) -> tuple[JobRequest, bool]:
     """Return a job and whether its caller waits for the answer; raise JobInvalid."""
     submission = _decode(body)
+    # The pattern lets a newline at the very end pass.
+    read_name(submission.key, "key")
+    read_name(submission.customer, "customer")
+    read_name(submission.job_class, "class")
     if not 0 < len(submission.tasks) <= max_tasks:
         raise JobInvalid(f"a job has 1 to {max_tasks} tasks", field="tasks", code="task_count")
     created_at_ms = creation_time_ms(submission.key, submission.created_at_ms)
@@ -80,9 +88,9 @@
     return parsed.int >> UUID7_TIME_SHIFT
 
 
-def _decode(body: bytes) -> _Submission:
+def _decode(body: bytes) -> SubmissionBody:
     try:
-        return msgspec.json.decode(body, type=_Submission)
+        return msgspec.json.decode(body, type=SubmissionBody)
     except msgspec.ValidationError as error:
         message, _, path = str(error).partition(" - at `$")
         raise JobInvalid(message, field=_field_of(message, path)) from error
@@ -100,7 +108,7 @@
     return f"{place}.{mistake[1]}" if place else mistake[1]
 
 
-def _read_task(index: int, task: _Task) -> TaskRequest:
+def _read_task(index: int, task: TaskSubmission) -> TaskRequest:
     try:
         check_value(task.payload, f"tasks[{index}].payload")
     except ValueTooComplex as error:
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,121 @@
+"""Give tests a small fleet of real daemons on loopback, in a thread of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import concurrent.futures
+import contextlib
+import http.client
+import shutil
+import threading
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+import uuid6
+
+from currantbarrow.load.loopback import LoopbackFleet, start_loopback_fleet
+from currantbarrow.load.settings_set import SettingsSet, load_set
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+START_LIMIT_S = 30
+CLASSES = {"quote": 300.0, "hold": 200.0}
+T = TypeVar("T")
+
+
+class HttpReply(msgspec.Struct):
+    status: int
+    headers: dict[str, str]
+    content: bytes
+
+    @property
+    def body(self) -> Any:
+        return msgspec.json.decode(self.content)
+
+
+class LoopbackThread:
+    """Run a fleet in a thread, and reach it as callers and operators do."""
+
+    def __init__(self, settings: SettingsSet) -> None:
+        self._settings = settings
+        self._ready: concurrent.futures.Future[LoopbackFleet] = concurrent.futures.Future()
+        self._loop = asyncio.new_event_loop()
+        self._stop = asyncio.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def start(self) -> None:
+        self._thread.start()
+        self.fleet = self._ready.result(START_LIMIT_S)
+
+    def stop(self) -> None:
+        self._loop.call_soon_threadsafe(self._stop.set)
+        self._thread.join(START_LIMIT_S)
+
+    def call(self, work: Coroutine[Any, Any, T]) -> T:
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(START_LIMIT_S)
+
+    @property
+    def callers_address(self) -> str:
+        return self.fleet.entries[0].callers_address
+
+    @property
+    def operator_address(self) -> str:
+        return self.fleet.entries[0].operator_address
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        headers: dict[str, str] | None = None,
+        address: str = "",
+    ) -> HttpReply:
+        content = body if isinstance(body, bytes | None) else msgspec.json.encode(body)
+        connection = http.client.HTTPConnection(address or self.callers_address, timeout=30)
+        with contextlib.closing(connection):
+            sent = {"Content-Type": "application/json"} if headers is None else headers
+            connection.request(method, path, content, sent)
+            response = connection.getresponse()
+            lowered = {name.lower(): value for name, value in response.getheaders()}
+            return HttpReply(response.status, lowered, response.read())
+
+    def started(self) -> int:
+        return sum(self.fleet.book.starts.values())
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        try:
+            self._loop.run_until_complete(self._serve())
+        except Exception as error:
+            self._ready.set_exception(error)
+        finally:
+            self._loop.close()
+
+    async def _serve(self) -> None:
+        async with start_loopback_fleet(self._settings) as fleet:
+            for name, target_ms in CLASSES.items():
+                await fleet.create_class(name, target_ms)
+            self._ready.set_result(fleet)
+            await self._stop.wait()
+
+
+def small_set(folder: Path, *, entries: int, sides: int) -> SettingsSet:
+    """Return the settings of a part of an example's fleet."""
+    shutil.copytree(EXAMPLES / "vaja", folder, dirs_exist_ok=True)
+    whole = load_set(folder)
+    return SettingsSet(
+        whole.log, whole.entries[:entries], whole.sides[:sides], whole.workers[:sides]
+    )
+
+
+def make_body(tasks: int = 1, run_ms: float = 1.0, **changes: Any) -> dict[str, Any]:
+    """Return a submission that is right but for the changes."""
+    body: dict[str, Any] = {
+        "key": str(uuid6.uuid7()),
+        "customer": "band",
+        "class": "hold",
+        "tasks": [{"payload": {"run_ms": run_ms, "echo": n}} for n in range(tasks)],
+    }
+    return {**body, **changes}
