--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(PY) -m pytest
 
 demo: setup
-	$(VENV)/bin/currantbarrow demo --output build/demo
+	$(VENV)/bin/currantbarrow demo --examples examples --output build/demo
 
 bench: setup
 	$(PY) -m currantbarrow.bench --case "$(CASE)" --output build
--- a/src/currantbarrow/entry/router.py
+++ b/src/currantbarrow/entry/router.py
@@ -10,7 +10,14 @@
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.ownership import Ownership, OwnershipOptions
 from currantbarrow.entry.peers import EntryPool
-from currantbarrow.exceptions import JobInvalid, JobUnknown, LinkError, OwnershipError
+from currantbarrow.exceptions import (
+    JobConflict,
+    JobInvalid,
+    JobUnknown,
+    LinkError,
+    OwnershipError,
+    RemoteError,
+)
 from currantbarrow.jobs import (
     JobAnswer,
     JobRequest,
@@ -71,7 +78,7 @@
         deadline_ms = self._clock.monotonic_ms() + OWNER_WAIT_MS
         while True:
             try:
-                self._check(request)
+                self.check(request)
                 return await self._submit_once(request, job_id, shard, hops)
             except (OwnershipError, LinkError) as error:
                 # The key makes it safe to ask again: the owner joins a second copy to the first.
@@ -123,7 +130,8 @@
         if not self._lease_held():
             raise OwnershipError("this entry's lease is not confirmed")
 
-    def _check(self, request: JobRequest) -> None:
+    def check(self, request: JobRequest) -> None:
+        """Raise JobInvalid for a job that can't be let in, whoever owns it."""
         now_ms = self._clock.wall_ms()
         if request.created_at_ms > now_ms + self._options.skew_ms:
             raise JobInvalid("the key's creation time is in the future", field="created_at_ms")
@@ -143,9 +151,14 @@
         peer = self._entries.peers.get(owner)
         if peer is None or hops >= MAX_HOPS:
             raise OwnershipError("the owner of the shard cannot be reached")
-        reply = await peer.require_caller().call(
-            lambda call_id: Forward(call_id, request, hops + 1), Forwarded, FORWARD_TIMEOUT_MS
-        )
+        try:
+            reply = await peer.require_caller().call(
+                lambda call_id: Forward(call_id, request, hops + 1), Forwarded, FORWARD_TIMEOUT_MS
+            )
+        except RemoteError as error:
+            if error.remote_code == JobConflict.code:
+                raise JobConflict("the key was used before with another body") from error
+            raise
         return reply.answer
 
     async def _submit_here(self, request: JobRequest, job_id: bytes, shard: int) -> JobAnswer:
--- a/src/currantbarrow/load/workload.py
+++ b/src/currantbarrow/load/workload.py
@@ -51,6 +51,7 @@
     cancel: bool
     # What a caller who knows the class would declare; a straggler runs far longer.
     expected_ms: list[float] = []
+    target_ms: float = 0.0
 
 
 VAJA = Workload(
@@ -145,6 +146,7 @@
         rng.random() < workload.resubmit_share,
         rng.random() < workload.cancel_share,
         expected_ms,
+        kind.target_ms,
     )
 
 
