Classify every failure of a dispatch, and bound answers, results and waiting

Cause: what may be tried again was decided in four places; attempts started again at 1 with each owner and ran into refusals meant for the former one; a caller whose owner had lost its lease waited on; nothing bounded the bytes of kept results, of a whole answer or of a message with many starts or results, and a message over the frame's bound was dropped, so that its job never ended.

Change: entry/failures.py types the failures and only the proven ones are sent again; attempts carry the owner's version; callers are sent away a second after the lease lapsed; a submission may give timeout_ms, which travels with its tasks to the side processes; kept values have a budget, beyond which a task's state becomes 'ran' with a reason; starts, queries and handovers are divided by bytes.

--- a/src/currantbarrow/cluster/lease.py
+++ b/src/currantbarrow/cluster/lease.py
@@ -12,6 +12,8 @@
 __all__ = ["Lease", "majority"]
 
 RENEW_INTERVAL_MS = 1000.0
+# A lapse this long is no hiccup, so callers are told to come back.
+LOSS_PATIENCE_MS = 1000.0
 CONFIRM_TIMEOUT_MS = 500.0
 
 
@@ -56,12 +58,14 @@
         """Tell whether starts are allowed now, by this process's own clock."""
         return self._clock.monotonic_ms() < self._until_ms
 
-    async def run(self, on_gain: Callable[[], None]) -> None:
-        """Renew until cancelled; call back when the lease is gained after a lapse."""
+    async def run(self, on_gain: Callable[[], None], on_loss: Callable[[], None]) -> None:
+        """Renew until cancelled; call back when the lease is gained, and while it is lost."""
         while True:
             await self.renew()
             if self.held() and not self._was_held:
                 on_gain()
+            if self._clock.monotonic_ms() > self._until_ms + LOSS_PATIENCE_MS:
+                on_loss()
             self._was_held = self.held()
             self._metrics.gauge("entry.lease_held", float(self._was_held))
             await self._clock.sleep_ms(RENEW_INTERVAL_MS)
--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -6,9 +6,28 @@
 import random
 from collections.abc import Callable, Coroutine
 
+from currantbarrow.entry.failures import (
+    DispatchFailure,
+    FailurePhase,
+    after_start,
+    answer_too_large,
+    before_sending,
+    outcome_unknown,
+    refused,
+)
 from currantbarrow.entry.sides import SidePeer, SidePool
 from currantbarrow.exceptions import LinkError
-from currantbarrow.jobs import JobAnswer, JobRequest, JobStatus, TaskAnswer, TaskRun, TaskState
+from currantbarrow.jobs import (
+    MAX_ANSWER_BYTES,
+    MAX_PART_BYTES,
+    JobAnswer,
+    JobRequest,
+    JobStatus,
+    TaskAnswer,
+    TaskRun,
+    TaskState,
+    count_bytes,
+)
 from currantbarrow.jobs.table import Job, JobTable
 from currantbarrow.observe import EventRing
 from currantbarrow.policy import AdmissionQuestion, Policies, QueuedTask, WorkerView
@@ -16,6 +35,7 @@
     Cancel,
     QueryTasks,
     Refused,
+    RefusedReason,
     Result,
     Start,
     TaskReference,
@@ -30,16 +50,24 @@
 # A side process that stays away longer than this leaves its tasks with unknown outcome.
 LOST_AFTER_MS = 2500.0
 
+# Attempts of one owner at one task are numbered below this many bits.
+ATTEMPT_BITS = 16
+SHORTEST_MS = 1.0
+SETTLE_MS = 200.0
+SETTLE_LOOK_MS = 2.0
+DEADLINE_PASSED = "the time within which the answer was of use has passed"
+
 TaskKey = tuple[bytes, int]
 
 
 class _Sent:
     """Hold a task that was handed to a side process."""
 
-    __slots__ = ("job", "peer", "task")
+    __slots__ = ("attempt", "job", "peer", "task")
 
     def __init__(self, task: QueuedTask, job: Job, peer: SidePeer) -> None:
         self.task = task
+        self.attempt = job.tasks[task.index].attempt
         self.job = job
         self.peer = peer
 
@@ -69,6 +97,8 @@
         self._may_start = may_start
         self._epoch = epoch
         self._sent: dict[TaskKey, _Sent] = {}
+        # Jobs whose time has passed, while their tasks are being called back.
+        self._expiring: set[bytes] = set()
         self._background: set[asyncio.Task[None]] = set()
 
     def submit(self, job: Job, target_ms: float) -> JobAnswer | None:
@@ -88,6 +118,7 @@
         self._event("job_accepted", job)
         for index, cost_ms in enumerate(costs):
             self.policies.queue.add(self._queued(job, index, cost_ms))
+        self._watch_deadline(job)
         self.pump()
         return None
 
@@ -107,6 +138,7 @@
                 self.policies.queue.add(task)
         for side, tasks in by_side.items():
             self._attach(job, side, tasks)
+        self._watch_deadline(job)
         self.pump()
 
     def cancel(self, job: Job) -> None:
@@ -125,6 +157,13 @@
         self.table.remove(job.job_id)
         job.move()
 
+    def release_waiting(self) -> None:
+        """Send callers away whose tasks may not be started now, and may not be for long."""
+        for job in self.table.open_jobs():
+            if job.has_waiting:
+                self._metrics.incr("entry.job_released")
+                job.release()
+
     def pump(self) -> None:
         """Start waiting tasks while workers have room."""
         if self.pool is None or not len(self.policies.queue) or not self._may_start():
@@ -146,7 +185,24 @@
                 break
             batches.setdefault(worker.incarnation, []).append(self._assign(task, worker))
         for incarnation, runs in batches.items():
-            self._send(incarnation, runs)
+            for part in self._parts(runs):
+                self._send(incarnation, part)
+
+    def _parts(self, runs: list[TaskRun]) -> list[list[TaskRun]]:
+        """Divide starts, so that each message stays well below the largest frame."""
+        parts: list[list[TaskRun]] = [[]]
+        part_bytes, part_job = 0, b""
+        for run in runs:
+            if run.job_id != part_job:
+                part_job = run.job_id
+                job = self.table.find(run.job_id)
+                job_bytes = job.request_bytes if job is not None else 0
+                if parts[-1] and part_bytes + job_bytes > MAX_PART_BYTES:
+                    parts.append([])
+                    part_bytes = 0
+                part_bytes += job_bytes
+            parts[-1].append(run)
+        return parts
 
     def side_up(self, peer: SidePeer) -> None:
         """Ask a side process that is back about the tasks that were left with it."""
@@ -179,11 +235,10 @@
         self._metrics.incr("entry.starts_refused", len(message.tasks))
         for reference in message.tasks:
             sent = self._sent.get((reference.job_id, reference.index))
-            if sent is None or sent.peer is not peer or sent.task.attempt != reference.attempt:
+            if sent is None or sent.peer is not peer or sent.attempt != reference.attempt:
                 self._metrics.incr("entry.late_refusal")
                 continue
-            self._unsend(sent)
-            self._retry(sent, message)
+            self._failed(sent, refused(message.reason), message.reason)
 
     def stop(self) -> None:
         """End the work in the background."""
@@ -212,9 +267,42 @@
             JobStatus.REFUSED, tasks, refusal.code, refusal.reason, refusal.retry_after_ms, True
         )
 
+    def _watch_deadline(self, job: Job) -> None:
+        if job.request.timeout_ms > 0 and job.answer is None:
+            self._spawn(self._expire_later(job))
+
+    async def _expire_later(self, job: Job) -> None:
+        await self._clock.sleep_ms(self._left_ms(job))
+        if not self._is_open_here(job):
+            return
+        self._expiring.add(job.job_id)
+        self.policies.queue.discard(job.job_id)
+        self._cancel_sent(job)
+        # The side processes' replies tell what never started; they take one round trip.
+        until_ms = self._clock.monotonic_ms() + SETTLE_MS
+        while self._has_sent(job) and self._clock.monotonic_ms() < until_ms:
+            await self._clock.sleep_ms(SETTLE_LOOK_MS)
+        self._expiring.discard(job.job_id)
+        if self._is_open_here(job):
+            self._fail(job, "deadline_passed", DEADLINE_PASSED)
+
+    def _is_open_here(self, job: Job) -> bool:
+        return job.answer is None and self.table.find(job.job_id) is job
+
+    def _has_sent(self, job: Job) -> bool:
+        return any((job.job_id, index) in self._sent for index in range(len(job.tasks)))
+
+    def _left_ms(self, job: Job) -> float:
+        """Return the time until a job's answer is of no use, 0 when there is no such time."""
+        timeout_ms = job.request.timeout_ms
+        if timeout_ms <= 0:
+            return 0.0
+        passed_ms = self._clock.monotonic_ms() - job.accepted_ms
+        return max(SHORTEST_MS, timeout_ms - passed_ms)
+
     def _queued(self, job: Job, index: int, cost_ms: float) -> QueuedTask:
         request = job.request
-        task = QueuedTask(
+        return QueuedTask(
             job.job_id,
             index,
             customer=request.customer,
@@ -225,8 +313,6 @@
             size_slots=request.tasks[index].size_slots,
             job_tasks=len(request.tasks),
         )
-        task.attempt = job.tasks[index].attempt
-        return task
 
     def _estimate(self, job: Job, index: int) -> float:
         request = job.request
@@ -240,7 +326,9 @@
             raise LookupError("a queued task has no job")
         task.attempt += 1
         entry = job.tasks[task.index]
-        entry.attempt = task.attempt
+        # Attempts of a later owner are above all of an earlier one, so what side processes
+        # refuse for the earlier one never stands in the way.
+        entry.attempt = max(entry.attempt, self._epoch() << ATTEMPT_BITS) + 1
         entry.side = worker.incarnation
         worker.outstanding += task.size_slots
         self._sent[task.job_id, task.index] = _Sent(task, job, self.pool.peers[worker.incarnation])
@@ -248,13 +336,14 @@
         return TaskRun(
             task.job_id,
             task.index,
-            task.attempt,
+            entry.attempt,
             task.job_class,
             task.customer,
             job.request.tasks[task.index].payload,
             task.target_ms - task.cost_ms - waited_ms,
             self.policies.stragglers.stop_after_ms(task.customer, task.job_class, task.cost_ms),
             task.size_slots,
+            self._left_ms(job),
         )
 
     def _send(self, incarnation: str, runs: list[TaskRun]) -> None:
@@ -265,12 +354,10 @@
             if peer.link is None:
                 raise LinkError("the link is down")
             peer.link.post(Start(self._epoch(), peer.stamp_ms, runs))
-        except LinkError:
-            # Nothing left this process, so the tasks surely did not start.
+        except LinkError as error:
+            failure = before_sending(str(error))
             for run in runs:
-                sent = self._sent[run.job_id, run.index]
-                self._unsend(sent)
-                self._requeue_later(sent, 0.0)
+                self._failed(self._sent[run.job_id, run.index], failure)
             return
         self._metrics.incr("entry.tasks_sent", len(runs))
         for run in runs:
@@ -288,13 +375,36 @@
         sent.peer.view.outstanding -= sent.task.size_slots
         sent.job.tasks[sent.task.index].side = ""
 
-    def _retry(self, sent: _Sent, message: Refused) -> None:
-        if sent.job.answer is not None:
+    def _failed(
+        self, sent: _Sent, failure: DispatchFailure, reason: RefusedReason | None = None
+    ) -> None:
+        """Go on after a failed dispatch: try again only what surely did not start."""
+        self._metrics.incr(f"entry.dispatch_failed.{failure.phase}")
+        if failure.proves_not_started:
+            self._unsend(sent)
+            self._retry(sent, failure, reason)
             return
-        now_ms = self._clock.monotonic_ms()
-        delay_ms = self.policies.retry.delay_ms(message.reason, sent.task.attempt, now_ms)
+        del self._sent[sent.task.job_id, sent.task.index]
+        sent.peer.view.outstanding -= sent.task.size_slots
+        answer = TaskAnswer(failure.task_state, None, failure.cause)
+        first = sent.job.end_task(sent.task.index, answer)
+        if first and sent.job.job_id not in self._expiring:
+            if failure.phase is FailurePhase.UNKNOWN:
+                self._metrics.incr("entry.task_unknown")
+            self._fail(sent.job, failure.code, failure.cause)
+
+    def _retry(self, sent: _Sent, failure: DispatchFailure, reason: RefusedReason | None) -> None:
+        if sent.job.answer is not None or sent.job.job_id in self._expiring:
+            return
+        if reason is RefusedReason.EXPIRED:
+            self._fail(sent.job, "deadline_passed", DEADLINE_PASSED)
+            return
+        delay_ms: float | None = 0.0
+        if reason is not None:
+            now_ms = self._clock.monotonic_ms()
+            delay_ms = self.policies.retry.delay_ms(reason, sent.task.attempt, now_ms)
         if delay_ms is None:
-            self._fail(sent.job, "not_started", f"no worker took a task: {message.reason}")
+            self._fail(sent.job, failure.code, failure.cause)
             return
         self._metrics.incr("entry.task_retried")
         self._requeue_later(sent, delay_ms)
@@ -311,7 +421,7 @@
         self.pump()
 
     def _requeue(self, sent: _Sent) -> None:
-        if sent.job.answer is None and self.table.find(sent.job.job_id) is sent.job:
+        if self._is_open_here(sent.job) and sent.job.job_id not in self._expiring:
             self.policies.queue.requeue(sent.task)
 
     def _take_result(self, peer: SidePeer, result: TaskResult) -> None:
@@ -320,16 +430,23 @@
             # It may be late, a second copy, or of a job that has its answer.
             self._metrics.incr("entry.late_result")
             return
+        self._learn(sent, result)
+        if result.state is not TaskState.DONE:
+            self._failed(sent, after_start(result))
+            return
+        job = sent.job
+        value_bytes = count_bytes(result.value)
+        if job.answer_bytes + value_bytes > MAX_ANSWER_BYTES:
+            self._metrics.incr("entry.answer_too_large")
+            self._failed(sent, answer_too_large())
+            return
         del self._sent[result.job_id, result.index]
         peer.view.outstanding -= sent.task.size_slots
-        self._learn(sent, result)
-        answer = TaskAnswer(result.state, result.value, result.error)
-        if not sent.job.end_task(result.index, answer):
+        if not job.end_task(result.index, TaskAnswer(result.state, result.value)):
             return
-        if result.state is not TaskState.DONE:
-            self._fail(sent.job, "task_failed", result.error)
-        elif sent.job.open_tasks == 0:
-            self._finish(sent.job, sent.job.complete())
+        job.answer_bytes += value_bytes
+        if job.open_tasks == 0:
+            self._finish(job, job.complete())
 
     def _learn(self, sent: _Sent, result: TaskResult) -> None:
         task = sent.task
@@ -353,20 +470,25 @@
         self._metrics.timing("entry.response", self._clock.monotonic_ms() - job.accepted_ms)
         self._event(f"job_{answer.status}", job, answer.code)
         job.finish(answer)
+        self.table.keep_answer(job)
 
     def _fail(self, job: Job, code: str, reason: str) -> None:
         """Answer a job that cannot complete: waiting tasks are dropped, others stopped."""
         self.policies.queue.discard(job.job_id)
         answer = job.fail(code, reason, owned=self._may_start())
+        self._cancel_sent(job)
+        self._finish(job, answer)
+
+    def _cancel_sent(self, job: Job) -> None:
+        """Ask the side processes to drop or stop what they have of a job."""
         by_side: dict[str, list[TaskReference]] = {}
         for index in range(len(job.tasks)):
             sent = self._sent.get((job.job_id, index))
             if sent is not None:
-                reference = TaskReference(job.job_id, index, sent.task.attempt)
+                reference = TaskReference(job.job_id, index, sent.attempt)
                 by_side.setdefault(sent.peer.member.incarnation, []).append(reference)
         for incarnation, references in by_side.items():
             self._post(incarnation, Cancel(references))
-        self._finish(job, answer)
 
     def _post(self, incarnation: str, message: Cancel) -> None:
         peer = self.pool.peers.get(incarnation) if self.pool else None
@@ -396,7 +518,7 @@
     async def _settle(self, peer: SidePeer, left: list[_Sent]) -> None:
         """Ask what became of tasks, and go on accordingly."""
         references = [
-            TaskReference(sent.task.job_id, sent.task.index, sent.task.attempt) for sent in left
+            TaskReference(sent.task.job_id, sent.task.index, sent.attempt) for sent in left
         ]
         if peer.caller is None:
             return
@@ -412,11 +534,21 @@
             self._take_result(peer, result)
         for reference in states.never:
             sent = self._sent.get((reference.job_id, reference.index))
-            if sent is not None and sent.peer is peer and sent.task.attempt == reference.attempt:
-                self._unsend(sent)
-                self._requeue(sent)
+            if sent is not None and sent.peer is peer and sent.attempt == reference.attempt:
+                self._failed(sent, refused(None))
+        known = len(states.ended) + len(states.running) + len(states.never)
+        if states.ended and known < len(left):
+            # The reply was full, so it left the rest out.
+            rest = [each for each in left if self._is_open(each, states)]
+            await self._settle(peer, rest)
+            return
         self.pump()
 
+    def _is_open(self, sent: _Sent, states: TaskStates) -> bool:
+        key = (sent.task.job_id, sent.task.index)
+        running = any((each.job_id, each.index) == key for each in states.running)
+        return not running and self._sent.get(key) is sent
+
     async def _lose_later(self, peer: SidePeer) -> None:
         since_ms = peer.down_since_ms
         await self._clock.sleep_ms(LOST_AFTER_MS)
@@ -426,13 +558,9 @@
     def _lose(self, peer: SidePeer) -> None:
         """Answer the jobs with tasks at a side process that may or may not have run them."""
         lost = [sent for sent in self._sent.values() if sent.peer is peer]
+        failure = outcome_unknown("the worker of a started task cannot be reached")
         for sent in lost:
-            self._sent.pop((sent.task.job_id, sent.task.index), None)
-            peer.view.outstanding -= sent.task.size_slots
-            if sent.job.end_task(sent.task.index, TaskAnswer(TaskState.UNKNOWN)):
-                self._metrics.incr("entry.task_unknown")
-                reason = "the worker of a started task cannot be reached"
-                self._fail(sent.job, "outcome_unknown", reason)
+            self._failed(sent, failure)
 
     def _event(self, kind: str, job: Job, detail: str = "") -> None:
         self._events.record(
--- a/src/currantbarrow/entry/handover.py
+++ b/src/currantbarrow/entry/handover.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.ownership import Ownership
-from currantbarrow.jobs import TaskAnswer, shard_of
+from currantbarrow.jobs import MAX_PART_BYTES, TaskAnswer, count_bytes, shard_of
 from currantbarrow.jobs.table import Job, JobTable
 from currantbarrow.protocol import Handover, HandoverDone, JobRow, RecoveredRow, TaskRow
 from currantbarrow.types import Clock
@@ -19,7 +21,8 @@
     tasks = []
     for entry in job.tasks:
         row = TaskRow(entry.attempt, entry.side)
-        if entry.answer is not None:
+        # The answer of a job that has one holds the values already.
+        if entry.answer is not None and job.answer is None:
             answer = entry.answer
             row = TaskRow(entry.attempt, entry.side, answer.state, answer.value, answer.error)
         tasks.append(row)
@@ -45,7 +48,9 @@
         entry.side = task.side
         if task.state is not None:
             job.end_task(index, TaskAnswer(task.state, task.value, task.error))
+            job.answer_bytes += count_bytes(task.value)
     if row.answer is not None:
+        job.answer_bytes = count_bytes(row.answer)
         job.finish(row.answer)
     return job
 
@@ -58,15 +63,31 @@
     recovered = [
         RecoveredRow(job_id, sides) for job_id, sides in ownership.recovered_in(shards).items()
     ]
-    rows = [describe_job(job, now_ms) for job in table.in_shards(shards)]
-    chunks = [rows[start : start + JOBS_PER_PART] for start in range(0, len(rows), JOBS_PER_PART)]
     numbers = sorted(shards)
-    parts = [Handover(0, version, numbers, chunk, [], certain_from_ms, False) for chunk in chunks]
+    parts = [
+        Handover(0, version, numbers, rows, [], certain_from_ms, False)
+        for rows in _chunks(table.in_shards(shards), now_ms)
+    ]
     cancelled = table.cancelled_in(shards)
     parts.append(Handover(0, version, numbers, [], recovered, certain_from_ms, True, cancelled))
     return parts
 
 
+def _chunks(jobs: list[Job], now_ms: float) -> Iterator[list[JobRow]]:
+    """Yield the rows of jobs in chunks that fit well into a frame."""
+    rows: list[JobRow] = []
+    chunk_bytes = 0
+    for job in jobs:
+        job_bytes = job.request_bytes + job.answer_bytes
+        if rows and (len(rows) >= JOBS_PER_PART or chunk_bytes + job_bytes > MAX_PART_BYTES):
+            yield rows
+            rows, chunk_bytes = [], 0
+        rows.append(describe_job(job, now_ms))
+        chunk_bytes += job_bytes
+    if rows:
+        yield rows
+
+
 def take_handover(
     call: Handover,
     former: str,
@@ -87,6 +108,7 @@
             continue
         if job.answer is not None:
             dispatcher.table.add(job)
+            dispatcher.table.keep_answer(job)
         else:
             dispatcher.adopt(job, target_of.get(job.request.job_class, 0.0))
     for recovered in call.recovered:
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -251,7 +251,9 @@
             asyncio.create_task(self.cluster_follower.run()),
             asyncio.create_task(self.class_follower.run()),
             asyncio.create_task(self.steward.run()),
-            asyncio.create_task(self.lease.run(self.dispatcher.pump)),
+            asyncio.create_task(
+                self.lease.run(self.dispatcher.pump, self.dispatcher.release_waiting)
+            ),
             asyncio.create_task(self._beat()),
             asyncio.create_task(self.sides.beat()),
             asyncio.create_task(self.sharing.run()),
--- a/src/currantbarrow/entry/router.py
+++ b/src/currantbarrow/entry/router.py
@@ -174,6 +174,9 @@
     async def _submit_here(self, request: JobRequest, job_id: bytes, shard: int) -> JobAnswer:
         job = self._dispatcher.table.find_same(job_id, request)
         if job is not None:
+            if job.has_waiting:
+                # It would wait for a start that this process may not make at present.
+                self._require_lease()
             self._metrics.incr("entry.job_joined")
             return await asyncio.shield(job.future)
         self._require_lease()
--- a/src/currantbarrow/entry/submission.py
+++ b/src/currantbarrow/entry/submission.py
@@ -48,6 +48,8 @@
     tasks: list[TaskSubmission]
     created_at_ms: _TimeMs | None = None
     wait: bool = True
+    # After this time from its acceptance the answer is of no use; 0 for no such time.
+    timeout_ms: _RunMs = 0.0
 
 
 def read_submission(body: bytes, max_tasks: int) -> tuple[JobRequest, bool]:
@@ -62,7 +64,12 @@
     created_at_ms = creation_time_ms(submission.key, submission.created_at_ms)
     tasks = [_read_task(index, task) for index, task in enumerate(submission.tasks)]
     request = JobRequest(
-        submission.key, created_at_ms, submission.customer, submission.job_class, tasks
+        submission.key,
+        created_at_ms,
+        submission.customer,
+        submission.job_class,
+        tasks,
+        submission.timeout_ms,
     )
     return request, submission.wait
 
--- a/src/currantbarrow/jobs/__init__.py
+++ b/src/currantbarrow/jobs/__init__.py
@@ -15,6 +15,12 @@
     retention_ms,
     shard_of,
 )
+from currantbarrow.jobs.size import (
+    MAX_ANSWER_BYTES,
+    MAX_PART_BYTES,
+    MAX_VALUE_BYTES,
+    count_bytes,
+)
 
 __all__ = [
     "SHARD_COUNT",
@@ -27,6 +33,10 @@
     "TaskRunResult",
     "TaskState",
     "digest_request",
+    "MAX_ANSWER_BYTES",
+    "MAX_PART_BYTES",
+    "MAX_VALUE_BYTES",
+    "count_bytes",
     "make_job_id",
     "retention_ms",
     "shard_of",
--- a/src/currantbarrow/jobs/model.py
+++ b/src/currantbarrow/jobs/model.py
@@ -18,6 +18,7 @@
     "TaskRun",
     "TaskRunResult",
     "TaskState",
+    "digest_encoded",
     "digest_request",
     "make_job_id",
     "retention_ms",
@@ -62,6 +63,8 @@
     customer: str
     job_class: str
     tasks: list[TaskRequest]
+    # After this time from its acceptance the answer is of no use, 0 for no such time.
+    timeout_ms: float = 0.0
 
 
 class TaskAnswer(msgspec.Struct, array_like=True, frozen=True):
@@ -95,6 +98,8 @@
     slack_ms: float
     stop_after_ms: float
     size_slots: int = 1
+    # A task that waits longer than this is not started, 0 for no bound.
+    expires_in_ms: float = 0.0
 
 
 class TaskRunResult(msgspec.Struct, array_like=True, frozen=True):
@@ -113,7 +118,12 @@
 
 def digest_request(request: JobRequest) -> bytes:
     """Return a digest of the whole request, to tell a resubmission from a reused key."""
-    return hashlib.blake2b(msgspec.msgpack.encode(request), digest_size=JOB_ID_BYTES).digest()
+    return digest_encoded(msgspec.msgpack.encode(request))
+
+
+def digest_encoded(encoded: bytes) -> bytes:
+    """Return the digest of a request that is encoded already."""
+    return hashlib.blake2b(encoded, digest_size=JOB_ID_BYTES).digest()
 
 
 def retention_ms(window_ms: float, skew_ms: float) -> float:
--- /dev/null
+++ b/src/currantbarrow/jobs/size.py
@@ -0,0 +1,19 @@
+"""Measure values, and bound what is kept and sent of them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+__all__ = ["MAX_ANSWER_BYTES", "MAX_PART_BYTES", "MAX_VALUE_BYTES", "count_bytes"]
+
+# A frame between processes holds 8 MiB, so a part of that leaves room for what goes with it.
+MAX_VALUE_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 2 * 1024 * 1024
+MAX_PART_BYTES = 4 * 1024 * 1024
+
+
+def count_bytes(value: Any) -> int:
+    """Return the encoded size of a value in bytes."""
+    return len(msgspec.msgpack.encode(value))
--- a/src/currantbarrow/jobs/table.py
+++ b/src/currantbarrow/jobs/table.py
@@ -5,6 +5,8 @@
 import asyncio
 import collections
 
+import msgspec
+
 from currantbarrow.exceptions import JobConflict, OwnershipError
 from currantbarrow.jobs.model import (
     JobAnswer,
@@ -12,6 +14,7 @@
     JobStatus,
     TaskAnswer,
     TaskState,
+    digest_encoded,
     digest_request,
     shard_of,
 )
@@ -19,6 +22,8 @@
 
 __all__ = ["Job", "JobTable", "TaskEntry"]
 
+ANSWER_BUDGET_BYTES = 8 * 1024 * 1024
+
 
 class TaskEntry:
     """Hold the state of one task: waiting, at a side process, or ended with an answer."""
@@ -42,11 +47,13 @@
     __slots__ = (
         "accepted_ms",
         "answer",
+        "answer_bytes",
         "digest",
         "future",
         "job_id",
         "open_tasks",
         "request",
+        "request_bytes",
         "target_ms",
         "tasks",
     )
@@ -54,7 +61,10 @@
     def __init__(self, job_id: bytes, request: JobRequest, accepted_ms: float) -> None:
         self.job_id = job_id
         self.request = request
-        self.digest = digest_request(request)
+        encoded = msgspec.msgpack.encode(request)
+        self.digest = digest_encoded(encoded)
+        self.request_bytes = len(encoded)
+        self.answer_bytes = 0
         self.accepted_ms = accepted_ms
         self.target_ms = 0.0
         self.tasks = [TaskEntry() for _ in request.tasks]
@@ -62,6 +72,11 @@
         self.answer: JobAnswer | None = None
         self.future: asyncio.Future[JobAnswer] = asyncio.get_running_loop().create_future()
 
+    @property
+    def has_waiting(self) -> bool:
+        """Tell whether some task waits here to be started."""
+        return self.answer is None and any(entry.waiting for entry in self.tasks)
+
     def end_task(self, index: int, answer: TaskAnswer) -> bool:
         """Record a task's end once; tell whether this was the first time."""
         entry = self.tasks[index]
@@ -79,11 +94,36 @@
 
     def move(self) -> None:
         """Tell those who wait that another entry owns the job now."""
+        self._send_away("the job's shard has a new owner")
+
+    def release(self) -> None:
+        """Tell those who wait to come back later; the job itself goes on."""
         if not self.future.done():
-            self.future.set_exception(OwnershipError("the job's shard has a new owner"))
+            self._send_away("the owner of the job's shard may not start work at present")
+            self.future = asyncio.get_running_loop().create_future()
+
+    def _send_away(self, reason: str) -> None:
+        if not self.future.done():
+            self.future.set_exception(OwnershipError(reason))
             # Nobody may be waiting, and that is no mistake.
             self.future.exception()
 
+    def drop_values(self) -> None:
+        """Keep of the answer only which tasks ran; a caller that comes back is told so."""
+        if self.answer is None:
+            return
+        reason = "the result is no longer kept"
+        tasks = [
+            TaskAnswer(TaskState.RAN, None, reason) if task.state is TaskState.DONE else task
+            for task in self.answer.tasks
+        ]
+        self.answer = JobAnswer(JobStatus.FAILED, tasks, "result_dropped", reason)
+        for entry, task in zip(self.tasks, tasks, strict=True):
+            entry.answer = task
+        self.answer_bytes = 0
+        self.future = asyncio.get_running_loop().create_future()
+        self.future.set_result(self.answer)
+
     def complete(self) -> JobAnswer:
         """Return the answer of a job whose tasks are all done."""
         answers = [self._describe(entry, TaskState.UNKNOWN) for entry in self.tasks]
@@ -111,11 +151,25 @@
 class JobTable:
     """Find jobs by their id until their keys are too old to come back."""
 
-    __slots__ = ("_added_ms", "_cancelled", "_clock", "_jobs", "_retention_ms")
+    __slots__ = (
+        "_added_ms",
+        "_answer_bytes",
+        "_answered",
+        "_budget_bytes",
+        "_cancelled",
+        "_clock",
+        "_jobs",
+        "_retention_ms",
+    )
 
-    def __init__(self, clock: Clock, retention_ms: float) -> None:
+    def __init__(
+        self, clock: Clock, retention_ms: float, budget_bytes: int = ANSWER_BUDGET_BYTES
+    ) -> None:
         self._clock = clock
         self._retention_ms = retention_ms
+        self._budget_bytes = budget_bytes
+        self._answer_bytes = 0
+        self._answered: collections.deque[tuple[bytes, int]] = collections.deque()
         self._jobs: dict[bytes, Job] = {}
         self._cancelled: dict[bytes, None] = {}
         self._added_ms: collections.deque[tuple[float, bytes]] = collections.deque()
@@ -136,6 +190,19 @@
         self._jobs[job.job_id] = job
         self._added_ms.append((self._clock.monotonic_ms(), job.job_id))
 
+    def keep_answer(self, job: Job) -> None:
+        """Count a job's answer, and drop the values of the oldest ones beyond the budget."""
+        if job.answer is None or self._jobs.get(job.job_id) is not job:
+            return
+        self._answered.append((job.job_id, job.answer_bytes))
+        self._answer_bytes += job.answer_bytes
+        while self._answer_bytes > self._budget_bytes and self._answered:
+            job_id, dropped_bytes = self._answered.popleft()
+            self._answer_bytes -= dropped_bytes
+            oldest = self._jobs.get(job_id)
+            if oldest is not None and dropped_bytes:
+                oldest.drop_values()
+
     def cancel_early(self, job_id: bytes) -> None:
         """Remember a cancellation that overtook its submission."""
         self._cancelled[job_id] = None
@@ -176,6 +243,8 @@
             else:
                 still_open.append(job_id)
         now_ms = self._clock.monotonic_ms()
+        while self._answered and self._answered[0][0] not in self._jobs:
+            self._answer_bytes -= self._answered.popleft()[1]
         self._added_ms.extend((now_ms, job_id) for job_id in still_open)
 
     def __len__(self) -> int:
--- a/src/currantbarrow/protocol/messages.py
+++ b/src/currantbarrow/protocol/messages.py
@@ -73,6 +73,7 @@
     STALE = "stale"
     TOO_LARGE = "too_large"
     CANCELLED = "cancelled"
+    EXPIRED = "expired"
     OTHER = "other"
 
     @classmethod
--- a/src/currantbarrow/side/ledger.py
+++ b/src/currantbarrow/side/ledger.py
@@ -4,36 +4,60 @@
 
 import collections
 
-from currantbarrow.jobs import shard_of
+import msgspec
+
+from currantbarrow.jobs import MAX_VALUE_BYTES, TaskState, count_bytes, shard_of
 from currantbarrow.protocol import FencedTask, TaskReference, TaskResult
 from currantbarrow.types import Clock
 
 __all__ = ["LedgerTask", "StartLedger"]
 
+VALUE_BUDGET_BYTES = 8 * 1024 * 1024
+
+
+def _without_value(result: TaskResult, reason: str) -> TaskResult:
+    state = TaskState.RAN if result.state is TaskState.DONE else result.state
+    return msgspec.structs.replace(result, state=state, value=None, error=result.error or reason)
+
 
 class LedgerTask:
     """Hold what is known of one task: its started attempt, owner and result."""
 
-    __slots__ = ("attempt", "floor", "owner", "result")
+    __slots__ = ("attempt", "floor", "forgotten", "owner", "result")
 
     def __init__(self) -> None:
         self.attempt: int | None = None
         # Attempts below the floor were reported as never started and must stay so.
         self.floor = 0
         self.owner = ""
+        self.forgotten = False
         self.result: TaskResult | None = None
 
 
 class StartLedger:
     """Keep started tasks by job, bounded by age."""
 
-    __slots__ = ("_clock", "_jobs", "_retention_ms", "_seen_ms", "since_ms")
-
-    def __init__(self, clock: Clock, retention_ms: float) -> None:
+    __slots__ = (
+        "_budget_bytes",
+        "_clock",
+        "_jobs",
+        "_retention_ms",
+        "_seen_ms",
+        "_value_bytes",
+        "_values",
+        "since_ms",
+    )
+
+    def __init__(
+        self, clock: Clock, retention_ms: float, budget_bytes: int = VALUE_BUDGET_BYTES
+    ) -> None:
         self._clock = clock
         self._retention_ms = retention_ms
         self._jobs: dict[bytes, dict[int, LedgerTask]] = {}
         self._seen_ms: collections.deque[tuple[float, bytes]] = collections.deque()
+        self._budget_bytes = budget_bytes
+        self._value_bytes = 0
+        self._values: collections.deque[tuple[int, LedgerTask]] = collections.deque()
         self.since_ms = clock.wall_ms()
 
     def task(self, job_id: bytes, index: int) -> LedgerTask:
@@ -51,6 +75,25 @@
         """Return the entry of a task, None when there is none."""
         return self._jobs.get(job_id, {}).get(index)
 
+    def keep_result(self, entry: LedgerTask, result: TaskResult) -> TaskResult:
+        """Keep a result, dropping the values of the oldest beyond the budget; return it.
+
+        A value too large to be sent is replaced by the word that the task ran.
+        """
+        value_bytes = count_bytes(result.value)
+        if value_bytes > MAX_VALUE_BYTES:
+            result = _without_value(result, "the result is too large to be sent")
+            value_bytes = 0
+        entry.result = result
+        self._values.append((value_bytes, entry))
+        self._value_bytes += value_bytes
+        while self._value_bytes > self._budget_bytes:
+            dropped_bytes, oldest = self._values.popleft()
+            self._value_bytes -= dropped_bytes
+            if oldest.result is not None and dropped_bytes:
+                oldest.result = _without_value(oldest.result, "the result is no longer kept")
+        return result
+
     def refuse(self, reference: TaskReference) -> None:
         """Never start this attempt or an older one."""
         entry = self.task(reference.job_id, reference.index)
@@ -77,7 +120,11 @@
                 running.append(job_id)
             else:
                 self._jobs.pop(job_id, None)
+                for entry in job.values():
+                    entry.forgotten = True
         now_ms = self._clock.monotonic_ms()
+        while self._values and self._values[0][1].forgotten:
+            self._value_bytes -= self._values.popleft()[0]
         self._seen_ms.extend((now_ms, job_id) for job_id in running)
 
     def __len__(self) -> int:
--- a/src/currantbarrow/side/node.py
+++ b/src/currantbarrow/side/node.py
@@ -11,7 +11,7 @@
 from currantbarrow.classes import ClassState
 from currantbarrow.cluster import ClusterState, PanelMember
 from currantbarrow.exceptions import AppendUnknown, LinkError, LogUnavailable
-from currantbarrow.jobs import TaskRun, retention_ms
+from currantbarrow.jobs import MAX_PART_BYTES, TaskRun, count_bytes, retention_ms
 from currantbarrow.logservice import (
     CLASS_STREAM,
     CLUSTER_STREAM,
@@ -100,7 +100,9 @@
         self.ledger = StartLedger(clock, retention_ms(options.window_ms, options.skew_ms))
         self.gate = StartGate(clock, self.ledger, options.permission_ms)
         self.panel = PanelMember(clock)
-        self.runner = TaskRunner(upstream, clock, metrics, self._note_start, self._note_end)
+        self.runner = TaskRunner(
+            upstream, clock, metrics, self._note_start, self._note_end, self._note_expired
+        )
         self.leaving = False
         self.address = ""
         self._clock = clock
@@ -310,11 +312,17 @@
             self._refuse(link, RefusedReason.CANCELLED, dropped)
 
     def _answer_query(self, link: Link, query: QueryTasks) -> TaskStates:
-        ended, running, never = [], [], []
+        ended: list[TaskResult] = []
+        running: list[TaskReference] = []
+        never: list[TaskReference] = []
+        ended_bytes = 0
         for reference in query.tasks:
             entry = self.ledger.find(reference.job_id, reference.index)
             if entry is not None and entry.result is not None:
-                ended.append(entry.result)
+                # What the reply has no room for is left out, and is asked for again.
+                ended_bytes += count_bytes(entry.result.value)
+                if not ended or ended_bytes <= MAX_PART_BYTES:
+                    ended.append(entry.result)
             elif entry is not None and entry.attempt is not None:
                 entry.owner = link.peer.incarnation
                 running.append(reference)
@@ -348,6 +356,9 @@
         for owner, references in by_owner.items():
             self._post_load(owner, Refused(reason, references, self.load(owner)))
 
+    def _note_expired(self, task: TaskRun) -> None:
+        self._return_waiting([task], RefusedReason.EXPIRED)
+
     def _note_start(self, task: TaskRun) -> None:
         self.ledger.task(task.job_id, task.index).attempt = task.attempt
         self._metrics.incr("side.task_started")
@@ -357,7 +368,7 @@
 
     def _note_end(self, result: TaskResult) -> None:
         entry = self.ledger.task(result.job_id, result.index)
-        entry.result = result
+        result = self.ledger.keep_result(entry, result)
         self._events.record(
             "task_ended", job=result.job_id.hex(), task=result.index, detail=result.state
         )
--- a/src/currantbarrow/side/runner.py
+++ b/src/currantbarrow/side/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import heapq
+import math
 from collections.abc import Callable
 
 from currantbarrow.exceptions import UpstreamError, UpstreamLost
@@ -17,9 +18,12 @@
 class QueuedRun:
     """Hold one task that waits for a slot, with the epoch that it came under."""
 
-    __slots__ = ("dropped", "due_ms", "epoch", "sequence", "task")
+    __slots__ = ("dropped", "due_ms", "epoch", "expires_ms", "sequence", "task")
 
-    def __init__(self, task: TaskRun, epoch: int, due_ms: float, sequence: int) -> None:
+    def __init__(
+        self, task: TaskRun, epoch: int, due_ms: float, expires_ms: float, sequence: int
+    ) -> None:
+        self.expires_ms = expires_ms
         self.task = task
         self.epoch = epoch
         self.due_ms = due_ms
@@ -38,11 +42,13 @@
         "_heap",
         "_metrics",
         "_on_end",
+        "_on_expired",
         "_on_start",
         "_queued",
         "_running",
         "_sequence",
         "_upstream",
+        "_waiting",
         "sizes",
         "slots",
         "used_slots",
@@ -55,6 +61,7 @@
         metrics: Metrics,
         on_start: Callable[[TaskRun], None],
         on_end: Callable[[TaskResult], None],
+        on_expired: Callable[[TaskRun], None],
     ) -> None:
         self.slots = 0
         self.used_slots = 0
@@ -65,8 +72,10 @@
         self._metrics = metrics
         self._on_start = on_start
         self._on_end = on_end
+        self._on_expired = on_expired
         self._heap: list[QueuedRun] = []
         self._queued: dict[tuple[bytes, int], QueuedRun] = {}
+        self._waiting: set[asyncio.Task[None]] = set()
         self._running: dict[tuple[bytes, int], asyncio.Task[None]] = {}
         self._sequence = 0
 
@@ -83,12 +92,17 @@
     def add(self, task: TaskRun, epoch: int) -> None:
         """Queue a task and start it when a slot is free."""
         self._sequence += 1
-        due_ms = self._clock.monotonic_ms() + task.slack_ms
-        run = QueuedRun(task, epoch, due_ms, self._sequence)
+        now_ms = self._clock.monotonic_ms()
+        expires_ms = now_ms + task.expires_in_ms if task.expires_in_ms > 0 else math.inf
+        run = QueuedRun(task, epoch, now_ms + task.slack_ms, expires_ms, self._sequence)
         self._queued[task.job_id, task.index] = run
         self.sizes[task.job_id, task.index] = task.size_slots
         heapq.heappush(self._heap, run)
         self.fill()
+        if expires_ms < math.inf and not run.dropped and self.has_queued(task.job_id, task.index):
+            waiting = asyncio.create_task(self._expire_later(run))
+            self._waiting.add(waiting)
+            waiting.add_done_callback(self._waiting.discard)
 
     def has_queued(self, job_id: bytes, index: int) -> bool:
         """Tell whether a task waits for a slot."""
@@ -124,7 +138,7 @@
         self._heap.clear()
         self._queued.clear()
         self._on_end = lambda result: None
-        for running in self._running.values():
+        for running in [*self._running.values(), *self._waiting]:
             running.cancel()
 
     def fill(self) -> None:
@@ -134,9 +148,23 @@
             if not run.dropped and self.used_slots + run.task.size_slots > self.slots:
                 return
             heapq.heappop(self._heap)
-            if not run.dropped:
+            if run.dropped:
+                continue
+            if self._clock.monotonic_ms() >= run.expires_ms:
+                self._expire(run)
+            else:
                 self._start(run.task)
 
+    async def _expire_later(self, run: QueuedRun) -> None:
+        await self._clock.sleep_ms(run.expires_ms - self._clock.monotonic_ms())
+        if self._queued.get((run.task.job_id, run.task.index)) is run:
+            self._expire(run)
+
+    def _expire(self, run: QueuedRun) -> None:
+        """Return a task whose answer is of no use any more."""
+        self.drop(run.task.job_id, run.task.index)
+        self._on_expired(run.task)
+
     async def wait_idle(self) -> None:
         """Wait until no task runs or waits."""
         while self._running:
