Let a successor work only once the old owner may not speak

Cause: review of the takeover, then a test: with every side process fenced a successor was ready at once, while an old owner that was cut off from all processes but not from its callers still held its lease. For up to 3 s it answered for keys it did not know: a cancellation of a job that its successor had run came back as "cancelled before it came", and its resubmission would have been refused as not run. Ruled out: double starts, which the fences prevent. Change: a takeover closes the older versions and waits until the former owners' leases have ended, by the evidence of the panel members that closed them (a majority that answers has a member of each majority that confirmed); without that evidence it waits the whole lease. Entries close older versions while all is quiet, so that one open version is the usual case. Conclusion: keep; truth of refusals goes before the second or so that it costs in a crash.

--- a/src/currantbarrow/cluster/__init__.py
+++ b/src/currantbarrow/cluster/__init__.py
@@ -1,6 +1,7 @@
 """Agree on members and owners of shards through the log."""
 
 from currantbarrow.cluster.balance import balance_shards, choose_panel
+from currantbarrow.cluster.evidence import ask_lease_ages
 from currantbarrow.cluster.lease import Lease, majority
 from currantbarrow.cluster.panel import PanelMember
 from currantbarrow.cluster.state import Assignment, ClusterState, Departure, Member
@@ -12,6 +13,7 @@
     "Lease",
     "Member",
     "PanelMember",
+    "ask_lease_ages",
     "balance_shards",
     "choose_panel",
     "majority",
--- a/src/currantbarrow/entry/ownership.py
+++ b/src/currantbarrow/entry/ownership.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, TypeVar
 
-from currantbarrow.cluster import Assignment, ClusterState, majority
+from currantbarrow.cluster import Assignment, ClusterState, ask_lease_ages, majority
 from currantbarrow.entry.sides import SidePeer, SidePool
 from currantbarrow.exceptions import LinkError, OwnershipError
 from currantbarrow.jobs import retention_ms, shard_of
@@ -94,6 +95,7 @@
         self._give_up = give_up
         self._is_down = is_down
         self._version = 0
+        self._version_since_ms = 0.0
         self._shards: dict[int, _OwnedShard] = {}
         self._background: set[asyncio.Task[Any]] = set()
         self._closing = False
@@ -187,6 +189,7 @@
         if assignment.version == self._version:
             return
         self._version = assignment.version
+        self._version_since_ms = self._clock.monotonic_ms()
         self.closed_version = max(self.closed_version, assignment.closed_version)
         mine = assignment.shards_of(self._owner)
         # A shard that went to another owner and came back between two looks is both
@@ -206,9 +209,12 @@
             self._events.record("shards_gained", detail=str(len(gained)))
             self._gain(gained, assignment)
 
-    def close_older(self) -> None:
-        """Close the versions before the present one, so that nobody acts on them any more."""
-        if self.closed_version < self._version - 1 and not self._closing:
+    def close_older(self, after_ms: float) -> None:
+        """Close the versions before one that has held for a while, unless that is done."""
+        held_ms = self._clock.monotonic_ms() - self._version_since_ms
+        if held_ms < after_ms or self._closing:
+            return
+        if self.closed_version < self._version - 1:
             self._closing = True
             self._spawn(self._close_in_background(self._version))
 
@@ -280,7 +286,8 @@
     async def _take_over(self, group: dict[int, _OwnedShard], version: int) -> None:
         shards = set(group)
         began_ms = self._clock.monotonic_ms()
-        closing = self._spawn(self._close_versions(version))
+        formers = {self._state.assignment.former[shard] for shard in shards}
+        closing = self._spawn(self._end_leases(version, formers))
         sides = [member.incarnation for member in self._state.by_role(Role.SIDE)]
         replies = await asyncio.gather(*(self._fence(side, shards, version) for side in sides))
         certain_from_ms = self._departures_certain_from_ms()
@@ -289,12 +296,14 @@
                 self._metrics.incr("entry.fence_silent")
             else:
                 self._take_ledger(side, reply, shards)
-        if None in replies or self._state.unsettled():
+        lease_end_ms = await closing
+        if None not in replies and not self._state.unsettled():
+            # The old owner can start nothing any more, but it may speak for its keys.
+            await self._sleep_until(lease_end_ms)
+        else:
             # A silent side process may still take starts of the old owner, until the
             # lease and the start permissions that it may hold have run out.
-            closed_ms = await closing
-            until_ms = closed_ms + self._options.lease_ms + self._options.permission_ms
-            await self._clock.sleep_ms(max(0.0, until_ms - self._clock.monotonic_ms()))
+            await self._sleep_until(lease_end_ms + self._options.permission_ms)
             certain_from_ms = self._clock.wall_ms() + 2 * self._options.skew_ms
         still_mine = [shard for shard, owned in group.items() if self._shards.get(shard) is owned]
         self.make_ready(still_mine, certain_from_ms)
@@ -319,13 +328,38 @@
             await self._clock.sleep_ms(RETRY_MS)
         return None
 
-    async def _close_versions(self, version: int) -> float:
-        """Close all versions before one at their panels; return when that was done."""
-        open_versions = {
+    async def _sleep_until(self, time_ms: float) -> None:
+        await self._clock.sleep_ms(max(0.0, time_ms - self._clock.monotonic_ms()))
+
+    async def _end_leases(self, version: int, formers: set[str]) -> float:
+        """Close all versions before one, and return when the former owners' leases end."""
+        open_versions = self._open_versions(version)
+        await self._close_versions(version)
+        closed_ms = self._clock.monotonic_ms()
+        if len(open_versions) != 1:
+            # Owners before the former ones may hold leases of older versions.
+            return closed_ms + self._options.lease_ms
+        (panel,) = open_versions.values()
+        callers = [self._caller_of(side) for side in panel]
+        youngest_ms = math.inf
+        for former in formers:
+            ages_ms = await ask_lease_ages(callers, former)
+            if len(ages_ms) < majority(len(panel)):
+                return closed_ms + self._options.lease_ms
+            youngest_ms = min(youngest_ms, *ages_ms)
+        # Each majority that confirmed a lease has a member among those that answered.
+        return closed_ms + self._options.lease_ms - youngest_ms
+
+    def _open_versions(self, version: int) -> dict[int, tuple[str, ...]]:
+        return {
             old: panel
             for old, panel in self._state.panels.items()
             if self.closed_version < old < version and panel
         }
+
+    async def _close_versions(self, version: int) -> None:
+        """Close all versions before one at their panels."""
+        open_versions = self._open_versions(version)
         for old, panel in sorted(open_versions.items()):
             while not await self._close_version(old, panel):
                 if old <= self.closed_version:
@@ -333,7 +367,6 @@
                 self._metrics.incr("entry.close_without_majority")
                 await self._clock.sleep_ms(RETRY_MS)
         self.closed_version = max(self.closed_version, version - 1)
-        return self._clock.monotonic_ms()
 
     async def _close_version(self, version: int, panel: tuple[str, ...]) -> bool:
         answers = await asyncio.gather(*(self._ask_close(side, version) for side in panel))
--- a/src/currantbarrow/entry/steward.py
+++ b/src/currantbarrow/entry/steward.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 
-from currantbarrow.cluster import ClusterState, Member, balance_shards, choose_panel, majority
+from currantbarrow.cluster import (
+    ClusterState,
+    Member,
+    ask_lease_ages,
+    balance_shards,
+    choose_panel,
+    majority,
+)
 from currantbarrow.entry.ownership import Ownership
 from currantbarrow.entry.peers import EntryPool
 from currantbarrow.entry.sides import SidePool
-from currantbarrow.exceptions import AppendUnknown, LinkError, LogServiceError, LogUnavailable
+from currantbarrow.exceptions import AppendUnknown, LogServiceError, LogUnavailable
 from currantbarrow.logservice import (
     CLUSTER_STREAM,
     AssignmentChanged,
@@ -22,7 +28,7 @@
     append_once,
 )
 from currantbarrow.observe import EventRing, logger
-from currantbarrow.protocol import LeaseAge, LeaseSeen, Role
+from currantbarrow.protocol import Role
 from currantbarrow.types import Clock, LogService, Metrics
 
 __all__ = ["Steward"]
@@ -33,7 +39,7 @@
 # Each process waits its rank times this before it proposes, so that one proposal is usual.
 RANK_DELAY_MS = 400.0
 APPEND_GIVE_UP_MS = 3000.0
-EVIDENCE_TIMEOUT_MS = 500.0
+CLOSE_AFTER_MS = 5000.0
 EVIDENCE_HOLDS_MS = 1000.0
 REGISTER_RETRY_MS = 500.0
 
@@ -125,6 +131,8 @@
         wanted = self._wanted_assignment(alive, gone)
         if wanted is None and not gone and not dead:
             self._needed_since_ms = None
+            # A takeover waits less when few versions are open, so they are closed in time.
+            self._ownership.close_older(CLOSE_AFTER_MS)
             return
         if not self._is_my_turn(alive):
             return
@@ -156,22 +164,12 @@
     async def _is_confirmed(self, incarnation: str) -> bool:
         """Tell whether a majority of the panel confirmed a peer's lease of late."""
         panel = self._state.assignment.panel
-        ages = await asyncio.gather(*(self._lease_age_ms(side, incarnation) for side in panel))
+        peers = [self._sides.peers.get(side) for side in panel]
+        callers = [peer.caller if peer else None for peer in peers]
+        ages = await ask_lease_ages(callers, incarnation)
         recent = sum(age_ms < ENTRY_SUSPECT_MS for age_ms in ages)
         return bool(panel) and recent >= majority(len(panel))
 
-    async def _lease_age_ms(self, side: str, incarnation: str) -> float:
-        peer = self._sides.peers.get(side)
-        if peer is None or peer.caller is None:
-            return math.inf
-        try:
-            seen = await peer.caller.call(
-                lambda call_id: LeaseAge(call_id, incarnation), LeaseSeen, EVIDENCE_TIMEOUT_MS
-            )
-        except LinkError:
-            return math.inf
-        return seen.ago_ms if seen.known else math.inf
-
     def _dead_entries(self) -> set[str]:
         now_ms = self._clock.monotonic_ms()
         return {
@@ -222,7 +220,7 @@
             return False
         if self._state.assignment.version <= max(unsettled):
             return True
-        self._ownership.close_older()
+        self._ownership.close_older(0.0)
         return self._ownership.closed_version >= min(unsettled)
 
     def _is_my_turn(self, alive: list[str]) -> bool:
