--- a/src/currantbarrow/entry/steward.py
+++ b/src/currantbarrow/entry/steward.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 
 from currantbarrow.cluster import (
     ClusterState,
     Lease,
     Member,
+    ask_lease_ages,
     balance_shards,
     choose_panel,
     majority,
@@ -17,7 +17,7 @@
 from currantbarrow.entry.ownership import Ownership
 from currantbarrow.entry.peers import EntryPool
 from currantbarrow.entry.sides import SidePool
-from currantbarrow.exceptions import AppendUnknown, LinkError, LogServiceError, LogUnavailable
+from currantbarrow.exceptions import AppendUnknown, LogServiceError, LogUnavailable
 from currantbarrow.logservice import (
     CLUSTER_STREAM,
     AssignmentChanged,
@@ -29,7 +29,7 @@
     append_once,
 )
 from currantbarrow.observe import EventRing, logger
-from currantbarrow.protocol import Caller, LastSeen, Role, Seen
+from currantbarrow.protocol import Role
 from currantbarrow.types import Clock, LogService, Metrics
 
 __all__ = ["Steward"]
@@ -40,7 +40,7 @@
 # Each process waits its rank times this before it proposes, so that one proposal is usual.
 RANK_DELAY_MS = 400.0
 APPEND_GIVE_UP_MS = 3000.0
-EVIDENCE_TIMEOUT_MS = 500.0
+CLOSE_AFTER_MS = 5000.0
 EVIDENCE_HOLDS_MS = 1000.0
 REJOIN_FIRST_MS = 5000.0
 REJOIN_LIMIT_MS = 120_000.0
@@ -146,6 +146,8 @@
         wanted = self._wanted_assignment(alive, gone)
         if wanted is None and not gone and not dead:
             self._needed_since_ms = None
+            # A takeover waits less when few versions are open, so they are closed in time.
+            self._ownership.close_older(CLOSE_AFTER_MS)
             return
         if not self._is_my_turn(alive):
             return
@@ -190,10 +192,9 @@
             if await self._may_be_confirmed(incarnation):
                 self._spare(incarnation)
         for incarnation in sorted(gone):
-            ages = await asyncio.gather(
-                *(self._age_ms(peer.caller, incarnation) for peer in self._entries.peers.values())
-            )
-            if any(age_ms is not None and age_ms < ENTRY_SUSPECT_MS for age_ms in ages):
+            callers = [peer.caller for peer in self._entries.peers.values()]
+            ages = await ask_lease_ages(callers, incarnation)
+            if any(age_ms < ENTRY_SUSPECT_MS for age_ms in ages):
                 self._spare(incarnation)
 
     def _spare(self, incarnation: str) -> None:
@@ -203,25 +204,13 @@
     async def _may_be_confirmed(self, incarnation: str) -> bool:
         """Tell whether a majority of the panel confirmed a peer's lease of late, or can't say."""
         panel = self._state.assignment.panel
-        callers = [peer.caller if (peer := self._sides.peers.get(side)) else None for side in panel]
-        ages = await asyncio.gather(*(self._age_ms(caller, incarnation) for caller in callers))
-        known = [age_ms for age_ms in ages if age_ms is not None]
+        peers = [self._sides.peers.get(side) for side in panel]
+        callers = [peer.caller if peer else None for peer in peers]
+        ages = await ask_lease_ages(callers, incarnation)
         if not panel:
             return False
-        recent = sum(age_ms < ENTRY_SUSPECT_MS for age_ms in known)
-        return recent >= majority(len(panel)) or len(known) < majority(len(panel))
-
-    async def _age_ms(self, caller: Caller | None, incarnation: str) -> float | None:
-        """Return how long ago a process heard of another one, None when it doesn't answer."""
-        if caller is None:
-            return None
-        try:
-            seen = await caller.call(
-                lambda call_id: LastSeen(call_id, incarnation), Seen, EVIDENCE_TIMEOUT_MS
-            )
-        except LinkError:
-            return None
-        return seen.ago_ms if seen.known else math.inf
+        recent = sum(age_ms < ENTRY_SUSPECT_MS for age_ms in ages)
+        return recent >= majority(len(panel)) or len(ages) < majority(len(panel))
 
     def _dead_entries(self) -> set[str]:
         now_ms = self._clock.monotonic_ms()
@@ -275,7 +264,7 @@
             return False
         if self._state.assignment.version <= max(unsettled):
             return True
-        self._ownership.close_older()
+        self._ownership.close_older(0.0)
         return self._ownership.closed_version >= min(unsettled)
 
     def _is_my_turn(self, alive: list[str]) -> bool:
