Measure owners against claims and locks, and say no false 'not run' for late keys

Cause: a key up to one skew ahead of a fast entry was refused as not run by a slow one although it had run; so was a resubmission whose class had been removed since.

Change: only keys that no clock in bounds could have taken are refused as never run, others are asked again a moment later; the class is checked by the owner after its table.

--- /dev/null
+++ b/src/currantbarrow/bench/claims.py
@@ -0,0 +1,186 @@
+"""Route submissions in the two ways that were not chosen, for comparison only."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import Protocol
+
+import msgspec
+
+from currantbarrow.entry import EntryNode
+from currantbarrow.entry.router import Router
+from currantbarrow.exceptions import LinkError, LogUnavailable, OwnershipError
+from currantbarrow.jobs import (
+    JobAnswer,
+    JobRequest,
+    JobStatus,
+    TaskAnswer,
+    TaskState,
+    make_job_id,
+)
+from currantbarrow.jobs.table import Job
+from currantbarrow.protocol import Forward, Forwarded, LastSeen, Role, Seen
+from currantbarrow.types import Clock, LogService
+
+__all__ = ["ClaimLedger", "ClaimRouter", "LockTable"]
+
+CLAIM_STREAM = "claims"
+READ_WAIT_MS = 2000
+READ_RETRY_MS = 200.0
+FORWARD_TIMEOUT_MS = 60_000.0
+FORWARD_RETRY_MS = 50.0
+DEAD_AFTER_MS = 1500.0
+LOCK_TIMEOUT_MS = 500.0
+RETRY_AFTER_MS = 1000
+
+
+class _Claim(msgspec.Struct):
+    owner: str
+    job_ids: list[bytes]
+
+
+class Claims(Protocol):
+    """Say which entry a job belongs to."""
+
+    async def claim(self, owner: str, job_id: bytes) -> str:
+        """Return the entry that claimed a job first; raise LogUnavailable or LinkError."""
+
+
+class ClaimLedger:
+    """Claim jobs in the log: one append at a time carries all claims that wait."""
+
+    def __init__(self, log: LogService, clock: Clock) -> None:
+        self._log = log
+        self._clock = clock
+        self._first: dict[bytes, str] = {}
+        self._offset = -1
+        self._read = asyncio.Event()
+        self._waiting: dict[str, list[tuple[bytes, asyncio.Future[None]]]] = (
+            collections.defaultdict(list)
+        )
+        self._writers: dict[str, asyncio.Task[None]] = {}
+
+    async def follow(self) -> None:
+        """Read all claims until cancelled."""
+        while True:
+            try:
+                records = await self._log.read(CLAIM_STREAM, self._offset + 1, READ_WAIT_MS)
+            except LogUnavailable:
+                await self._clock.sleep_ms(READ_RETRY_MS)
+                continue
+            for record in records:
+                claim = msgspec.json.decode(record.data, type=_Claim)
+                for job_id in claim.job_ids:
+                    self._first.setdefault(job_id, claim.owner)
+                self._offset = record.offset
+            if records:
+                self._read.set()
+                self._read = asyncio.Event()
+
+    async def claim(self, owner: str, job_id: bytes) -> str:
+        """Return the entry that claimed a job first; raise LogUnavailable."""
+        if job_id not in self._first:
+            done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._waiting[owner].append((job_id, done))
+            writer = self._writers.get(owner)
+            if writer is None or writer.done():
+                self._writers[owner] = asyncio.create_task(self._write(owner))
+            await done
+        return self._first[job_id]
+
+    async def _write(self, owner: str) -> None:
+        while self._waiting[owner]:
+            batch = self._waiting.pop(owner)
+            data = msgspec.json.encode(_Claim(owner, [job_id for job_id, _ in batch]))
+            try:
+                offset = await self._log.append(CLAIM_STREAM, data)
+            except LogUnavailable as error:
+                for _, done in batch:
+                    if not done.done():
+                        done.set_exception(error)
+                continue
+            while self._offset < offset:
+                await self._read.wait()
+            for _, done in batch:
+                if not done.done():
+                    done.set_result(None)
+
+
+class LockTable:
+    """Claim jobs at a side process chosen by hash: one exchange with it for each job."""
+
+    def __init__(self) -> None:
+        self._first: dict[str, dict[bytes, str]] = collections.defaultdict(dict)
+        self._nodes: dict[str, EntryNode] = {}
+
+    def add(self, node: EntryNode) -> None:
+        """Let an entry claim jobs."""
+        self._nodes[node.options.incarnation] = node
+
+    async def claim(self, owner: str, job_id: bytes) -> str:
+        """Return the entry that claimed a job first; raise LinkError."""
+        node = self._nodes[owner]
+        sides = node.cluster.by_role(Role.SIDE)
+        side = sides[int.from_bytes(job_id[:4], "big") % len(sides)].incarnation
+        peer = node.sides.peers[side]
+        if peer.caller is None:
+            raise LinkError("the side process of the job cannot be reached")
+        # The exchange stands for the one that would ask for the lock.
+        await peer.caller.call(lambda call_id: LastSeen(call_id, owner), Seen, LOCK_TIMEOUT_MS)
+        return self._first[side].setdefault(job_id, owner)
+
+
+class ClaimRouter(Router):
+    """Run a job at the entry that claimed it first, and pass other copies on to that one."""
+
+    def __init__(self, node: EntryNode, claims: Claims, clock: Clock) -> None:
+        self._node = node
+        self._claims = claims
+        self._time = clock
+
+    async def submit(self, request: JobRequest, hops: int = 0) -> JobAnswer:
+        """Return the answer to a job; raise OwnershipError."""
+        job_id = make_job_id(request)
+        known = self._node.dispatcher.table.find_same(job_id, request)
+        if known is not None:
+            return await asyncio.shield(known.future)
+        me = self._node.options.incarnation
+        try:
+            winner = await self._claims.claim(me, job_id)
+        except LogUnavailable:
+            return _refuse(request, "log_unavailable", TaskState.NOT_RUN)
+        except LinkError as error:
+            raise OwnershipError(str(error)) from error
+        if winner == me:
+            return await self._run(request, job_id)
+        return await self._pass_on(request, winner)
+
+    async def _run(self, request: JobRequest, job_id: bytes) -> JobAnswer:
+        job = self._node.dispatcher.table.find(job_id)
+        if job is None:
+            job = Job(job_id, request, self._time.monotonic_ms())
+            refusal = self._node.dispatcher.submit(job, 300.0)
+            if refusal is not None:
+                return refusal
+        return await asyncio.shield(job.future)
+
+    async def _pass_on(self, request: JobRequest, winner: str) -> JobAnswer:
+        while True:
+            peer = self._node.entries.peers.get(winner)
+            if peer is None or self._node.entries.down_for_ms(winner) > DEAD_AFTER_MS:
+                return _refuse(request, "outcome_unknown", TaskState.UNKNOWN)
+            try:
+                reply = await peer.require_caller().call(
+                    lambda call_id: Forward(call_id, request, 1), Forwarded, FORWARD_TIMEOUT_MS
+                )
+                return reply.answer
+            except LinkError:
+                await self._time.sleep_ms(FORWARD_RETRY_MS)
+
+
+def _refuse(request: JobRequest, code: str, state: TaskState) -> JobAnswer:
+    not_run = state is TaskState.NOT_RUN
+    status = JobStatus.REFUSED if not_run else JobStatus.FAILED
+    tasks = [TaskAnswer(state) for _ in request.tasks]
+    return JobAnswer(status, tasks, code, "", RETRY_AFTER_MS if not_run else 0, not_run)
--- a/src/currantbarrow/entry/problems.py
+++ b/src/currantbarrow/entry/problems.py
@@ -73,7 +73,7 @@
     status = _status_of(error)
     # A submission with a mistake was not let in; an owner that cannot be reached
     # may know an earlier copy of the job, so nothing is said about that.
-    not_run = True if isinstance(error, JobInvalid) else None
+    not_run = True if isinstance(error, JobInvalid) and error.not_run else None
     retry_after_ms = OWNER_RETRY_AFTER_MS if status == REFUSED_STATUS else 0
     field = getattr(error, "field", "")
     return _respond(status, error.code, str(error), field, not_run, retry_after_ms)
--- a/src/currantbarrow/entry/router.py
+++ b/src/currantbarrow/entry/router.py
@@ -39,6 +39,7 @@
 FORWARD_TIMEOUT_MS = 120_000.0
 CONTROL_TIMEOUT_MS = 2000.0
 MAX_HOPS = 2
+CLASS_UNKNOWN = "class_unknown"
 
 
 class Router:
@@ -78,7 +79,7 @@
         deadline_ms = self._clock.monotonic_ms() + OWNER_WAIT_MS
         while True:
             try:
-                self.check(request)
+                self._check_time(request)
                 return await self._submit_once(request, job_id, shard, hops)
             except (OwnershipError, LinkError) as error:
                 # The key makes it safe to ask again: the owner joins a second copy to the first.
@@ -132,14 +133,24 @@
 
     def check(self, request: JobRequest) -> None:
         """Raise JobInvalid for a job that can't be let in, whoever owns it."""
-        now_ms = self._clock.wall_ms()
-        if request.created_at_ms > now_ms + self._options.skew_ms:
+        self._check_time(request)
+        # Whether the key ran before its class was removed, only its owner can tell.
+        self._check_class(request, not_run=False)
+
+    def _check_time(self, request: JobRequest) -> None:
+        ahead_ms = request.created_at_ms - self._clock.wall_ms()
+        if ahead_ms > 2 * self._options.skew_ms:
             raise JobInvalid("the key's creation time is in the future", field="created_at_ms")
+        if ahead_ms > self._options.skew_ms:
+            # An entry whose clock is ahead may have taken the key, so it isn't said never to
+            # have run; a moment later it is not ahead any more.
+            raise OwnershipError("the key's creation time is ahead of this entry's clock")
+
+    def _check_class(self, request: JobRequest, *, not_run: bool) -> None:
         if self._classes.find(request.job_class) is None:
             if not self._classes_known():
                 raise OwnershipError("this entry has not read the classes yet")
-            message = f"there is no class named {request.job_class}"
-            raise JobInvalid(message, field="class", code="class_unknown")
+            raise _class_unknown(request.job_class, not_run=not_run)
 
     async def _submit_once(
         self, request: JobRequest, job_id: bytes, shard: int, hops: int
@@ -157,6 +168,8 @@
         except RemoteError as error:
             if error.remote_code == JobConflict.code:
                 raise JobConflict("the key was used before with another body") from error
+            if error.remote_code == CLASS_UNKNOWN:
+                raise _class_unknown(request.job_class, not_run=True) from error
             raise
         return reply.answer
 
@@ -192,6 +205,8 @@
         cancelled = self._dispatcher.table.is_cancelled(job_id)
         if cancelled and started is None:
             return self._refuse_cancelled(request)
+        if started is None:
+            self._check_class(request, not_run=True)
         job = Job(job_id, request, self._clock.monotonic_ms())
         target_ms = self._target_ms(request.job_class)
         if started is not None:
@@ -245,3 +260,8 @@
             return await peer.require_caller().call(build, JobShown, CONTROL_TIMEOUT_MS)
         except LinkError as error:
             raise OwnershipError(str(error)) from error
+
+
+def _class_unknown(name: str, *, not_run: bool) -> JobInvalid:
+    message = f"there is no class named {name}"
+    return JobInvalid(message, field="class", code=CLASS_UNKNOWN, not_run=not_run)
--- a/src/currantbarrow/exceptions.py
+++ b/src/currantbarrow/exceptions.py
@@ -202,9 +202,12 @@
 
     code = "job_invalid"
 
-    def __init__(self, message: str, *, field: str = "", code: str | None = None) -> None:
+    def __init__(
+        self, message: str, *, field: str = "", code: str | None = None, not_run: bool = True
+    ) -> None:
         super().__init__(message)
         self.field = field
+        self.not_run = not_run
         if code is not None:
             self.code = code
 
