--- a/src/currantbarrow/bench/ownership.py
+++ b/src/currantbarrow/bench/ownership.py
@@ -34,6 +34,7 @@
 UNAVOIDABLE_MS = 2.0
 LOOK_MS = 20.0
 AGAIN_MS = 100.0
+SILENT_SIDE = "side-2"
 
 
 class OwnershipFigures(msgspec.Struct, frozen=True):
@@ -88,7 +89,7 @@
         await self._until(OUTAGE_AT_MS + OUTAGE_MS)
         self.fleet.log.faults.down = False
         await self._until(CRASH_AT_MS)
-        shards_back_ms = await self._crash()
+        shards_back_ms = await self.crash()
         await load
         for follower in self._followers:
             follower.cancel()
@@ -109,7 +110,7 @@
     async def _until(self, at_ms: float) -> None:
         await self.fleet.clock.sleep_ms(self._begin_ms + at_ms - self.fleet.clock.monotonic_ms())
 
-    async def _crash(self) -> float:
+    async def crash(self) -> float:
         """Kill an entry; return how long the others took to work on all its shards."""
         await self.fleet.kill_entry("entry-1")
         began_ms = self.fleet.clock.monotonic_ms()
@@ -192,6 +193,17 @@
     return run_virtual(_Run(way, seed).measure())
 
 
+async def _measure_silent(seed: int) -> float:
+    """Return how long a crashed entry's shards rest while a side process is silent."""
+    run = _Run(OWNERS, seed)
+    await run.fleet.start({"quote": 300.0})
+    run.fleet.pause(SILENT_SIDE)
+    back_ms = await run.crash()
+    run.fleet.resume(SILENT_SIDE)
+    await run.fleet.stop()
+    return back_ms
+
+
 def main() -> None:
     """Print the figures of all ways as a Markdown table."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -212,6 +224,8 @@
                 f"| {each.slowest_after_crash_ms:.0f} | {each.shards_back_ms:.0f} "
                 f"| {each.double_starts} |"
             )
+    silent_ms = [run_virtual(_measure_silent(seed)) for seed in seeds]
+    print("\nOwners, shards back with a silent side process, ms:", *map(round, silent_ms))
 
 
 if __name__ == "__main__":
