--- /dev/null
+++ b/src/currantbarrow/bench/slopes.py
@@ -0,0 +1,48 @@
+"""Measure the slopes from which the capacity page is worked out."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from pathlib import Path
+
+import msgspec
+import uvloop
+
+from currantbarrow.bench.slopes_configuration import format_in_force, measure_in_force
+from currantbarrow.bench.slopes_figures import Slope, format_slopes
+from currantbarrow.bench.slopes_links import measure_links
+from currantbarrow.bench.slopes_state import measure_state
+
+__all__ = ["main"]
+
+PARTS = ("state", "links", "configuration")
+
+
+def _run(part: str) -> tuple[str, list[msgspec.Struct]]:
+    if part == "configuration":
+        found = measure_in_force()
+        return format_in_force(found), list(found)
+    slopes: list[Slope] = (
+        asyncio.run(measure_state()) if part == "state" else uvloop.run(measure_links())
+    )
+    return format_slopes(slopes), list(slopes)
+
+
+def main() -> None:
+    """Measure the parts that were asked for, and write tables and figures."""
+    parser = argparse.ArgumentParser(prog="currantbarrow.bench.slopes")
+    parser.add_argument("--part", choices=PARTS, action="append")
+    parser.add_argument("--output", type=Path, default=Path("build"))
+    options = parser.parse_args()
+    options.output.mkdir(parents=True, exist_ok=True)
+    for part in options.part or PARTS:
+        table, figures = _run(part)
+        print(f"## {part}\n\n{table}\n", flush=True)
+        (options.output / f"slopes-{part}.md").write_text(f"{table}\n", encoding="utf-8")
+        data = msgspec.json.format(msgspec.json.encode(figures))
+        (options.output / f"slopes-{part}.json").write_bytes(data)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/currantbarrow/bench/slopes_sides.py
@@ -0,0 +1,103 @@
+"""Be many side processes in one, beside a log, for the measurement of links."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import resource
+import sys
+import time
+from pathlib import Path
+
+import uvloop
+from aiohttp import web
+
+from currantbarrow.logservice.client import create_log_service
+from currantbarrow.observe import EventRing, HybridClock, MetricsBook, create_clock
+from currantbarrow.protocol.websocket import create_network
+from currantbarrow.side import SideNode, SideOptions
+from currantbarrow.standins.log_main import create_log_app
+from currantbarrow.standins.memory_log import MemoryLog
+from currantbarrow.standins.upstream import MemoryUpstream, StartBook
+from currantbarrow.types import LogService
+
+__all__ = ["TOKEN", "main"]
+
+TOKEN = "slopes"
+ANNOUNCE_S = 1.0
+START_PAUSE_S = 0.005
+
+
+def resident_kib() -> float:
+    """Return the resident memory of this process."""
+    pages = int(Path("/proc/self/statm").read_text(encoding="ascii").split()[1])
+    return pages * resource.getpagesize() / 1024
+
+
+async def _serve(count: int, slots: int) -> None:
+    clock = create_clock()
+    app = create_log_app(MemoryLog(clock, random.Random(1)))
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    url = f"http://{host}:{port}"
+    book = MetricsBook()
+    log = create_log_service(url)
+    sides = [await _start(number, slots, book, log) for number in range(count)]
+    announcing = asyncio.create_task(_announce(sides, slots))
+    print(json.dumps({"url": url}), flush=True)
+    loop = asyncio.get_running_loop()
+    while await loop.run_in_executor(None, sys.stdin.readline):
+        figures = {
+            "cpu_s": time.process_time(),
+            "resident_kib": resident_kib(),
+            "bytes_sent": book.counters["link.bytes_sent"],
+            "messages_sent": book.counters["link.messages_sent"],
+        }
+        print(json.dumps(figures), flush=True)
+    announcing.cancel()
+
+
+async def _start(number: int, slots: int, book: MetricsBook, log: LogService) -> SideNode:
+    clock = create_clock()
+    hybrid = HybridClock(clock)
+    name = f"side-{number}"
+    rng = random.Random(number)
+    node = SideNode(
+        SideOptions(name, f"{name}.1", "127.0.0.1:0", "one", f"rack-{number // 3}", TOKEN),
+        clock=clock,
+        network=create_network(TOKEN, hybrid, book),
+        log=log,
+        upstream=MemoryUpstream(name, clock, rng, StartBook()),
+        rng=rng,
+        metrics=book,
+        events=EventRing(name, hybrid),
+    )
+    await node.start()
+    node.announce(slots)
+    await asyncio.sleep(START_PAUSE_S)
+    return node
+
+
+async def _announce(sides: list[SideNode], slots: int) -> None:
+    while True:
+        await asyncio.sleep(ANNOUNCE_S)
+        for side in sides:
+            side.announce(slots)
+
+
+def main() -> None:
+    """Run the side processes until the input ends."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--sides", type=int, required=True)
+    parser.add_argument("--slots", type=int, required=True)
+    options = parser.parse_args()
+    uvloop.run(_serve(options.sides, options.slots))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/currantbarrow/bench/slopes_state.py
@@ -0,0 +1,277 @@
+"""Measure what state costs: memory, snapshots and reducers."""
+
+from __future__ import annotations
+
+import functools
+import gc
+import random
+import time
+import tracemalloc
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from currantbarrow.bench.slopes_figures import Slope, fit_slope
+from currantbarrow.classes import ClassState
+from currantbarrow.cluster import ClusterState, balance_shards, choose_panel
+from currantbarrow.jobs import (
+    SHARD_COUNT,
+    JobRequest,
+    TaskAnswer,
+    TaskRequest,
+    TaskState,
+    make_job_id,
+)
+from currantbarrow.jobs.table import Job, JobTable
+from currantbarrow.logservice import (
+    AssignmentChanged,
+    ClassChanged,
+    ClassDefinition,
+    MemberJoined,
+    Record,
+    StreamState,
+    decode_record,
+    encode_record,
+)
+from currantbarrow.observe import create_clock
+from currantbarrow.policy import create_policies
+from currantbarrow.protocol import Role, TaskResult
+from currantbarrow.side.ledger import StartLedger
+
+__all__ = ["measure_state"]
+
+MEMBER_COUNTS = (500, 1500, 2900)
+CLASS_COUNTS = (100, 400, 1600)
+JOB_COUNTS = (500, 1000, 2000)
+TASK_COUNTS = (20, 80, 220)
+LEDGER_COUNTS = (5000, 10_000, 20_000)
+CUSTOMER_COUNTS = (100, 200, 420)
+JOBS_OF_ONE_TASK = 200
+ENTRY_NAMES = 20
+ROUNDS = 20
+WINDOW_MS = 600_000.0
+KIB = 1024.0
+Points = list[tuple[float, float]]
+
+
+async def measure_state() -> list[Slope]:
+    """Return the slopes of all kinds of state."""
+    return [
+        *_measure_members(),
+        *_measure_classes(),
+        *_measure_steward(),
+        *_measure_jobs(),
+        _measure_ledger(),
+        _measure_customers(),
+    ]
+
+
+def _joined(number: int) -> MemberJoined:
+    incarnation = f"side-{number}.{number:012x}"
+    address = f"10.{number >> 8}.{number & 255}.7:7100"
+    centre, rack = f"centre-{number % 5}", f"rack-{number // 30}"
+    return MemberJoined(
+        f"{incarnation}-1",
+        Role.SIDE,
+        f"side-{number}",
+        incarnation,
+        address,
+        centre,
+        rack,
+        1_760_000_000_000 + number,
+        address,
+    )
+
+
+def _members(count: int) -> ClusterState:
+    state = ClusterState()
+    for number in range(count):
+        # Decoding makes strings of its own, as reading the log does.
+        state.apply(number, decode_record(encode_record(_joined(number))))
+    return state
+
+
+def _classes(count: int) -> ClassState:
+    state = ClassState()
+    for number in range(count):
+        state.apply(number, decode_record(encode_record(_class_changed(number))))
+    return state
+
+
+def _class_changed(number: int) -> ClassChanged:
+    definition = ClassDefinition(300.0 + number, "quotes for one team")
+    return ClassChanged(f"change-{number:024x}", f"class-{number}", 0, definition, 0, "operator")
+
+
+def _kib_of(build: Callable[[], Any]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    built = build()
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del built
+    return (after - before) / KIB
+
+
+def _ms_of(work: Callable[[], Any], rounds: int = ROUNDS) -> float:
+    began_s = time.process_time()
+    for _ in range(rounds):
+        work()
+    return (time.process_time() - began_s) * 1000 / rounds
+
+
+def _encode(state: StreamState) -> bytes:
+    return msgspec.json.encode(state.dump())
+
+
+def _take(state: StreamState, data: bytes) -> None:
+    state.apply(0, decode_record(data))
+
+
+def _measure_members() -> list[Slope]:
+    memory: Points = []
+    plain: Points = []
+    packed: Points = []
+    dump: Points = []
+    apply: Points = []
+    for count in MEMBER_COUNTS:
+        kib = _kib_of(functools.partial(_members, count))
+        state = _members(count)
+        data = msgspec.json.encode(state.dump())
+        memory.append((count, kib))
+        plain.append((count, len(data) / KIB))
+        packed.append((count, len(zlib.compress(data, 1)) / KIB))
+        dump.append((count, _ms_of(functools.partial(_encode, state))))
+        apply.append((count, _replace_ms(state, count)))
+    return [
+        fit_slope("cluster state", "entry, side", "member", "KiB", memory),
+        fit_slope("snapshot record", "log", "member", "KiB", plain),
+        fit_slope("whole state between peers", "entry, side", "member", "KiB", packed),
+        fit_slope("making a snapshot", "entry", "member", "ms", dump),
+        fit_slope("taking in one joined member", "entry, side", "member", "ms", apply),
+    ]
+
+
+def _replace_ms(state: ClusterState, count: int) -> float:
+    """Return the time for a record that replaces a host by its next incarnation."""
+    numbers = iter(range(count))
+
+    def replace() -> None:
+        number = next(numbers)
+        old = _joined(number)
+        record: Record = msgspec.structs.replace(
+            old, record_id=f"{old.record_id}-next", incarnation=f"{old.incarnation}-next"
+        )
+        state.apply(count + number, decode_record(encode_record(record)))
+
+    return _ms_of(replace, min(count, 100))
+
+
+def _measure_classes() -> list[Slope]:
+    memory: Points = []
+    plain: Points = []
+    packed: Points = []
+    apply: Points = []
+    for count in CLASS_COUNTS:
+        kib = _kib_of(functools.partial(_classes, count))
+        state = _classes(count)
+        data = msgspec.json.encode(state.dump())
+        memory.append((count, kib))
+        plain.append((count, len(data) / KIB))
+        packed.append((count, len(zlib.compress(data, 1)) / KIB))
+        encoded = encode_record(_class_changed(count))
+        apply.append((count, _ms_of(functools.partial(_take, state, encoded), 1000)))
+    return [
+        fit_slope("class state, one revision each", "entry, side", "class", "KiB", memory),
+        fit_slope("class snapshot record", "log", "class", "KiB", plain),
+        fit_slope("class state between peers", "entry, side", "class", "KiB", packed),
+        fit_slope("taking in one change of class", "entry, side", "class", "ms", apply),
+    ]
+
+
+def _measure_steward() -> list[Slope]:
+    look: Points = []
+    assign: Points = []
+    for count in MEMBER_COUNTS:
+        state = _members(count)
+        names = [f"entry-{number}" for number in range(ENTRY_NAMES)]
+        shards = [shard % ENTRY_NAMES for shard in range(SHARD_COUNT)]
+        panel = choose_panel((), state.by_role(Role.SIDE))
+        record = AssignmentChanged("a", 0, names, shards, panel)
+        state.apply(count, record)
+
+        def look_once(state: ClusterState = state, names: list[str] = names) -> None:
+            balance_shards(state.assignment, names)
+            choose_panel(state.assignment.panel, state.by_role(Role.SIDE))
+
+        look.append((count, _ms_of(look_once)))
+        data = encode_record(record)
+        assign.append((count, _ms_of(functools.partial(_take, state, data))))
+    return [
+        fit_slope("one look at the wanted assignment", "entry", "member", "ms", look),
+        fit_slope("decoding an assignment", "entry, side", "member", "ms", assign),
+    ]
+
+
+def _request(number: int, tasks: int) -> JobRequest:
+    payload = {"route": f"asahikawa-{number}", "seats": 4}
+    rows = [TaskRequest(dict(payload), 100.0) for _ in range(tasks)]
+    return JobRequest(f"key-{number}", 1_760_000_000_000 + number, "team-1", "quote", rows)
+
+
+def _table(jobs: int, tasks: int) -> JobTable:
+    table = JobTable(create_clock(), WINDOW_MS)
+    for number in range(jobs):
+        request = _request(number, tasks)
+        job = Job(make_job_id(request), request, 0.0)
+        for index in range(tasks):
+            job.tasks[index].side = "side-1"
+            job.end_task(index, TaskAnswer(TaskState.DONE, {"price": number, "index": index}))
+        job.finish(job.complete())
+        table.add(job)
+    return table
+
+
+def _measure_jobs() -> list[Slope]:
+    by_jobs = [(jobs, _kib_of(functools.partial(_table, jobs, 1))) for jobs in JOB_COUNTS]
+    by_tasks = [
+        (tasks, _kib_of(functools.partial(_table, JOBS_OF_ONE_TASK, tasks)) / JOBS_OF_ONE_TASK)
+        for tasks in TASK_COUNTS
+    ]
+    return [
+        fit_slope("ended job of one task in the table", "entry", "job", "KiB", by_jobs),
+        fit_slope("ended job in the table", "entry", "task of the job", "KiB", by_tasks),
+    ]
+
+
+def _ledger(starts: int) -> StartLedger:
+    ledger = StartLedger(create_clock(), WINDOW_MS)
+    for number in range(starts):
+        job_id = make_job_id(_request(number, 0))
+        entry = ledger.task(job_id, 0)
+        entry.attempt, entry.owner = 1, "entry-1"
+        entry.result = TaskResult(job_id, 0, 1, TaskState.DONE, {"price": number}, "", 100.0)
+    return ledger
+
+
+def _measure_ledger() -> Slope:
+    points = [(starts, _kib_of(functools.partial(_ledger, starts))) for starts in LEDGER_COUNTS]
+    return fit_slope("start ledger, one task a job", "side", "start in the window", "KiB", points)
+
+
+def _customers(count: int) -> Any:
+    policies = create_policies(random.Random(1))
+    for number in range(count):
+        customer = f"team-{number}"
+        policies.estimator.record(customer, "quote", 100.0, 100.0)
+        policies.queue.ended(customer, "quote", 100.0, 100.0)
+    return policies
+
+
+def _measure_customers() -> Slope:
+    points = [(count, _kib_of(functools.partial(_customers, count))) for count in CUSTOMER_COUNTS]
+    return fit_slope("policies' memory of customers", "entry", "customer", "KiB", points)
--- a/tests/test_log_snapshots.py
+++ b/tests/test_log_snapshots.py
@@ -101,6 +101,41 @@
         assert copy.offset == -1
 
 
+class TestWholeSnapshot:
+    def test_copy_of_a_record_from_before_a_snapshot_is_ignored_after_it(self) -> None:
+        joined = MemberJoined("j", Role.SIDE, "s", "s.1", "a:1", "one", "r", 1)
+        elder, state = ClusterState(), ClusterState()
+        elder.apply(0, joined)
+        elder.apply(1, MemberLeft("l", "s.1", 2))
+        state.load(1, elder.dump())
+        state.apply(2, joined)
+        assert state.members == {}
+        assert list(state.departures) == list(elder.departures)
+
+    def test_snapshot_keeps_open_panels_former_owners_and_closed_version(self) -> None:
+        elder, state = ClusterState(), ClusterState()
+        for offset, owner in enumerate(("e.1", "e.2", "e.3")):
+            shards = [0] * SHARD_COUNT
+            panel = [f"s.{offset}"]
+            elder.apply(
+                offset, AssignmentChanged(f"a{offset}", offset, [owner], shards, panel, offset // 2)
+            )
+        state.load(2, elder.dump())
+        assert state.assignment == elder.assignment
+        assert state.assignment.former[0] == "e.2"
+        assert state.assignment.closed_version == 1
+        assert state.panels == {2: ("s.1",), 3: ("s.2",)}
+
+    def test_copy_of_a_change_from_before_a_snapshot_is_ignored_after_it(self) -> None:
+        first = ClassChanged("c", "quote", 0, ClassDefinition(300.0))
+        elder, state = ClassState(), ClassState()
+        elder.apply(0, first)
+        state.load(0, elder.dump())
+        state.apply(1, first)
+        assert state.outcome("c") == 1
+        assert len(state.history("quote")) == 1
+
+
 class TestExpiredStream:
     def test_snapshot_older_than_the_gap_is_not_used(self) -> None:
         async def scenario() -> None:
