--- a/src/currantbarrow/bench/slopes.py
+++ b/src/currantbarrow/bench/slopes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import argparse
+import subprocess
+import sys
 from pathlib import Path
 
 import msgspec
@@ -31,16 +33,25 @@
 def main() -> None:
     """Measure the parts that were asked for, and write tables and figures."""
     parser = argparse.ArgumentParser(prog="currantbarrow.bench.slopes")
-    parser.add_argument("--part", choices=PARTS, action="append")
+    parser.add_argument("--part", choices=PARTS, help="measure this part only")
     parser.add_argument("--output", type=Path, default=Path("build"))
     options = parser.parse_args()
-    options.output.mkdir(parents=True, exist_ok=True)
-    for part in options.part or PARTS:
-        table, figures = _run(part)
-        print(f"## {part}\n\n{table}\n", flush=True)
-        (options.output / f"slopes-{part}.md").write_text(f"{table}\n", encoding="utf-8")
-        data = msgspec.json.format(msgspec.json.encode(figures))
-        (options.output / f"slopes-{part}.json").write_bytes(data)
+    if options.part:
+        _measure_part(options.part, options.output)
+        return
+    for part in PARTS:
+        # Each part runs in a process of its own, so that memory of one isn't reused by the next.
+        command = [sys.executable, "-m", "currantbarrow.bench.slopes", "--part", part]
+        subprocess.run([*command, "--output", str(options.output)], check=True)
+
+
+def _measure_part(part: str, output: Path) -> None:
+    output.mkdir(parents=True, exist_ok=True)
+    table, figures = _run(part)
+    print(f"## {part}\n\n{table}\n", flush=True)
+    (output / f"slopes-{part}.md").write_text(f"{table}\n", encoding="utf-8")
+    data = msgspec.json.format(msgspec.json.encode(figures))
+    (output / f"slopes-{part}.json").write_bytes(data)
 
 
 if __name__ == "__main__":
--- a/src/currantbarrow/bench/slopes_links.py
+++ b/src/currantbarrow/bench/slopes_links.py
@@ -157,8 +157,12 @@
 
 async def measure_links() -> list[Slope]:
     """Return the slopes over side processes, entries and tasks."""
-    over_sides = [await _measure_idle(1, sides) for sides in SIDE_COUNTS]
-    over_entries = [await _measure_idle(count, SIDES_BESIDE_ENTRIES) for count in ENTRY_COUNTS]
+    # Memory that an earlier rig gave back is used again, so all are compared with the start.
+    start_kib = resident_kib()
+    over_sides = [await _measure_idle(1, sides, start_kib) for sides in SIDE_COUNTS]
+    over_entries = [
+        await _measure_idle(count, SIDES_BESIDE_ENTRIES, start_kib) for count in ENTRY_COUNTS
+    ]
     loaded = [await _measure_loaded(rate) for rate in TASK_RATES_PER_S]
     return [
         *_slopes_over_sides(over_sides),
@@ -167,8 +171,7 @@
     ]
 
 
-async def _measure_idle(entries: int, sides: int) -> Measured:
-    before_kib = resident_kib()
+async def _measure_idle(entries: int, sides: int, start_kib: float) -> Measured:
     rig = await create_rig(sides)
     alone = await rig.used_there()
     await rig.start_entries(entries, sides)
@@ -176,12 +179,11 @@
     await asyncio.sleep(IDLE_S)
     used_here = _rate(rig.used_here().since(here), IDLE_S)
     used_there = _rate((await rig.used_there()).since(there), IDLE_S)
-    used_here.resident_kib = resident_kib() - before_kib
+    used_here.resident_kib = resident_kib() - start_kib
     used_there.resident_kib = (await rig.used_there()).resident_kib - alone.resident_kib
     await rig.stop()
-    return Measured(
-        entries if entries > 1 or sides == SIDES_BESIDE_ENTRIES else sides, used_here, used_there
-    )
+    size = entries if sides == SIDES_BESIDE_ENTRIES else sides
+    return Measured(size, used_here, used_there)
 
 
 async def _measure_loaded(rate_per_s: int) -> Measured:
