--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -49,9 +49,11 @@
     Heartbeat,
     Hello,
     JobShown,
+    LastSeen,
     Message,
     RecordsWanted,
     Role,
+    Seen,
     ShowJob,
 )
 from currantbarrow.protocol.heartbeats import HeartbeatSchedule
@@ -243,13 +245,17 @@
             sides=self.sides,
             entries=self.entries,
             ownership=self.ownership,
+            lease=self.lease,
         )
         self._tasks = [
             asyncio.create_task(self.cluster_follower.run()),
             asyncio.create_task(self.class_follower.run()),
             asyncio.create_task(self.steward.run()),
-            asyncio.create_task(self.lease.run(self.dispatcher.pump)),
+            asyncio.create_task(
+                self.lease.run(self.dispatcher.pump, self.dispatcher.release_waiting)
+            ),
             asyncio.create_task(self._beat()),
+            asyncio.create_task(self.sides.beat()),
             asyncio.create_task(self.sharing.run()),
             asyncio.create_task(self._ask_peers()),
         ]
@@ -434,6 +440,8 @@
                 self._spawn(self._answer_show(link, message))
             case Handover():
                 link.post(self._take_handover(link, message))
+            case LastSeen():
+                link.post(self._last_seen(message))
             case RecordsWanted():
                 link.post(self.sharing.answer(message))
             case Heartbeat():
@@ -441,6 +449,10 @@
             case _:
                 self.metrics.incr("entry.unexpected_message")
 
+    def _last_seen(self, call: LastSeen) -> Seen:
+        peer = self.sides.peers.get(call.incarnation)
+        return Seen(call.call_id, peer is not None and peer.up)
+
     async def _answer_forward(self, link: Link, call: Forward) -> None:
         self._waiting += 1
         try:
--- a/src/currantbarrow/entry/ownership.py
+++ b/src/currantbarrow/entry/ownership.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, TypeVar
 
-from currantbarrow.cluster import Assignment, ClusterState, ask_lease_ages, majority
+from currantbarrow.cluster import Assignment, ClusterState, ask_last_seen, majority
 from currantbarrow.entry.sides import SidePeer, SidePool
 from currantbarrow.exceptions import LinkError, OwnershipError
 from currantbarrow.jobs import retention_ms, shard_of
@@ -343,7 +343,7 @@
         callers = [self._caller_of(side) for side in panel]
         youngest_ms = math.inf
         for former in formers:
-            ages_ms = await ask_lease_ages(callers, former)
+            ages_ms = await ask_last_seen(callers, former)
             if len(ages_ms) < majority(len(panel)):
                 return closed_ms + self._options.lease_ms
             youngest_ms = min(youngest_ms, *ages_ms)
