Add stateful fuzzing over a fleet in virtual time

Cause: scripted scenarios show only what somebody thought of. Change: a hypothesis machine submits, resubmits, cancels, crashes, pauses, cuts, delays, disorders, drains and races, and the oracle looks after every step; overlapping faults end in any order.

--- a/src/currantbarrow/scenario/faults.py
+++ b/src/currantbarrow/scenario/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -91,7 +92,17 @@
         world.fleet.fabric.delay(sender, receiver, 0.0)
 
 
+def _disturb_if_last(world: World, leaving: list[str]) -> None:
+    """Take note when nobody is left to take over from those who leave."""
+    fleet = world.fleet
+    entries = [n for n, e in fleet.entries.items() if n not in leaving and not e.node.draining]
+    sides = [n for n, s in fleet.sides.items() if n not in leaving and not s.leaving]
+    if not entries or not sides:
+        world.oracle.disturb(math.inf)
+
+
 async def _drain(world: World, fault: schema.Drain) -> None:
+    _disturb_if_last(world, expand(world.fleet, fault.who))
     draining = []
     for name in expand(world.fleet, fault.who):
         if name in world.fleet.entries:
@@ -103,6 +114,7 @@
 
 
 async def _leave(world: World, fault: schema.Leave) -> None:
+    _disturb_if_last(world, expand(world.fleet, fault.who))
     for name in expand(world.fleet, fault.who):
         if name in world.fleet.sides:
             world.oracle.leaving(name, world.now_ms())
@@ -210,13 +222,11 @@
 async def _hold_fields(
     world: World, holders: Iterable[Any], lasts_ms: float, fields: dict[str, float | bool]
 ) -> None:
-    """Set fields for a while."""
-    kept = [(holder, name, getattr(holder, name)) for holder in holders for name in fields]
-    for holder, name, _ in kept:
-        setattr(holder, name, fields[name])
+    """Set fields for a while; where faults overlap, the one that came last counts."""
+    held = [world.overlay.put(holder, name, fields[name]) for holder in holders for name in fields]
     await world.fleet.clock.sleep_ms(lasts_ms)
-    for holder, name, former in kept:
-        setattr(holder, name, former)
+    for token in held:
+        world.overlay.take_back(token)
 
 
 def _upstreams(world: World, who: list[str]) -> list[UpstreamFaults]:
--- /dev/null
+++ b/src/currantbarrow/scenario/machine.py
@@ -0,0 +1,239 @@
+"""Let hypothesis work a fleet in virtual time, with the oracle looking on after every step."""
+
+from __future__ import annotations
+
+import asyncio
+
+import hypothesis.strategies as st
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, initialize, invariant, rule
+
+from currantbarrow.jobs import JobRequest
+from currantbarrow.scenario import schema
+from currantbarrow.scenario.faults import apply_fault
+from currantbarrow.scenario.oracle import Promise
+from currantbarrow.scenario.schema import Fault, Span
+from currantbarrow.scenario.world import World
+from currantbarrow.standins.fleet import FleetPlan
+from currantbarrow.standins.virtual import VirtualLoop
+
+__all__ = ["BrokenPromise", "FleetMachine"]
+
+ENTRIES = 3
+SIDES = 5
+PLAN = FleetPlan(ENTRIES, SIDES, slots=3, window_ms=60_000.0, sides_per_rack=2)
+CLASSES = {"quote": 300.0, "hold": 200.0}
+HEAL_MS = 40_000.0
+NOW = Span(0)
+
+entry_names = st.sampled_from([f"entry-{number}" for number in range(ENTRIES)])
+side_names = st.sampled_from([f"side-{number}" for number in range(SIDES)])
+process_names = entry_names | side_names
+link_ends = process_names | st.just("log") | st.sampled_from(PLAN.data_centres)
+spans = st.sampled_from([200, 1000, 3000, 5000, 9000, 15_000]).map(Span)
+short_spans = st.sampled_from([20, 100, 400, 2000]).map(Span)
+targets = st.integers(100, 900).map(Span)
+
+
+class BrokenPromise(AssertionError):
+    """Report a promise that the steps so far have broken."""
+
+    def __init__(self, promise: Promise, message: str) -> None:
+        super().__init__(message)
+        self.promise = promise
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Submit, break and mend, in any order."""
+
+    # Counted over all runs in this process, for the report.
+    steps = 0
+    jobs_made = 0
+    # Promises that are known to be broken, so that a search can look for others.
+    ignored: frozenset[Promise] = frozenset()
+
+    jobs = Bundle("jobs")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = VirtualLoop()
+        self.world: World | None = None
+        self.ended = False
+
+    @initialize(seed=st.integers(0, 999))
+    def start(self, seed: int) -> None:
+        """Start the processes."""
+        plan = FleetPlan(
+            PLAN.entries,
+            PLAN.sides,
+            PLAN.slots,
+            PLAN.data_centres,
+            PLAN.sides_per_rack,
+            window_ms=PLAN.window_ms,
+            seed=seed,
+        )
+        self.loop.run(self._start(plan))
+
+    @rule(
+        target=jobs,
+        entry=entry_names,
+        runs=st.lists(st.sampled_from([20, 100, 500, 2000]), min_size=1, max_size=4),
+        customer=st.sampled_from(["a", "b"]),
+    )
+    def submit(self, entry: str, runs: list[int], customer: str) -> JobRequest:
+        """Submit a new job."""
+        FleetMachine.jobs_made += 1
+        run_ms = [float(run) for run in runs]
+        return self.loop.run(self._submit_new(entry, run_ms, customer))
+
+    @rule(target=jobs, entry=entry_names, many=st.integers(5, 25))
+    def burst(self, entry: str, many: int) -> JobRequest:
+        """Submit many jobs at once, more than there are slots."""
+        FleetMachine.jobs_made += many
+        for _ in range(many - 1):
+            self.loop.run(self._submit_new(entry, [200.0], "a"))
+        return self.loop.run(self._submit_new(entry, [200.0], "a"))
+
+    @rule(job=jobs, entry=entry_names)
+    def resubmit(self, job: JobRequest, entry: str) -> None:
+        """Submit a job again, to any entry, in any state."""
+        self.loop.run(self._submit(job, entry))
+
+    @rule(job=jobs, entry=entry_names)
+    def cancel(self, job: JobRequest, entry: str) -> None:
+        """Cancel a job through any entry."""
+        self.loop.run(self._cancel(job, entry))
+
+    @rule(name=process_names, silently=st.booleans())
+    def crash(self, name: str, silently: bool) -> None:
+        """Crash a process, its host too when silently."""
+        self._apply(schema.Kill(NOW, [name], silently))
+
+    @rule(name=process_names)
+    def restart(self, name: str) -> None:
+        """Start a new incarnation, in place of the old one when it still lives."""
+        self._apply(schema.Restart(NOW, [name]))
+
+    @rule(name=process_names, lasts=spans)
+    def pause(self, name: str, lasts: Span) -> None:
+        """Freeze a process for a while."""
+        self._apply(schema.Pause(NOW, [name], lasts))
+
+    @rule(one=link_ends, other=link_ends, lasts=spans)
+    def cut(self, one: str, other: str, lasts: Span) -> None:
+        """Cut the links between processes for a while."""
+        self._apply(schema.Cut(NOW, [[one], [other]], lasts))
+
+    @rule(entry=entry_names, late=spans, lasts=short_spans)
+    def delay_starts(self, entry: str, late: Span, lasts: Span) -> None:
+        """Make all that an entry sends to side processes late."""
+        self._apply(schema.Delay(NOW, [entry], ["sides"], late, lasts))
+
+    @rule(
+        lasts=spans, duplicated=st.sampled_from([0.0, 0.5]), reordered=st.sampled_from([0.0, 0.5])
+    )
+    def disorder(self, lasts: Span, duplicated: float, reordered: float) -> None:
+        """Duplicate and reorder messages for a while."""
+        self._apply(schema.Disorder(NOW, lasts, duplicated, reordered, Span(5)))
+
+    @rule(lasts=spans)
+    def log_down(self, lasts: Span) -> None:
+        """Take the log down for a while."""
+        self._apply(schema.LogDown(NOW, lasts))
+
+    @rule(lasts=spans, share=st.sampled_from([0.3, 0.9]))
+    def lose_replies(self, lasts: Span, share: float) -> None:
+        """Lose replies to appends that took effect."""
+        self._apply(schema.LogLossy(NOW, share, lasts))
+
+    @rule(names=st.lists(entry_names, min_size=1, max_size=3, unique=True), first=targets)
+    def race_configuration(self, names: list[str], first: Span) -> None:
+        """Let operators change one class at once."""
+        wanted = [Span(first + number) for number in range(len(names))]
+        self._apply(schema.RaceClass(NOW, "quote", wanted, names))
+
+    @rule(name=process_names)
+    def drain(self, name: str) -> None:
+        """Shut a process down gracefully."""
+        self._apply(schema.Drain(NOW, [name]))
+
+    @rule(name=side_names, lost=st.integers(0, 1))
+    def leave(self, name: str, lost: int) -> None:
+        """Let an upstream say that it leaves."""
+        self._apply(schema.Leave(NOW, [name], lost))
+
+    @rule(name=side_names, lasts=spans)
+    def lose_tasks(self, name: str, lasts: Span) -> None:
+        """Let a worker break the connection of all that it starts."""
+        self._apply(schema.LosesAll(NOW, [name], lasts))
+
+    @rule(duration=st.sampled_from([5, 50, 300, 1000, 3000, 6000, 12_000]))
+    def advance(self, duration: int) -> None:
+        """Let time pass."""
+        self.loop.run(self._sleep(float(duration)))
+
+    @invariant()
+    def promises_hold(self) -> None:
+        """Check all promises after every step."""
+        FleetMachine.steps += 1
+        if self.world is not None:
+            self._check(self.world)
+
+    def teardown(self) -> None:
+        """Let all faults end, and expect that every caller is answered."""
+        try:
+            if self.world is not None and not self.world.oracle.violations:
+                self.loop.run(self._heal())
+                self._check(self.world)
+        finally:
+            if self.world is not None:
+                self.loop.run(self.world.stop())
+            self.loop.close()
+
+    def _check(self, world: World) -> None:
+        found = [v for v in world.oracle.violations if v.promise not in self.ignored]
+        if found:
+            lines = [f"{v.at_ms:.0f} ms: {v.promise}: {v.detail}" for v in found]
+            raise BrokenPromise(found[0].promise, "\n".join(lines[:8]))
+
+    def _apply(self, fault: Fault) -> None:
+        self.loop.run(self._begin(fault))
+
+    async def _start(self, plan: FleetPlan) -> None:
+        self.world = World(plan)
+        await self.world.start(CLASSES)
+
+    async def _begin(self, fault: Fault) -> None:
+        self._require().spawn(apply_fault(self._require(), fault))
+        await asyncio.sleep(0)
+
+    async def _submit_new(self, entry: str, run_ms: list[float], customer: str) -> JobRequest:
+        world = self._require()
+        request = world.build_job(f"job-{len(world.callers)}", run_ms, customer=customer)
+        await self._submit(request, entry)
+        return request
+
+    async def _submit(self, request: JobRequest, entry: str) -> None:
+        self._require().submit(request, entry)
+        await asyncio.sleep(0)
+
+    async def _cancel(self, request: JobRequest, entry: str) -> None:
+        world = self._require()
+        world.spawn(world.cancel(request, entry))
+        await asyncio.sleep(0)
+
+    async def _sleep(self, duration_ms: float) -> None:
+        await self._require().fleet.clock.sleep_ms(duration_ms)
+
+    async def _heal(self) -> None:
+        world = self._require()
+        missing = [f"entry-{n}" for n in range(ENTRIES) if f"entry-{n}" not in world.fleet.entries]
+        missing += [f"side-{n}" for n in range(SIDES) if f"side-{n}" not in world.fleet.sides]
+        await apply_fault(world, schema.Start(NOW, missing))
+        await self._sleep(HEAL_MS)
+        for request in world.open_requests():
+            world.oracle.unanswered(request, world.now_ms())
+
+    def _require(self) -> World:
+        if self.world is None:
+            raise RuntimeError("the fleet has not started")
+        return self.world
--- a/src/currantbarrow/scenario/world.py
+++ b/src/currantbarrow/scenario/world.py
@@ -14,11 +14,47 @@
 from currantbarrow.scenario.watch import Watch
 from currantbarrow.standins.fleet import Fleet, FleetPlan
 
-__all__ = ["World"]
+__all__ = ["Overlay", "World"]
 
 PATIENCE_MS = 60_000.0
 
 
+class _Held:
+    """Hold one value that was put over a field."""
+
+    __slots__ = ("holder", "name", "value")
+
+    def __init__(self, holder: Any, name: str, value: float | bool) -> None:
+        self.holder = holder
+        self.name = name
+        self.value = value
+
+
+class Overlay:
+    """Set fields for a while, where several may do so at once."""
+
+    __slots__ = ("_base", "_held")
+
+    def __init__(self) -> None:
+        self._held: list[_Held] = []
+        self._base: dict[tuple[int, str], float | bool] = {}
+
+    def put(self, holder: Any, name: str, value: float | bool) -> _Held:
+        """Set a field, and return what takes it back."""
+        self._base.setdefault((id(holder), name), getattr(holder, name))
+        held = _Held(holder, name, value)
+        self._held.append(held)
+        setattr(holder, name, value)
+        return held
+
+    def take_back(self, held: _Held) -> None:
+        """Set a field to the newest value that still holds, or to the first one."""
+        self._held.remove(held)
+        rest = [h for h in self._held if h.holder is held.holder and h.name == held.name]
+        base = self._base[id(held.holder), held.name]
+        setattr(held.holder, held.name, rest[-1].value if rest else base)
+
+
 class World:
     """Run callers against a fleet that the oracle watches."""
 
@@ -28,6 +64,7 @@
         self.watch = Watch(self.fleet, self.oracle)
         self.callers: list[Caller] = []
         self.class_conflicts = 0
+        self.overlay = Overlay()
         self._open: set[asyncio.Task[None]] = set()
         self._background: set[asyncio.Task[None]] = set()
 
@@ -37,7 +74,6 @@
 
     async def start(self, classes: dict[str, float]) -> None:
         """Start the fleet and the watch over it."""
-        self.oracle.disturb(0.0)
         await self.fleet.start(classes)
         for entry in self.fleet.entries.values():
             self.watch.entry_started(entry)
--- a/src/currantbarrow/standins/memory_network.py
+++ b/src/currantbarrow/standins/memory_network.py
@@ -107,7 +107,8 @@
         self._rng = rng
         self._delay_of = delay_of
         self._listeners: dict[str, tuple[Hello, LinkHandler]] = {}
-        self._cuts: set[frozenset[str]] = set()
+        # Cuts between the same two may overlap; all have to end.
+        self._cuts: collections.Counter[frozenset[str]] = collections.Counter()
         self._keep_alive: set[asyncio.Task[None]] = set()
         self._running: dict[str, asyncio.Event] = {}
         # What a cut or a pause holds up; TCP sends it again once the way is free.
@@ -117,11 +118,11 @@
 
     def cut(self, one: str, other: str) -> None:
         """Let nothing pass between two processes, without telling them."""
-        self._cuts.add(frozenset((one, other)))
+        self._cuts[frozenset((one, other))] += 1
 
     def mend(self, one: str, other: str) -> None:
         """Let messages pass again, first those that were held up."""
-        self._cuts.discard(frozenset((one, other)))
+        self._cuts[frozenset((one, other))] -= 1
         self._release()
 
     def delay(self, sender: str, receiver: str, late_ms: float) -> None:
@@ -130,7 +131,7 @@
 
     def is_cut(self, one: str, other: str) -> bool:
         """Tell whether nothing passes between two processes."""
-        return frozenset((one, other)) in self._cuts
+        return self._cuts[frozenset((one, other))] > 0
 
     def pause(self, name: str) -> None:
         """Stop a process from receiving, as a freeze does."""
