--- a/src/currantbarrow/entry/router.py
+++ b/src/currantbarrow/entry/router.py
@@ -10,7 +10,14 @@
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.ownership import Ownership, OwnershipOptions
 from currantbarrow.entry.peers import EntryPool
-from currantbarrow.exceptions import JobInvalid, JobUnknown, LinkError, OwnershipError
+from currantbarrow.exceptions import (
+    JobConflict,
+    JobInvalid,
+    JobUnknown,
+    LinkError,
+    OwnershipError,
+    RemoteError,
+)
 from currantbarrow.jobs import (
     JobAnswer,
     JobRequest,
@@ -49,7 +56,11 @@
         ownership: Ownership,
         entries: EntryPool,
         dispatcher: Dispatcher,
+        lease_held: Callable[[], bool],
+        classes_known: Callable[[], bool],
     ) -> None:
+        self._lease_held = lease_held
+        self._classes_known = classes_known
         self._owner = owner
         self._options = options
         self._clock = clock
@@ -62,12 +73,12 @@
 
     async def submit(self, request: JobRequest, hops: int = 0) -> JobAnswer:
         """Return the answer to a job; raise JobInvalid, JobConflict or OwnershipError."""
-        self._check(request)
         job_id = make_job_id(request)
         shard = shard_of(job_id)
         deadline_ms = self._clock.monotonic_ms() + OWNER_WAIT_MS
         while True:
             try:
+                self.check(request)
                 return await self._submit_once(request, job_id, shard, hops)
             except (OwnershipError, LinkError) as error:
                 # The key makes it safe to ask again: the owner joins a second copy to the first.
@@ -87,6 +98,7 @@
         await self._ownership.wait_ready(shard_of(job_id), CONTROL_TIMEOUT_MS)
         job = self._dispatcher.table.find(job_id)
         if job is None:
+            self._require_lease()
             self._dispatcher.table.cancel_early(job_id)
             return None
         self._dispatcher.cancel(job)
@@ -105,14 +117,27 @@
         await self._ownership.wait_ready(shard_of(job_id), CONTROL_TIMEOUT_MS)
         job = self._dispatcher.table.find(job_id)
         if job is None:
+            self._require_lease()
             raise JobUnknown("no job is known for the key")
         return job.answer
 
-    def _check(self, request: JobRequest) -> None:
+    def _require_lease(self) -> None:
+        """Raise OwnershipError unless this process may speak for the keys of its shards.
+
+        An owner that was paused may have a successor that knows more, so what is not in
+        this table may have run all the same.
+        """
+        if not self._lease_held():
+            raise OwnershipError("this entry's lease is not confirmed")
+
+    def check(self, request: JobRequest) -> None:
+        """Raise JobInvalid for a job that can't be let in, whoever owns it."""
         now_ms = self._clock.wall_ms()
         if request.created_at_ms > now_ms + self._options.skew_ms:
             raise JobInvalid("the key's creation time is in the future", field="created_at_ms")
         if self._classes.find(request.job_class) is None:
+            if not self._classes_known():
+                raise OwnershipError("this entry has not read the classes yet")
             message = f"there is no class named {request.job_class}"
             raise JobInvalid(message, field="class", code="class_unknown")
 
@@ -126,9 +151,14 @@
         peer = self._entries.peers.get(owner)
         if peer is None or hops >= MAX_HOPS:
             raise OwnershipError("the owner of the shard cannot be reached")
-        reply = await peer.require_caller().call(
-            lambda call_id: Forward(call_id, request, hops + 1), Forwarded, FORWARD_TIMEOUT_MS
-        )
+        try:
+            reply = await peer.require_caller().call(
+                lambda call_id: Forward(call_id, request, hops + 1), Forwarded, FORWARD_TIMEOUT_MS
+            )
+        except RemoteError as error:
+            if error.remote_code == JobConflict.code:
+                raise JobConflict("the key was used before with another body") from error
+            raise
         return reply.answer
 
     async def _submit_here(self, request: JobRequest, job_id: bytes, shard: int) -> JobAnswer:
@@ -136,21 +166,25 @@
         if job is not None:
             self._metrics.incr("entry.job_joined")
             return await asyncio.shield(job.future)
+        self._require_lease()
         oldest_ms = self._clock.wall_ms() - self._options.window_ms
         if request.created_at_ms <= oldest_ms:
             return self._refuse_unknown(request, "key_expired", "the key is older than the window")
-        if self._dispatcher.table.is_cancelled(job_id):
-            return self._refuse_cancelled(request)
         started = self._ownership.recovered(shard, job_id)
         certain = self._ownership.is_certain(shard, request.created_at_ms)
         if started is None and not certain:
             self._metrics.incr("entry.outcome_unknown")
             reason = "the job's former owner is gone, and it may have started the job"
             return self._refuse_unknown(request, "outcome_unknown", reason)
+        cancelled = self._dispatcher.table.is_cancelled(job_id)
+        if cancelled and started is None:
+            return self._refuse_cancelled(request)
         job = Job(job_id, request, self._clock.monotonic_ms())
         target_ms = self._target_ms(request.job_class)
         if started is not None:
             self._recover(job, started, certain, target_ms)
+            if cancelled:
+                self._dispatcher.cancel(job)
         else:
             refusal = self._dispatcher.submit(job, target_ms)
             if refusal is not None:
--- a/src/currantbarrow/standins/fleet.py
+++ b/src/currantbarrow/standins/fleet.py
@@ -30,6 +30,8 @@
 START_WALL_MS = 1_760_000_000_000
 ANNOUNCE_MS = 1000.0
 READY_LOOK_MS = 20.0
+# Entries name the first few side processes as peers beside the other entries.
+SIDES_AS_PEERS = 3
 PoliciesFactory = Callable[[random.Random, str], Policies]
 
 
@@ -66,6 +68,8 @@
     near_ms: float = 0.2
     far_ms: float = 1.0
     window_ms: float = 600_000.0
+    log_retention_ms: float = 86_400_000.0
+    peers: bool = True
     seed: int = 1
 
 
@@ -163,6 +167,8 @@
             self._data_centre(number),
             f"entry-rack-{number}",
             window_ms=self.plan.window_ms,
+            peers=self._peer_addresses(name),
+            log_retention_ms=self.plan.log_retention_ms,
         )
         events = EventRing(name, HybridClock(clock))
         node = EntryNode(
@@ -322,5 +328,13 @@
     def _address(self, name: str) -> str:
         return f"{name}:7000"
 
+    def _peer_addresses(self, name: str) -> tuple[str, ...]:
+        """Return the addresses that a settings file of an entry would name."""
+        if not self.plan.peers:
+            return ()
+        names = [f"entry-{number}" for number in range(self.plan.entries)]
+        names += [f"side-{number}" for number in range(min(self.plan.sides, SIDES_AS_PEERS))]
+        return tuple(self._address(each) for each in names if each != name)
+
     def _rng(self) -> random.Random:
         return random.Random(self.rng.getrandbits(64))
--- a/src/currantbarrow/standins/virtual.py
+++ b/src/currantbarrow/standins/virtual.py
@@ -22,7 +22,8 @@
     def __init__(self, limit_s: float = LIMIT_S) -> None:
         base: Any = asyncio.new_event_loop()
         self._loop: Any = looptime.patch_event_loop(base)
-        self._loop.setup_looptime(start=0, end=limit_s)
+        # Nothing here waits for real input, so no empty cycles are needed before time moves on.
+        self._loop.setup_looptime(start=0, end=limit_s, noop_cycles=0)
 
     def run(self, coroutine: Coroutine[Any, Any, ValueT]) -> ValueT:
         """Run a coroutine to its end, and all that goes on beside it until then."""
