Place near and together, keep a slot from long tasks, and queue one where nothing is heard

Cause: at 90 % load an owner with waiting tasks did not hear of slots that the tasks of other owners freed, until a heartbeat; long tasks filled all slots; a mean run time was moved by one long task in 250, so slack and order were wrong; a worker that failed everything looked idle and drew work. Spreading a job's tasks over racks lets one lost rack fail more jobs, so the tasks of a job share racks.

--- a/src/currantbarrow/bench/variants.py
+++ b/src/currantbarrow/bench/variants.py
@@ -7,8 +7,18 @@
 
 from currantbarrow.policy import Policies, create_policies
 from currantbarrow.policy.admission import create_open_admission
-from currantbarrow.policy.estimates import create_declared_estimator
-from currantbarrow.policy.placement import create_random, create_round_robin, create_two_choices
+from currantbarrow.policy.estimates import (
+    create_declared_estimator,
+    create_mean_estimator,
+    create_no_stragglers,
+)
+from currantbarrow.policy.health import create_trusting_health
+from currantbarrow.policy.placement import (
+    create_least_loaded,
+    create_random,
+    create_round_robin,
+    create_two_choices,
+)
 from currantbarrow.policy.queues import create_fifo_queue
 from currantbarrow.policy.retry import create_fixed_retry
 
@@ -50,6 +60,22 @@
     policies.estimator = create_declared_estimator()
 
 
+def _mean(policies: Policies, rng: random.Random) -> None:
+    policies.estimator = create_mean_estimator()
+
+
+def _trusting(policies: Policies, rng: random.Random) -> None:
+    policies.health = create_trusting_health()
+
+
+def _least_loaded(policies: Policies, rng: random.Random) -> None:
+    policies.placement = create_least_loaded(rng, "")
+
+
+def _no_stragglers(policies: Policies, rng: random.Random) -> None:
+    policies.stragglers = create_no_stragglers()
+
+
 VARIANTS: dict[str, Callable[[Policies, random.Random], None]] = {
     CHOSEN: _keep,
     "admission none": _open_admission,
@@ -59,6 +85,10 @@
     "placement two choices": _two_choices,
     "retry fixed": _fixed_retry,
     "estimator declared": _declared,
+    "estimator mean": _mean,
+    "health none": _trusting,
+    "placement least loaded": _least_loaded,
+    "stragglers none": _no_stragglers,
 }
 
 
--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -145,6 +145,9 @@
                 self.policies.queue.requeue(task)
                 break
             batches.setdefault(worker.incarnation, []).append(self._assign(task, worker))
+            self.policies.health.started(worker.incarnation, now_ms)
+            if not self.policies.health.usable(worker.incarnation, now_ms):
+                workers.remove(worker)
         for incarnation, runs in batches.items():
             self._send(incarnation, runs)
 
@@ -333,6 +336,10 @@
 
     def _learn(self, sent: _Sent, result: TaskResult) -> None:
         task = sent.task
+        if sent.job.answer is not None:
+            # A task that was stopped with its job says nothing of its worker or kind.
+            self.policies.queue.ended(task.customer, task.job_class, task.cost_ms, result.run_ms)
+            return
         ok = result.state is TaskState.DONE
         declared_ms = sent.job.request.tasks[task.index].declared_ms
         if ok:
--- a/src/currantbarrow/policy/placement.py
+++ b/src/currantbarrow/policy/placement.py
@@ -5,9 +5,25 @@
 import random
 from collections.abc import Sequence
 
+from currantbarrow.policy.slack import ClassSlacks
 from currantbarrow.policy.types import Placement, QueuedTask, WorkerView
 
-__all__ = ["create_least_loaded", "create_random", "create_round_robin", "create_two_choices"]
+__all__ = [
+    "create_headroom",
+    "create_least_loaded",
+    "create_random",
+    "create_round_robin",
+    "create_two_choices",
+]
+
+
+# A task is long when it holds a slot for this many times what the others can wait.
+LONG_FACTOR = 4.0
+RESERVED_SLOTS = 1
+# How many more free slots a far worker, or one of another rack than the job's last task,
+# must have to be taken all the same.
+NEAR_SLOTS = 3.0
+SAME_RACK_SLOTS = 3.0
 
 
 class RandomPlacement:
@@ -72,6 +88,57 @@
         return self._rng.choice([worker for worker in fitting if worker.free == most])
 
 
+class HeadroomPlacement:
+    """Bind late, keep a slot of each worker from long tasks, and prefer near workers."""
+
+    __slots__ = ("_data_centre", "_job_id", "_rack", "_rng", "_slacks")
+
+    def __init__(self, rng: random.Random, data_centre: str) -> None:
+        self._rng = rng
+        self._data_centre = data_centre
+        self._slacks = ClassSlacks()
+        self._job_id = b""
+        self._rack = ""
+
+    def choose(self, task: QueuedTask, workers: Sequence[WorkerView]) -> WorkerView | None:
+        """Return the best worker with room, None to keep the task waiting."""
+        self._slacks.note(task)
+        is_long = task.cost_ms > LONG_FACTOR * self._slacks.shortest_ms(task.arrived_ms)
+        rack = self._rack if task.job_id == self._job_id else ""
+        best: WorkerView | None = None
+        best_rank = (0.0, 0.0)
+        for worker in workers:
+            room = self._room(task, worker, is_long)
+            if room < 0:
+                continue
+            rank = (self._score(worker, room, rack), self._rng.random())
+            if best is None or rank > best_rank:
+                best, best_rank = worker, rank
+        if best is not None:
+            # Tasks of one job that share a rack fail together and travel together, so the
+            # loss of a rack fails fewer jobs, and a start message carries more tasks.
+            self._job_id, self._rack = task.job_id, best.rack
+        return best
+
+    @staticmethod
+    def _room(task: QueuedTask, worker: WorkerView, is_long: bool) -> int:
+        """Return the slots that would be left, negative when the task must wait."""
+        room = worker.free - task.size_slots
+        if is_long:
+            return room - RESERVED_SLOTS if worker.slots > task.size_slots else room
+        # An owner with no task on a worker hears of its free slots only by heartbeats, so
+        # it may leave one task in the queue there.
+        return room + 1 if worker.outstanding == 0 else room
+
+    def _score(self, worker: WorkerView, room: int, rack: str) -> float:
+        score = float(room)
+        if worker.data_centre == self._data_centre:
+            score += NEAR_SLOTS
+        if worker.rack == rack:
+            score += SAME_RACK_SLOTS
+        return score
+
+
 def create_random(rng: random.Random) -> Placement:
     """Return the baseline that ignores load."""
     return RandomPlacement(rng)
@@ -90,3 +157,8 @@
 def create_least_loaded(rng: random.Random, data_centre: str) -> Placement:
     """Return the placement that looks at all workers."""
     return LeastLoadedPlacement(rng, data_centre)
+
+
+def create_headroom(rng: random.Random, data_centre: str) -> Placement:
+    """Return the placement that the daemons use."""
+    return HeadroomPlacement(rng, data_centre)
--- a/src/currantbarrow/policy/types.py
+++ b/src/currantbarrow/policy/types.py
@@ -163,6 +163,9 @@
 class WorkerHealth(Protocol):
     """Judge workers by how their tasks end."""
 
+    def started(self, worker: str, now_ms: float) -> None:
+        """Take note of a task that was sent to a worker."""
+
     def ended(self, worker: str, customer: str, job_class: str, ok: bool, now_ms: float) -> None:
         """Take note of one task's end on a worker."""
 
