--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from currantbarrow.classes import ClassState, change_class
+from currantbarrow.classes import ClassState, change_class, change_record_id
 from currantbarrow.cluster import ClusterState, Lease, Member
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.handover import build_handovers, take_handover
@@ -17,16 +17,25 @@
 from currantbarrow.entry.peers import EntryPool
 from currantbarrow.entry.router import Router
 from currantbarrow.entry.sides import SidePool
-from currantbarrow.entry.steward import Steward
+from currantbarrow.entry.steward import ENTRY_SUSPECT_MS, Steward
 from currantbarrow.exceptions import (
     CurrantbarrowError,
     JobUnknown,
     LinkError,
     LogServiceError,
 )
-from currantbarrow.jobs import JobAnswer, JobRequest, shard_of
+from currantbarrow.jobs import JobAnswer, JobRequest, retention_ms
 from currantbarrow.jobs.table import JobTable
-from currantbarrow.logservice import CLASS_STREAM, CLUSTER_STREAM, ClassDefinition, LogFollower
+from currantbarrow.logservice import (
+    CLASS_STREAM,
+    CLUSTER_STREAM,
+    ClassDefinition,
+    LogFollower,
+    SnapshotRule,
+    SnapshotWriter,
+    StateSharing,
+    ask_peers,
+)
 from currantbarrow.observe import EventRing, logger
 from currantbarrow.policy import Policies
 from currantbarrow.protocol import (
@@ -41,6 +50,7 @@
     Hello,
     JobShown,
     Message,
+    RecordsWanted,
     Role,
     ShowJob,
 )
@@ -50,9 +60,11 @@
 __all__ = ["EntryNode", "EntryOptions"]
 
 HEARTBEAT_MS = 1000.0
-HANDOVER_TIMEOUT_MS = 2000.0
-HANDOVER_TRIES = 3
+HANDOVER_TIMEOUT_MS = 1000.0
+HANDOVER_GIVE_UP_MS = 4000.0
 DRAIN_LOOK_MS = 20.0
+# An entry that follows the log itself leaves peers alone until it lags by this much.
+LAG_PATIENCE_MS = 1500.0
 
 
 class EntryOptions(msgspec.Struct, frozen=True):
@@ -70,6 +82,8 @@
     skew_ms: float = 1000.0
     window_ms: float = 600_000.0
     drain_ms: float = 20_000.0
+    peers: tuple[str, ...] = ()
+    log_retention_ms: float = 86_400_000.0
 
 
 class MemberRow(msgspec.Struct, frozen=True):
@@ -112,6 +126,7 @@
         self._heartbeats = HeartbeatSchedule(HEARTBEAT_MS)
         self._tasks: list[asyncio.Task[None]] = []
         self._background: set[asyncio.Task[None]] = set()
+        self._submissions: set[asyncio.Task[JobAnswer]] = set()
         self._handovers = 0
         self._waiting = 0
         self._hello = Hello(
@@ -128,13 +143,21 @@
         options = self.options
         self.cluster_follower = self._follow(CLUSTER_STREAM, self.cluster)
         self.class_follower = self._follow(CLASS_STREAM, self.classes)
+        self._followers = [self.cluster_follower, self.class_follower]
+        self.sharing = StateSharing(
+            [follower.copy for follower in self._followers],
+            self._patience_ms,
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self.metrics,
+        )
         self.dispatcher = Dispatcher(
             clock=self._clock,
             rng=self._rng,
             metrics=self.metrics,
             events=self.events,
             policies=policies,
-            table=JobTable(self._clock, options.window_ms),
+            table=JobTable(self._clock, retention_ms(options.window_ms, options.skew_ms)),
             may_start=self._may_start,
             epoch=lambda: self.ownership.version,
         )
@@ -145,6 +168,7 @@
             rng=self._rng,
             metrics=self.metrics,
             listener=self.dispatcher,
+            sharing=self.sharing,
         )
         self.dispatcher.pool = self.sides
         self.entries = EntryPool(
@@ -153,6 +177,7 @@
             network=self._network,
             rng=self._rng,
             on_change=lambda: None,
+            sharing=self.sharing,
         )
         times = OwnershipOptions(
             lease_ms=options.lease_ms,
@@ -169,7 +194,7 @@
             events=self.events,
             pool=self.sides,
             give_up=self._give_up,
-            is_reachable=lambda owner: self.entries.down_for_ms(owner) == 0.0,
+            is_down=lambda owner: self.entries.down_for_ms(owner) > ENTRY_SUSPECT_MS,
         )
         self.lease = Lease(
             options.incarnation,
@@ -188,6 +213,8 @@
             ownership=self.ownership,
             entries=self.entries,
             dispatcher=self.dispatcher,
+            lease_held=self._may_start,
+            classes_known=self.class_follower.caught_up.is_set,
         )
 
     async def start(self) -> None:
@@ -223,7 +250,10 @@
             asyncio.create_task(self.steward.run()),
             asyncio.create_task(self.lease.run(self.dispatcher.pump)),
             asyncio.create_task(self._beat()),
+            asyncio.create_task(self.sharing.run()),
+            asyncio.create_task(self._ask_peers()),
         ]
+        self._tasks += [asyncio.create_task(writer.run()) for writer in self._create_writers()]
 
     async def drain(self) -> None:
         """Give all shards away, wait for the last answers, and stop."""
@@ -241,7 +271,7 @@
 
     async def kill(self) -> None:
         """End at once, as a crash does."""
-        for task in [*self._tasks, *self._background]:
+        for task in [*self._tasks, *self._background, *self._submissions]:
             task.cancel()
         self.ownership.stop()
         self.dispatcher.stop()
@@ -257,26 +287,39 @@
         finally:
             self._waiting -= 1
 
-    def submit_in_background(self, request: JobRequest) -> None:
-        """Let a job in whose caller comes back for the answer."""
-        self._spawn(self._submit_and_forget(request))
-
-    async def _submit_and_forget(self, request: JobRequest) -> None:
-        try:
-            await self.submit(request)
-        except CurrantbarrowError as error:
+    def submit_in_background(self, request: JobRequest) -> asyncio.Task[JobAnswer]:
+        """Let a job in whose caller comes back for the answer; raise JobInvalid."""
+        self.router.check(request)
+        task = asyncio.create_task(self.submit(request))
+        self._submissions.add(task)
+        task.add_done_callback(self._submission_ended)
+        return task
+
+    def _submission_ended(self, task: asyncio.Task[JobAnswer]) -> None:
+        self._submissions.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, CurrantbarrowError):
             self.metrics.incr(f"entry.background_job_failed.{error.code}")
 
     async def change_class(
-        self, name: str, based_on: int, definition: ClassDefinition | None, operator: str
+        self,
+        name: str,
+        based_on: int,
+        definition: ClassDefinition | None,
+        operator: str,
+        change_id: str = "",
     ) -> int:
-        """Change a class and return its new revision; raise ConfigurationError."""
+        """Change a class and return its new revision; raise ConfigurationError.
+
+        A change repeated under the same change id, at any entry, is made once.
+        """
+        unique = change_id or f"{self.options.incarnation}-{self._rng.getrandbits(64):016x}"
         return await change_class(
             name,
             based_on,
             definition,
             operator,
-            record_id=f"{self.options.incarnation}-class-{self._rng.getrandbits(64):016x}",
+            record_id=change_record_id(unique, name, based_on, definition),
             state=self.classes,
             follower=self.class_follower,
             log=self._log,
@@ -314,6 +357,38 @@
     def _follow(self, stream: str, state: ClusterState | ClassState) -> LogFollower:
         return LogFollower(stream, state, self._log, self._clock, self._rng, self.metrics)
 
+    def _create_writers(self) -> list[SnapshotWriter]:
+        rule = SnapshotRule(self.options.log_retention_ms)
+        return [
+            SnapshotWriter(
+                self.options.incarnation,
+                follower,
+                rule,
+                log=self._log,
+                clock=self._clock,
+                rng=self._rng,
+                metrics=self.metrics,
+            )
+            for follower in self._followers
+        ]
+
+    async def _ask_peers(self) -> None:
+        # The link has an incarnation of its own, so that peers don't take it for the
+        # lasting one.
+        incarnation = f"{self.options.incarnation}/state"
+        await ask_peers(
+            self.options.peers,
+            msgspec.structs.replace(self._hello, incarnation=incarnation),
+            [follower.copy for follower in self._followers],
+            clock=self._clock,
+            network=self._network,
+            rng=self._rng,
+        )
+
+    def _patience_ms(self, stream: str) -> float:
+        follower = next(each for each in self._followers if each.stream == stream)
+        return LAG_PATIENCE_MS if follower.reachable else 0.0
+
     def _may_start(self) -> bool:
         return self.lease.held()
 
@@ -341,7 +416,7 @@
         peer = link.peer.incarnation
         self._links[peer] = link
         try:
-            link.post(Heartbeat())
+            link.post(self.sharing.heartbeat())
             while True:
                 self._handle(link, await link.receive())
         except LinkError:
@@ -359,6 +434,8 @@
                 self._spawn(self._answer_show(link, message))
             case Handover():
                 link.post(self._take_handover(link, message))
+            case RecordsWanted():
+                link.post(self.sharing.answer(message))
             case Heartbeat():
                 pass
             case _:
@@ -407,60 +484,70 @@
             call, link.peer.incarnation, self.ownership, self.dispatcher, self._clock, targets
         )
 
-    def _give_up(self, lost: set[int]) -> None:
-        """Send the table of shards that were ready to their next owners."""
+    def _give_up(self, lost: set[int], to_hand_over: set[int]) -> None:
+        """Let go of shards, and send the tables that are up to date to their next owners."""
         assignment = self.cluster.assignment
-        ready = self.ownership.ready_shards(lost)
-        jobs = self.dispatcher.table.in_shards(lost)
+        table = self.dispatcher.table
         groups: dict[tuple[str, int], set[int]] = {}
-        for shard in sorted(ready):
+        for shard in sorted(to_hand_over):
             key = (assignment.owner_of(shard), assignment.since[shard])
             groups.setdefault(key, set()).add(shard)
         for (owner, since), shards in groups.items():
-            mine = [job for job in jobs if shard_of(job.job_id) in shards]
-            parts = build_handovers(self.ownership, mine, shards, since, self._clock.monotonic_ms())
+            now_ms = self._clock.monotonic_ms()
+            parts = build_handovers(self.ownership, table, shards, since, now_ms)
             self._spawn(self._hand_over(owner, parts))
-        for job in jobs:
+        for job in table.in_shards(lost):
             self.dispatcher.forget(job)
 
     async def _hand_over(self, owner: str, parts: list[Handover]) -> None:
         self._handovers += 1
         try:
             for part in parts:
-                await self._hand_part(owner, part)
+                if not await self._hand_part(owner, part):
+                    self.metrics.incr("entry.handover_rejected")
+                    return
         except LinkError:
             # The next owner will ask the side processes instead.
             self.metrics.incr("entry.handover_failed")
         finally:
             self._handovers -= 1
 
-    async def _hand_part(self, owner: str, part: Handover) -> None:
-        for remaining in reversed(range(HANDOVER_TRIES)):
+    async def _hand_part(self, owner: str, part: Handover) -> bool:
+        """Send one part until it is taken in; raise LinkError, False when it was not wanted."""
+        deadline_ms = self._clock.monotonic_ms() + HANDOVER_GIVE_UP_MS
+        while True:
             try:
                 peer = self.entries.peers.get(owner)
                 if peer is None:
                     raise LinkError("the next owner is not known")
-                await peer.require_caller().call(
+                done = await peer.require_caller().call(
                     lambda call_id: msgspec.structs.replace(part, call_id=call_id),
                     HandoverDone,
                     HANDOVER_TIMEOUT_MS,
                 )
-                return
+                if done.accepted:
+                    return True
+                # The next owner may not have read the record yet that makes it the owner.
+                if self._clock.monotonic_ms() > deadline_ms:
+                    return False
             except LinkError:
-                if not remaining:
+                if self._clock.monotonic_ms() > deadline_ms:
                     raise
-                await self._clock.sleep_ms(DRAIN_LOOK_MS)
+            await self._clock.sleep_ms(DRAIN_LOOK_MS)
 
     async def _beat(self) -> None:
         while True:
             await self._clock.sleep_ms(self._heartbeats.look_ms)
             self.dispatcher.table.expire()
+            self.ownership.expire()
             now_ms = self._clock.monotonic_ms()
+            news = self.sharing.offsets()
             for peer, link in list(self._links.items()):
-                if self._heartbeats.due(peer, now_ms):
-                    self._heartbeats.sent(peer, now_ms)
+                if self._heartbeats.due(peer, now_ms, news):
+                    self._heartbeats.showed(peer, now_ms, news)
                     with contextlib.suppress(LinkError):
-                        link.post(Heartbeat())
+                        link.post(self.sharing.heartbeat())
+            self.sides.show_offsets()
 
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
--- a/src/currantbarrow/entry/peers.py
+++ b/src/currantbarrow/entry/peers.py
@@ -8,7 +8,8 @@
 
 from currantbarrow.cluster import Member
 from currantbarrow.exceptions import LinkClosed, LinkError
-from currantbarrow.protocol import Caller, Hello, Reply
+from currantbarrow.logservice import StateSharing
+from currantbarrow.protocol import Caller, Heartbeat, Hello, Reply
 from currantbarrow.types import Clock, Link, Network
 
 __all__ = ["EntryPeer", "EntryPool"]
@@ -47,6 +48,7 @@
         network: Network,
         rng: random.Random,
         on_change: Callable[[], None],
+        sharing: StateSharing,
     ) -> None:
         self.peers: dict[str, EntryPeer] = {}
         self._hello = hello
@@ -54,7 +56,9 @@
         self._network = network
         self._rng = rng
         self._on_change = on_change
+        self._sharing = sharing
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._closing: list[asyncio.Task[None]] = []
 
     def sync(self, members: Iterable[Member]) -> None:
         """Open links to new members and drop those that left."""
@@ -66,6 +70,9 @@
         for incarnation in [known for known in self.peers if known not in wanted]:
             peer = self.peers.pop(incarnation)
             self._tasks.pop(incarnation).cancel()
+            if peer.link is not None:
+                self._closing = [task for task in self._closing if not task.done()]
+                self._closing.append(asyncio.create_task(peer.link.close()))
             self._close(peer)
         for incarnation, member in wanted.items():
             if incarnation not in self.peers:
@@ -117,6 +124,8 @@
                 message = await link.receive()
             if isinstance(message, Reply):
                 caller.settle(message)
+            elif isinstance(message, Heartbeat):
+                self._sharing.note(caller, message)
 
     def _close(self, peer: EntryPeer) -> None:
         if peer.caller is not None:
--- a/src/currantbarrow/protocol/heartbeats.py
+++ b/src/currantbarrow/protocol/heartbeats.py
@@ -10,11 +10,12 @@
 class HeartbeatSchedule:
     """Spare heartbeats on links where other messages bring the same news."""
 
-    __slots__ = ("_sent_ms", "interval_ms")
+    __slots__ = ("_news", "_sent_ms", "interval_ms")
 
     def __init__(self, interval_ms: float) -> None:
         self.interval_ms = interval_ms
         self._sent_ms: dict[str, float] = {}
+        self._news: dict[str, tuple[int, ...]] = {}
 
     @property
     def look_ms(self) -> float:
@@ -25,11 +26,19 @@
         """Take note of a message that does for a heartbeat."""
         self._sent_ms[peer] = now_ms
 
-    def due(self, peer: str, now_ms: float) -> bool:
+    def showed(self, peer: str, now_ms: float, news: tuple[int, ...]) -> None:
+        """Take note of a heartbeat and of the news that only heartbeats bring."""
+        self.sent(peer, now_ms)
+        self._news[peer] = news
+
+    def due(self, peer: str, now_ms: float, news: tuple[int, ...] = ()) -> bool:
         """Tell whether a peer needs a heartbeat now, or would before the next look."""
+        if self._news.get(peer, news) != news:
+            return True
         idle_ms = now_ms - self._sent_ms.get(peer, -self.interval_ms)
         return idle_ms > self.interval_ms - self.look_ms
 
     def forget(self, peer: str) -> None:
         """Drop a peer whose link closed."""
         self._sent_ms.pop(peer, None)
+        self._news.pop(peer, None)
--- a/src/currantbarrow/side/node.py
+++ b/src/currantbarrow/side/node.py
@@ -8,12 +8,22 @@
 
 import msgspec
 
-from currantbarrow.cluster import PanelMember
+from currantbarrow.classes import ClassState
+from currantbarrow.cluster import ClusterState, PanelMember
 from currantbarrow.exceptions import AppendUnknown, LinkError, LogUnavailable
-from currantbarrow.jobs import TaskRun
-from currantbarrow.logservice import CLUSTER_STREAM, MemberJoined, MemberLeft, append_once
+from currantbarrow.jobs import TaskRun, retention_ms
+from currantbarrow.logservice import (
+    CLASS_STREAM,
+    CLUSTER_STREAM,
+    MemberJoined,
+    MemberLeft,
+    StateSharing,
+    StreamCopy,
+    append_once,
+)
 from currantbarrow.observe import EventRing, logger
 from currantbarrow.protocol import (
+    Caller,
     Cancel,
     CloseVersion,
     Confirm,
@@ -21,11 +31,14 @@
     FencedTasks,
     Heartbeat,
     Hello,
+    LeaseAge,
     Load,
     Message,
     QueryTasks,
+    RecordsWanted,
     Refused,
     RefusedReason,
+    Reply,
     Result,
     Role,
     Start,
@@ -43,6 +56,10 @@
 
 APPEND_GIVE_UP_MS = 5000.0
 REGISTER_RETRY_MS = 500.0
+# Side processes spread their pulls over this time after a change.
+PULL_SPREAD_MS = 1000.0
+REJOIN_FIRST_MS = 10_000.0
+REJOIN_LIMIT_MS = 120_000.0
 
 
 class SideOptions(msgspec.Struct, frozen=True):
@@ -60,6 +77,7 @@
     permission_ms: float = 2000.0
     announcement_ttl_ms: float = 3000.0
     window_ms: float = 600_000.0
+    skew_ms: float = 1000.0
 
 
 class SideNode:
@@ -78,9 +96,9 @@
         events: EventRing,
     ) -> None:
         self.options = options
-        self.ledger = StartLedger(clock, options.window_ms)
+        self.ledger = StartLedger(clock, retention_ms(options.window_ms, options.skew_ms))
         self.gate = StartGate(clock, self.ledger, options.permission_ms)
-        self.panel = PanelMember()
+        self.panel = PanelMember(clock)
         self.runner = TaskRunner(upstream, clock, metrics, self._note_start, self._note_end)
         self.leaving = False
         self.address = ""
@@ -91,9 +109,23 @@
         self._metrics = metrics
         self._events = events
         self._links: dict[str, Link] = {}
+        self._callers: dict[Link, Caller] = {}
+        self.cluster = ClusterState()
+        self.classes = ClassState()
+        self._sharing = StateSharing(
+            [
+                StreamCopy(CLUSTER_STREAM, self.cluster, metrics),
+                StreamCopy(CLASS_STREAM, self.classes, metrics),
+            ],
+            lambda stream: rng.uniform(0, PULL_SPREAD_MS),
+            clock=clock,
+            rng=rng,
+            metrics=metrics,
+        )
         self._heartbeats = HeartbeatSchedule(options.heartbeat_ms)
         self._announced_ms = -1.0
         self._registered = False
+        self._register_wait_ms = REGISTER_RETRY_MS
         self._records_made = 0
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -111,6 +143,7 @@
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._beat()),
+            asyncio.create_task(self._sharing.run()),
         ]
 
     async def stop(self) -> None:
@@ -120,7 +153,9 @@
         for task in self._tasks:
             task.cancel()
         if self._registered:
-            record = MemberLeft(self._record_id(), self.options.incarnation, self._clock.wall_ms())
+            record = MemberLeft(
+                self._record_id(), self.options.incarnation, self._clock.wall_ms(), True
+            )
             with contextlib.suppress(LogUnavailable, AppendUnknown):
                 await self._append(record)
         await self._network.stop()
@@ -163,6 +198,9 @@
             self._slots_of(owner) if owner else -1,
         )
 
+    def _heartbeat(self, owner: str) -> Heartbeat:
+        return self._sharing.heartbeat(self.load(owner))
+
     def _slots_of(self, owner: str) -> int:
         held = 0
         for (job_id, index), size_slots in self.runner.sizes.items():
@@ -175,14 +213,17 @@
         """Handle the messages of one link until it closes."""
         owner = link.peer.incarnation
         self._links[owner] = link
-        link.post(Heartbeat(self.load(owner)))
+        self._callers[link] = Caller(link)
         try:
+            link.post(self._heartbeat(owner))
             while True:
                 self._handle(link, await link.receive())
         except LinkError:
             if self._links.get(owner) is link:
                 del self._links[owner]
                 self._heartbeats.forget(owner)
+        finally:
+            self._callers.pop(link).close()
 
     def _handle(self, link: Link, message: Message) -> None:
         match message:
@@ -198,8 +239,14 @@
                 link.post(self.panel.confirm(message))
             case CloseVersion():
                 link.post(self.panel.close(message))
+            case RecordsWanted():
+                link.post(self._sharing.answer(message))
+            case LeaseAge():
+                link.post(self.panel.lease_age(message))
             case Heartbeat():
-                pass
+                self._sharing.note(self._callers[link], message)
+            case Reply():
+                self._callers[link].settle(message)
             case _:
                 self._metrics.incr("side.unexpected_message")
 
@@ -328,7 +375,7 @@
 
     def _broadcast_load(self) -> None:
         for owner in list(self._links):
-            self._post_load(owner, Heartbeat(self.load(owner)))
+            self._post_load(owner, self._heartbeat(owner))
 
     async def _beat(self) -> None:
         """Send heartbeats on idle links, expire the announcement and old ledger entries."""
@@ -342,20 +389,33 @@
                 waiting = self.runner.drop_where(lambda run: True)
                 self._return_waiting(waiting, RefusedReason.NO_UPSTREAM)
             now_ms = self._clock.monotonic_ms()
-            for owner in [each for each in self._links if self._heartbeats.due(each, now_ms)]:
-                self._post_load(owner, Heartbeat(self.load(owner)))
+            news = self._sharing.offsets()
+            for owner in list(self._links):
+                if self._heartbeats.due(owner, now_ms, news):
+                    self._post(owner, self._heartbeat(owner))
+                    self._heartbeats.showed(owner, now_ms, news)
             self.ledger.expire()
 
     async def _keep_registered(self) -> None:
-        """Register through the log once the upstream has announced itself."""
-        while not self._registered:
-            if self.runner.slots:
-                with contextlib.suppress(LogUnavailable, AppendUnknown):
-                    await self._append(self._joined())
-                    self._registered = True
-                    logger.info("registered as a member")
-                    return
-            await self._clock.sleep_ms(REGISTER_RETRY_MS)
+        """Register through the log once the upstream has announced itself, and stay a member."""
+        while True:
+            if self.runner.slots and not self._links:
+                await self._register()
+            await self._clock.sleep_ms(self._rng.uniform(0.5, 1.0) * self._register_wait_ms)
+
+    async def _register(self) -> None:
+        try:
+            await self._append(self._joined())
+        except (LogUnavailable, AppendUnknown):
+            self._register_wait_ms = REGISTER_RETRY_MS
+            return
+        # Entries open links to every member, so having none for long means that they took
+        # this process for dead; its record of starts is whole, so it may come back as it is.
+        waited_ms = self._register_wait_ms * 2 if self._registered else 0.0
+        self._register_wait_ms = min(max(waited_ms, REJOIN_FIRST_MS), REJOIN_LIMIT_MS)
+        self._metrics.incr("side.registered")
+        self._registered = True
+        logger.info("registered as a member")
 
     def _joined(self) -> MemberJoined:
         return MemberJoined(
