Prove the programs as separate processes, with a crash and a drain

Cause: nothing started the programs as they are deployed, and settings, the command line and the time line had no tests.

A drain that is cut short now ends with exit code 1 and drain_cut_short.

--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,12 @@
 	    --no-emit-find-links --no-header --extra dev --output-file requirements/lock.txt pyproject.toml
 
 format: setup
-	$(VENV)/bin/black --quiet src tests
-	$(VENV)/bin/ruff check --quiet --fix src tests
+	$(VENV)/bin/black --quiet src tests examples
+	$(VENV)/bin/ruff check --quiet --fix src tests examples
 
 check: setup
-	$(VENV)/bin/black --quiet --check src tests
-	$(VENV)/bin/ruff check --quiet src tests
+	$(VENV)/bin/black --quiet --check src tests examples
+	$(VENV)/bin/ruff check --quiet src tests examples
 	$(VENV)/bin/mypy
 
 test: setup
--- a/src/currantbarrow/cli/client.py
+++ b/src/currantbarrow/cli/client.py
@@ -14,6 +14,7 @@
 __all__ = ["HttpClient", "Reply"]
 
 FIRST_ERROR_STATUS = 400
+CONNECT_HINT = "Check that the process runs and that --operator, --entry or --settings names it."
 Params = Mapping[str, str]
 
 
@@ -84,11 +85,11 @@
             message = f"{url} did not answer within {self._timeout_s:g} s"
             hint = "Give more time with --timeout, or ask another entry with --operator."
             raise OperatorError(message, code="timeout", hint=hint) from error
+        except aiohttp.ClientConnectorError as error:
+            message = f"{url}: cannot connect to {error.host}:{error.port}"
+            raise OperatorError(message, code="unreachable", hint=CONNECT_HINT) from error
         except aiohttp.ClientError as error:
-            hint = (
-                "Check that the process runs and that --operator, --entry or --settings names it."
-            )
-            raise OperatorError(f"{url}: {error}", code="unreachable", hint=hint) from error
+            raise OperatorError(f"{url}: {error}", code="unreachable", hint=CONNECT_HINT) from error
 
 
 def _read_error(status: int, plain: Any) -> OperatorError:
--- a/src/currantbarrow/cli/demo.py
+++ b/src/currantbarrow/cli/demo.py
@@ -30,10 +30,9 @@
         from currantbarrow.load.demo import DemoPlan, run_demo
 
         output = Path(self.option("output"))
+        load_s = self.number("seconds", least=0.5)
+        plan = DemoPlan(Path(self.option("examples")), output, load_s=load_s)
         output.mkdir(parents=True, exist_ok=True)
-        plan = DemoPlan(
-            Path(self.option("examples")), output, load_s=self.number("seconds", least=0.5)
-        )
         report = self.run_loop(run_demo(plan, self.tell))
         if self.option("json"):
             self.show_json([each.as_plain() for each in report.reports])
--- a/src/currantbarrow/exceptions.py
+++ b/src/currantbarrow/exceptions.py
@@ -10,6 +10,7 @@
     "ConfigurationError",
     "CurrantbarrowError",
     "DispatchError",
+    "DrainCutShort",
     "JobConflict",
     "JobInvalid",
     "JobUnknown",
@@ -58,6 +59,13 @@
     hint = "Another process listens there, or this host has no such address; see the settings."
 
 
+class DrainCutShort(CurrantbarrowError):
+    """Report a process that ended before it had drained."""
+
+    code = "drain_cut_short"
+    hint = "A second signal or the bound drain_ms ended it; callers submit their keys again."
+
+
 class ValueTooComplex(CurrantbarrowError):
     """Report a value that can't travel between processes, with its path."""
 
--- a/src/currantbarrow/runtime.py
+++ b/src/currantbarrow/runtime.py
@@ -14,7 +14,7 @@
 import msgspec
 import uvloop
 
-from currantbarrow.exceptions import CurrantbarrowError
+from currantbarrow.exceptions import CurrantbarrowError, DrainCutShort
 from currantbarrow.observe import DEBUG_TOPICS, configure_logging, logger
 from currantbarrow.settings import load_settings
 
@@ -38,7 +38,7 @@
             loop.add_signal_handler(number, self._on_signal)
 
     async def drain_unless_ended(self, drain: Awaitable[None], limit_ms: float) -> None:
-        """Wait for a drain to finish, for the second signal, or for the limit."""
+        """Wait for a drain to finish; raise DrainCutShort at a second signal or the limit."""
         draining = asyncio.ensure_future(drain)
         ending = asyncio.ensure_future(self.end.wait())
         done, _ = await asyncio.wait(
@@ -50,7 +50,7 @@
             logger.info("drained")
             return
         draining.cancel()
-        logger.warning("ended before it had drained")
+        raise DrainCutShort("ended before it had drained")
 
     def _on_signal(self) -> None:
         if self.drain.is_set():
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,110 @@
+"""Start the programs as separate processes, and end just those that were started."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import re
+import shutil
+import signal
+import socket
+import sys
+from pathlib import Path
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+PROGRAMS = {
+    "log": "currantbarrow.standins.log_main",
+    "side": "currantbarrow.side.main",
+    "worker": "currantbarrow.standins.worker_main",
+    "entry": "currantbarrow.entry.main",
+}
+END_LIMIT_S = 10
+ADDRESS = re.compile(r"127\.0\.0\.1:(\d+)")
+
+
+class Processes:
+    """Run a set of settings on free ports, a process for each file."""
+
+    def __init__(self, user: str, folder: Path) -> None:
+        self.folder = folder
+        self.running: dict[str, asyncio.subprocess.Process] = {}
+        shutil.copytree(EXAMPLES / user, folder, dirs_exist_ok=True)
+        self._ports = self._move_to_free_ports()
+
+    async def start_all(self) -> None:
+        """Start every process whose settings are in the folder."""
+        for role, module in PROGRAMS.items():
+            for path in sorted(self.folder.glob(f"{role}*.yaml")):
+                await self._start(path.stem, module, path)
+
+    async def run_client(self, *arguments: str) -> tuple[int, str, str]:
+        """Run the operators' command line and return its exit code and output."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "currantbarrow",
+            *arguments,
+            env=self._environment(),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        out, err = await process.communicate()
+        return await process.wait(), out.decode(), err.decode()
+
+    def url(self, name: str, port: int) -> str:
+        """Return the URL of a process that has a port in the example's files."""
+        assert name in self.running
+        return f"http://127.0.0.1:{self._ports[port]}"
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.running[name].send_signal(number)
+
+    async def wait(self, name: str) -> int:
+        """Wait for one process to end and return its exit code."""
+        return await self.running[name].wait()
+
+    def log_of(self, name: str) -> str:
+        """Return what a process wrote to stderr."""
+        return (self.folder / f"{name}.log").read_text()
+
+    async def end_all(self) -> None:
+        """End the processes that still run."""
+        left = [process for process in self.running.values() if process.returncode is None]
+        for process in left:
+            process.kill()
+        async with asyncio.timeout(END_LIMIT_S):
+            await asyncio.gather(*(process.wait() for process in left))
+
+    async def _start(self, name: str, module: str, path: Path) -> None:
+        with (self.folder / f"{name}.log").open("w") as log:
+            self.running[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-c",
+                f"from {module} import main; main()",
+                "--settings",
+                str(path),
+                env=self._environment(),
+                stderr=log,
+            )
+
+    def _environment(self) -> dict[str, str]:
+        source = str(Path(__file__).parent.parent / "src")
+        return {**os.environ, "PYTHONPATH": source, "CURRANTBARROW_SETTINGS": self._operator()}
+
+    def _operator(self) -> str:
+        return str(self.folder / "operator.yaml")
+
+    def _move_to_free_ports(self) -> dict[int, int]:
+        files = list(self.folder.glob("*.yaml"))
+        ports = {int(port) for path in files for port in ADDRESS.findall(path.read_text())}
+        # All are open at the same time, so that none is given out twice.
+        sockets = [socket.create_server(("127.0.0.1", 0)) for _ in ports]
+        free = [each.getsockname()[1] for each in sockets]
+        for each in sockets:
+            each.close()
+        moved = dict(zip(sorted(ports), free, strict=True))
+        for path in files:
+            text = ADDRESS.sub(lambda m: f"127.0.0.1:{moved[int(m[1])]}", path.read_text())
+            path.write_text(text)
+        return moved
