Leave out sanic's request signals, and measure a running entry

Cause: sanic sends ten signals for each request through a router of their own, since its rewriting of classes is off for two applications in one process. Nothing listens to them.

--- a/src/currantbarrow/entry/http_server.py
+++ b/src/currantbarrow/entry/http_server.py
@@ -13,10 +13,21 @@
 __all__ = ["HttpServer", "create_app", "json_response", "serve_app"]
 
 JSON = "application/json"
+REQUEST_SIGNALS = "http."
 CLOSE_LOOK_S = 0.01
 CLOSE_LIMIT_S = 2.0
 
 
+class _App(Sanic[Any, Any]):
+    """Leave out the signals that sanic sends ten times a request, since nothing listens."""
+
+    async def dispatch(self, event: str, **options: Any) -> Any:
+        """Pass on a signal unless it is about a request."""
+        if event.startswith(REQUEST_SIGNALS):
+            return None
+        return await super().dispatch(event, **options)
+
+
 class HttpServer:
     """Hold a running HTTP server."""
 
@@ -40,7 +51,7 @@
 
 def create_app(name: str, max_body_bytes: int) -> Sanic[Any, Any]:
     """Return an application with the limits that all of ours share."""
-    app: Sanic[Any, Any] = Sanic(name, configure_logging=False)
+    app = _App(name, configure_logging=False)
     app.config.REQUEST_MAX_SIZE = max_body_bytes
     app.config.FALLBACK_ERROR_FORMAT = "json"
     # Rewriting the server's classes for one application breaks the next one of the process.
--- /dev/null
+++ b/src/currantbarrow/load/measure.py
@@ -0,0 +1,110 @@
+"""Measure a running fleet: the time it adds to a task, and the starts a second it carries."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import time
+from collections.abc import Sequence
+
+import aiohttp
+import msgspec
+import uuid6
+import uvloop
+
+__all__ = ["main"]
+
+WARM_UP_JOBS = 200
+HTTP_OK = 200
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class _Options(argparse.Namespace):
+    entry: str
+    job_class: str
+    jobs: int
+    tasks: int
+    at_once: int
+
+
+class _Figures(msgspec.Struct):
+    jobs: int
+    tasks: int
+    failed: int
+    seconds: float
+    tasks_per_s: float
+    response_p50_ms: float
+    response_p99_ms: float
+
+
+async def _measure(options: _Options) -> _Figures:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector, headers=JSON_HEADERS) as session:
+        await _run(session, options, WARM_UP_JOBS)
+        began_s = time.perf_counter()
+        responses_ms, failed = await _run(session, options, options.jobs)
+        seconds = time.perf_counter() - began_s
+    tasks = options.jobs * options.tasks
+    return _Figures(
+        options.jobs,
+        tasks,
+        failed,
+        round(seconds, 3),
+        round(tasks / seconds, 1),
+        _percentile(responses_ms, 50),
+        _percentile(responses_ms, 99),
+    )
+
+
+async def _run(
+    session: aiohttp.ClientSession, options: _Options, jobs: int
+) -> tuple[list[float], int]:
+    """Send jobs one after the other on each of a number of lines."""
+    responses_ms: list[float] = []
+    failed = 0
+    left = jobs
+
+    async def send_some() -> None:
+        nonlocal left, failed
+        while left > 0:
+            left -= 1
+            began_s = time.perf_counter()
+            failed += not await _send(session, options)
+            responses_ms.append((time.perf_counter() - began_s) * 1000)
+
+    await asyncio.gather(*(send_some() for _ in range(options.at_once)))
+    return responses_ms, failed
+
+
+async def _send(session: aiohttp.ClientSession, options: _Options) -> bool:
+    body = {
+        "key": str(uuid6.uuid7()),
+        "customer": "measure",
+        "class": options.job_class,
+        "tasks": [{"payload": {"run_ms": 0}}] * options.tasks,
+    }
+    url = f"{options.entry}/v1/jobs"
+    async with session.post(url, data=msgspec.json.encode(body)) as response:
+        content = await response.read()
+    return response.status == HTTP_OK and b'"complete"' in content
+
+
+def _percentile(values: Sequence[float], percent: int) -> float:
+    ordered = sorted(values)
+    return round(ordered[min(len(ordered) - 1, len(ordered) * percent // 100)], 3)
+
+
+def main() -> None:
+    """Run the program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--entry", required=True, help="the callers' URL of an entry process")
+    parser.add_argument("--job-class", default="measure")
+    parser.add_argument("--jobs", type=int, default=2000)
+    parser.add_argument("--tasks", type=int, default=1, help="tasks a job")
+    parser.add_argument("--at-once", type=int, default=1, help="jobs under way at once")
+    figures = uvloop.run(_measure(parser.parse_args(namespace=_Options())))
+    print(msgspec.json.format(msgspec.json.encode(figures)).decode())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/currantbarrow/load/sides.py
@@ -0,0 +1,81 @@
+"""Run many side processes' nodes with upstreams in memory, to put load on one entry alone."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+
+import uvloop
+
+from currantbarrow.load.settings_set import EPHEMERAL
+from currantbarrow.logservice.client import create_log_service
+from currantbarrow.observe import EventRing, HybridClock, MetricsBook, create_clock
+from currantbarrow.protocol.websocket import create_network
+from currantbarrow.runtime import StopSignal, new_incarnation
+from currantbarrow.side.node import SideNode, SideOptions
+from currantbarrow.standins.upstream import MemoryUpstream, StartBook
+
+__all__ = ["main"]
+
+ANNOUNCE_MS = 1000.0
+
+
+class _Options(argparse.Namespace):
+    count: int
+    slots: int
+    log: str
+    token: str
+
+
+async def _serve(options: _Options) -> None:
+    stop = StopSignal()
+    book = StartBook()
+    nodes = [_create_side(number, options, book) for number in range(options.count)]
+    for node in nodes:
+        await node.start()
+    announcing = asyncio.create_task(_announce(nodes, options.slots))
+    await stop.drain.wait()
+    announcing.cancel()
+    await asyncio.gather(*(node.stop() for node in nodes))
+
+
+async def _announce(nodes: list[SideNode], slots: int) -> None:
+    while True:
+        for node in nodes:
+            node.announce(slots)
+        await asyncio.sleep(ANNOUNCE_MS / 1000)
+
+
+def _create_side(number: int, options: _Options, book: StartBook) -> SideNode:
+    name = f"side-{number:02}"
+    clock = create_clock()
+    hybrid = HybridClock(clock)
+    metrics = MetricsBook()
+    rng = random.Random(number)
+    return SideNode(
+        SideOptions(
+            name, new_incarnation(name), EPHEMERAL, "one", f"rack-{number // 3}", options.token
+        ),
+        clock=clock,
+        network=create_network(options.token, hybrid, metrics),
+        log=create_log_service(options.log),
+        upstream=MemoryUpstream(name, clock, rng, book),
+        rng=rng,
+        metrics=metrics,
+        events=EventRing(name, hybrid),
+    )
+
+
+def main() -> None:
+    """Run the program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--count", type=int, default=11)
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--log", required=True, help="the URL of the log service")
+    parser.add_argument("--token", required=True)
+    uvloop.run(_serve(parser.parse_args(namespace=_Options())))
+
+
+if __name__ == "__main__":
+    main()
