--- a/src/currantbarrow/entry/steward.py
+++ b/src/currantbarrow/entry/steward.py
@@ -9,7 +9,7 @@
     ClusterState,
     Lease,
     Member,
-    ask_lease_ages,
+    ask_last_seen,
     balance_shards,
     choose_panel,
     majority,
@@ -193,7 +193,7 @@
                 self._spare(incarnation)
         for incarnation in sorted(gone):
             callers = [peer.caller for peer in self._entries.peers.values()]
-            ages = await ask_lease_ages(callers, incarnation)
+            ages = await ask_last_seen(callers, incarnation)
             if any(age_ms < ENTRY_SUSPECT_MS for age_ms in ages):
                 self._spare(incarnation)
 
@@ -204,11 +204,11 @@
     async def _may_be_confirmed(self, incarnation: str) -> bool:
         """Tell whether a majority of the panel confirmed a peer's lease of late, or can't say."""
         panel = self._state.assignment.panel
-        peers = [self._sides.peers.get(side) for side in panel]
-        callers = [peer.caller if peer else None for peer in peers]
-        ages = await ask_lease_ages(callers, incarnation)
         if not panel:
             return False
+        peers = [self._sides.peers.get(side) for side in panel]
+        callers = [peer.caller if peer else None for peer in peers]
+        ages = await ask_last_seen(callers, incarnation)
         recent = sum(age_ms < ENTRY_SUSPECT_MS for age_ms in ages)
         return recent >= majority(len(panel)) or len(ages) < majority(len(panel))
 
