--- a/src/currantbarrow/entry/ownership.py
+++ b/src/currantbarrow/entry/ownership.py
@@ -304,7 +304,9 @@
             # A silent side process may still take starts of the old owner, until the
             # lease and the start permissions that it may hold have run out.
             await self._sleep_until(lease_end_ms + self._options.permission_ms)
-            certain_from_ms = self._clock.wall_ms() + 2 * self._options.skew_ms
+            # What was started until now was accepted while the lease still held.
+            ended_ago_ms = self._clock.monotonic_ms() - lease_end_ms
+            certain_from_ms = self._clock.wall_ms() - ended_ago_ms + 2 * self._options.skew_ms
         still_mine = [shard for shard, owned in group.items() if self._shards.get(shard) is owned]
         self.make_ready(still_mine, certain_from_ms)
         took_ms = self._clock.monotonic_ms() - began_ms
