--- a/src/currantbarrow/entry/handover.py
+++ b/src/currantbarrow/entry/handover.py
@@ -2,18 +2,27 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterator
 
+import msgspec
+
+from currantbarrow.cluster import ClusterState
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.ownership import Ownership
+from currantbarrow.entry.peers import EntryPool
+from currantbarrow.exceptions import LinkClosed, LinkError
 from currantbarrow.jobs import MAX_PART_BYTES, TaskAnswer, count_bytes, shard_of
 from currantbarrow.jobs.table import Job, JobTable
 from currantbarrow.protocol import Handover, HandoverDone, JobRow, RecoveredRow, TaskRow
-from currantbarrow.types import Clock
+from currantbarrow.types import Clock, Metrics
 
-__all__ = ["build_handovers", "describe_job", "restore_job", "take_handover"]
+__all__ = ["HandoverSender", "describe_job", "restore_job", "take_handover"]
 
 JOBS_PER_PART = 64
+CALL_TIMEOUT_MS = 1000.0
+GIVE_UP_MS = 4000.0
+AGAIN_MS = 20.0
 
 
 def describe_job(job: Job, now_ms: float) -> JobRow:
@@ -55,7 +64,7 @@
     return job
 
 
-def build_handovers(
+def _build_parts(
     ownership: Ownership, table: JobTable, shards: set[int], version: int, now_ms: float
 ) -> list[Handover]:
     """Return the parts of a handover of ready shards; the call id is set on sending."""
@@ -119,4 +128,84 @@
             dispatcher.table.cancel_early(job_id)
     if call.last:
         ownership.make_ready(expected, call.certain_from_ms)
-    return HandoverDone(call.call_id, bool(expected))
+    taken_in = expected or ownership.holds_since(call.shards, call.version)
+    return HandoverDone(call.call_id, bool(taken_in))
+
+
+class HandoverSender:
+    """Send tables of shards to their next owners, part by part."""
+
+    def __init__(
+        self,
+        state: ClusterState,
+        ownership: Ownership,
+        table: JobTable,
+        entries: EntryPool,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._state = state
+        self._ownership = ownership
+        self._table = table
+        self._entries = entries
+        self._clock = clock
+        self._metrics = metrics
+        self._sending: set[asyncio.Task[None]] = set()
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether some table is still on its way."""
+        return bool(self._sending)
+
+    def send(self, shards: set[int]) -> None:
+        """Send the tables of shards, as they are now, to the owners that the log names."""
+        assignment = self._state.assignment
+        groups: dict[tuple[str, int], set[int]] = {}
+        for shard in sorted(shards):
+            key = (assignment.owner_of(shard), assignment.since[shard])
+            groups.setdefault(key, set()).add(shard)
+        for (owner, since), group in groups.items():
+            now_ms = self._clock.monotonic_ms()
+            parts = _build_parts(self._ownership, self._table, group, since, now_ms)
+            task = asyncio.create_task(self._send_all(owner, parts))
+            self._sending.add(task)
+            task.add_done_callback(self._sending.discard)
+
+    def stop(self) -> None:
+        """End the work in the background."""
+        for task in self._sending:
+            task.cancel()
+
+    async def _send_all(self, owner: str, parts: list[Handover]) -> None:
+        try:
+            for part in parts:
+                if not await self._send(owner, part):
+                    self._metrics.incr("entry.handover_rejected")
+                    return
+        except LinkError:
+            # The next owner will ask the side processes instead.
+            self._metrics.incr("entry.handover_failed")
+
+    async def _send(self, owner: str, part: Handover) -> bool:
+        """Send one part until it is taken in; raise LinkError, False when it was not wanted."""
+        deadline_ms = self._clock.monotonic_ms() + GIVE_UP_MS
+        while True:
+            try:
+                peer = self._entries.peers.get(owner)
+                if peer is None:
+                    raise LinkClosed("the next owner is not known")
+                done = await peer.require_caller().call(
+                    lambda call_id: msgspec.structs.replace(part, call_id=call_id),
+                    HandoverDone,
+                    CALL_TIMEOUT_MS,
+                )
+                if done.accepted:
+                    return True
+                # The next owner may not have read the record yet that makes it the owner.
+                if self._clock.monotonic_ms() > deadline_ms:
+                    return False
+            except LinkError:
+                if self._clock.monotonic_ms() > deadline_ms:
+                    raise
+            await self._clock.sleep_ms(AGAIN_MS)
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -12,7 +12,7 @@
 from currantbarrow.classes import ClassState, change_class, change_record_id
 from currantbarrow.cluster import ClusterState, Lease, Member
 from currantbarrow.entry.dispatch import Dispatcher
-from currantbarrow.entry.handover import build_handovers, take_handover
+from currantbarrow.entry.handover import HandoverSender, take_handover
 from currantbarrow.entry.ownership import Ownership, OwnershipOptions
 from currantbarrow.entry.peers import EntryPool
 from currantbarrow.entry.router import Router
@@ -62,8 +62,6 @@
 __all__ = ["EntryNode", "EntryOptions"]
 
 HEARTBEAT_MS = 1000.0
-HANDOVER_TIMEOUT_MS = 1000.0
-HANDOVER_GIVE_UP_MS = 4000.0
 DRAIN_LOOK_MS = 20.0
 # An entry that follows the log itself leaves peers alone until it lags by this much.
 LAG_PATIENCE_MS = 1500.0
@@ -129,7 +127,6 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._background: set[asyncio.Task[None]] = set()
         self._submissions: set[asyncio.Task[JobAnswer]] = set()
-        self._handovers = 0
         self._waiting = 0
         self._hello = Hello(
             Role.ENTRY,
@@ -199,6 +196,14 @@
             give_up=self._give_up,
             is_down=lambda owner: self.entries.down_for_ms(owner) > ENTRY_SUSPECT_MS,
         )
+        self.handover = HandoverSender(
+            self.cluster,
+            self.ownership,
+            self.dispatcher.table,
+            self.entries,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
         self.lease = Lease(
             options.incarnation,
             options.lease_ms,
@@ -281,6 +286,7 @@
         for task in [*self._tasks, *self._background, *self._submissions]:
             task.cancel()
         self.ownership.stop()
+        self.handover.stop()
         self.dispatcher.stop()
         await self.sides.stop()
         await self.entries.stop()
@@ -416,7 +422,7 @@
         owns = any(owner == self.options.incarnation for owner in self.cluster.assignment.owners)
         alone = len([m for m in self.cluster.by_role(Role.ENTRY) if not m.draining]) == 0
         open_jobs = bool(self.dispatcher.table.open_jobs())
-        return open_jobs or self._handovers > 0 or self._waiting > 0 or (owns and not alone)
+        return open_jobs or self.handover.busy or self._waiting > 0 or (owns and not alone)
 
     async def _serve(self, link: Link) -> None:
         """Handle the messages of one link until it closes."""
@@ -499,55 +505,10 @@
 
     def _give_up(self, lost: set[int], to_hand_over: set[int]) -> None:
         """Let go of shards, and send the tables that are up to date to their next owners."""
-        assignment = self.cluster.assignment
-        table = self.dispatcher.table
-        groups: dict[tuple[str, int], set[int]] = {}
-        for shard in sorted(to_hand_over):
-            key = (assignment.owner_of(shard), assignment.since[shard])
-            groups.setdefault(key, set()).add(shard)
-        for (owner, since), shards in groups.items():
-            now_ms = self._clock.monotonic_ms()
-            parts = build_handovers(self.ownership, table, shards, since, now_ms)
-            self._spawn(self._hand_over(owner, parts))
-        for job in table.in_shards(lost):
+        self.handover.send(to_hand_over)
+        for job in self.dispatcher.table.in_shards(lost):
             self.dispatcher.forget(job)
 
-    async def _hand_over(self, owner: str, parts: list[Handover]) -> None:
-        self._handovers += 1
-        try:
-            for part in parts:
-                if not await self._hand_part(owner, part):
-                    self.metrics.incr("entry.handover_rejected")
-                    return
-        except LinkError:
-            # The next owner will ask the side processes instead.
-            self.metrics.incr("entry.handover_failed")
-        finally:
-            self._handovers -= 1
-
-    async def _hand_part(self, owner: str, part: Handover) -> bool:
-        """Send one part until it is taken in; raise LinkError, False when it was not wanted."""
-        deadline_ms = self._clock.monotonic_ms() + HANDOVER_GIVE_UP_MS
-        while True:
-            try:
-                peer = self.entries.peers.get(owner)
-                if peer is None:
-                    raise LinkError("the next owner is not known")
-                done = await peer.require_caller().call(
-                    lambda call_id: msgspec.structs.replace(part, call_id=call_id),
-                    HandoverDone,
-                    HANDOVER_TIMEOUT_MS,
-                )
-                if done.accepted:
-                    return True
-                # The next owner may not have read the record yet that makes it the owner.
-                if self._clock.monotonic_ms() > deadline_ms:
-                    return False
-            except LinkError:
-                if self._clock.monotonic_ms() > deadline_ms:
-                    raise
-            await self._clock.sleep_ms(DRAIN_LOOK_MS)
-
     async def _beat(self) -> None:
         while True:
             await self._clock.sleep_ms(self._heartbeats.look_ms)
--- a/src/currantbarrow/entry/ownership.py
+++ b/src/currantbarrow/entry/ownership.py
@@ -148,6 +148,11 @@
         owned.heard_ms = self._clock.monotonic_ms()
         return True
 
+    def holds_since(self, shards: Iterable[int], since: int) -> bool:
+        """Tell whether shards are this process's by just this version, and ready."""
+        held = [self._shards.get(shard) for shard in shards]
+        return all(owned and owned.since == since and owned.ready.is_set() for owned in held)
+
     def add_recovered(self, job_id: bytes, sides: RecoveredTasks) -> None:
         """Remember which tasks of a job an earlier owner has started."""
         owned = self._shards.get(shard_of(job_id))
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -10,6 +10,7 @@
 from currantbarrow.entry import EntryNode
 from currantbarrow.exceptions import JobInvalid, OwnershipError
 from currantbarrow.jobs import JobAnswer, JobRequest, JobStatus, TaskState, make_job_id, shard_of
+from currantbarrow.protocol import HandoverDone, Hello, Message
 from currantbarrow.standins.fleet import Fleet, FleetPlan
 from helpers import FleetTest
 
@@ -116,8 +117,47 @@
 
         self.run_bounded(scenario)
 
+    def test_lost_confirmation_of_the_last_part_fails_no_handover(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            confirmed = 0
+
+            def cut_at_first(sender: Hello, receiver: Hello, message: Message) -> None:
+                nonlocal confirmed
+                if isinstance(message, HandoverDone):
+                    confirmed += 1
+                    if confirmed == 1:
+                        fleet.fabric.cut(sender.name, receiver.name)
+                        loop = asyncio.get_running_loop()
+                        loop.call_later(0.5, fleet.fabric.mend, sender.name, receiver.name)
+
+            fleet.fabric.observers.append(cut_at_first)
+            leaving = fleet.entries.pop("entry-1")
+            await leaving.node.drain()
+            assert confirmed > 1
+            assert leaving.metrics.counters["entry.handover_rejected"] == 0
+            assert leaving.metrics.counters["entry.handover_failed"] == 0
+
+        self.run_bounded(scenario)
+
 
 class TestTakeover(OwnershipTest):
+    def test_departed_side_process_is_settled_and_costs_later_takeovers_nothing(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.kill_side("side-5")
+            await fleet.clock.sleep_ms(10_000)
+            assert fleet.entries["entry-0"].node.cluster.departures
+            await fleet.clock.sleep_ms(15_000)
+            for entry in fleet.entries.values():
+                assert entry.node.cluster.unsettled() == []
+            jobs = [self.make_job(fleet, f"k{n}", [300.0]) for n in range(20)]
+            waiting = [asyncio.create_task(self.submit(fleet, 0, job)) for job in jobs]
+            await fleet.clock.sleep_ms(100)
+            await fleet.kill_entry("entry-1")
+            answers = await asyncio.gather(*waiting)
+            assert {answer.status for answer in answers} == {JobStatus.COMPLETE}
+
+        self.run_bounded(scenario)
+
     def test_two_changes_in_one_read_leave_all_shards_ready(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             await fleet.start_entry(3)
--- a/tests/test_retry_phases.py
+++ b/tests/test_retry_phases.py
@@ -17,9 +17,11 @@
 
 SEED = 20_261
 RUN_MS = 60_000.0
-JOBS_PER_S = 40.0
+JOBS_PER_S = 70.0
 FAULT_EVERY_MS = 4_000.0
 CUT_MS = 7_000.0
+LEAVE_MS = 2_000.0
+FAILING_SHARE = 0.002
 
 
 class FaultedRun:
@@ -40,6 +42,8 @@
         while self.fleet.clock.monotonic_ms() < end_ms:
             run_ms = [self._rng.uniform(50, 400) for _ in range(self._rng.randint(1, 8))]
             job = FleetTest.make_job(self.fleet, f"j{len(callers)}", run_ms)
+            if self._rng.random() < FAILING_SHARE:
+                job.tasks[0].payload["fail"] = True
             self.tasks += len(run_ms)
             callers.append(asyncio.create_task(self._submit(job)))
             await self.fleet.clock.sleep_ms(self._rng.expovariate(JOBS_PER_S / 1000))
@@ -65,6 +69,11 @@
             if number % 3 == 0:
                 await self.fleet.kill_side(side)
                 await self.fleet.start_side(int(side.removeprefix("side-")))
+            elif number % 3 == 1:
+                self.fleet.sides[side].node.leave()
+                await self.fleet.clock.sleep_ms(LEAVE_MS)
+                await self.fleet.kill_side(side)
+                await self.fleet.start_side(int(side.removeprefix("side-")))
             else:
                 self.fleet.fabric.cut(entry, side)
                 asyncio.get_running_loop().call_later(
