Split the entry node by job, and keep one reconnect loop and one kind of background task

Cause: entry/node.py had grown to 568 lines (wiring, link serving, handover sending, member rows); peers.py and sides.py held the same reconnect loop; three classes kept background tasks each in its own way, and all three lost the errors of those tasks. Change: LinkServer, HandoverSender, describe_members and keep_connected have modules of their own; BackgroundTasks counts and logs errors (background.failed).

--- /dev/null
+++ b/src/currantbarrow/background.py
@@ -0,0 +1,44 @@
+"""Run coroutines in the background, and never lose their errors."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from currantbarrow.observe import logger
+from currantbarrow.types import Metrics
+
+__all__ = ["BackgroundTasks"]
+
+ValueT = TypeVar("ValueT")
+
+
+class BackgroundTasks:
+    """Keep background tasks alive until they end, and cancel them all at a stop."""
+
+    __slots__ = ("_metrics", "_tasks")
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, coroutine: Coroutine[Any, Any, ValueT]) -> asyncio.Task[ValueT]:
+        """Start a coroutine and return its task."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def cancel_all(self) -> None:
+        """Cancel the tasks that have not ended."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        # Nobody awaits these tasks, so an error would otherwise show nowhere.
+        self._metrics.incr("background.failed")
+        logger.error("a background task failed", exc_info=task.exception())
--- a/src/currantbarrow/classes/state.py
+++ b/src/currantbarrow/classes/state.py
@@ -72,6 +72,15 @@
         """Return the names of the classes in force."""
         return sorted(name for name in self._history if self.find(name) is not None)
 
+    def targets_ms(self) -> dict[str, float]:
+        """Return the target of each class in force."""
+        found = {name: self.find(name) for name in self._history}
+        return {
+            name: revision.definition.target_ms
+            for name, revision in found.items()
+            if revision is not None and revision.definition is not None
+        }
+
     def history(self, name: str) -> list[ClassRevision]:
         """Return the latest revisions of a class, oldest first."""
         return list(self._history.get(name, ()))
--- /dev/null
+++ b/src/currantbarrow/entry/dialing.py
@@ -0,0 +1,60 @@
+"""Keep a link to a member open, as long as anybody answers at its address."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable
+
+from currantbarrow.cluster import Member
+from currantbarrow.exceptions import LinkError, LinkTimeout
+from currantbarrow.protocol import Hello, Message
+from currantbarrow.types import Clock, Link, Network
+
+__all__ = ["keep_connected", "receive_in_time"]
+
+RECONNECT_FIRST_MS = 50.0
+RECONNECT_LIMIT_MS = 1000.0
+
+
+async def keep_connected(
+    member: Member,
+    hello: Hello,
+    serve: Callable[[Link], Awaitable[None]],
+    *,
+    network: Network,
+    clock: Clock,
+    rng: random.Random,
+) -> None:
+    """Connect to one incarnation, serve its link until that fails, and connect again."""
+    delay_ms = RECONNECT_FIRST_MS
+    while True:
+        try:
+            link = await network.connect(member.address, hello)
+        except LinkError:
+            await clock.sleep_ms(rng.uniform(0.5, 1.0) * delay_ms)
+            delay_ms = min(delay_ms * 2, RECONNECT_LIMIT_MS)
+            continue
+        if link.peer.incarnation != member.incarnation:
+            # The host was replaced; its new incarnation registers by itself.
+            await link.close()
+            await clock.sleep_ms(RECONNECT_LIMIT_MS)
+            continue
+        delay_ms = RECONNECT_FIRST_MS
+        with contextlib.suppress(LinkError):
+            await serve(link)
+        await link.close()
+
+
+async def receive_in_time(link: Link, silence_limit_ms: float) -> Message:
+    """Return the next message; raise LinkTimeout after a silence, or LinkClosed.
+
+    A process that is alive sends heartbeats, so silence means a link that is cut without
+    either end having been told.
+    """
+    try:
+        async with asyncio.timeout(silence_limit_ms / 1000):
+            return await link.receive()
+    except TimeoutError as error:
+        raise LinkTimeout(f"nothing came from {link.peer.name}") from error
--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 
+from currantbarrow.background import BackgroundTasks
 from currantbarrow.entry.failures import (
     DispatchFailure,
     FailurePhase,
@@ -101,7 +101,7 @@
         self._sent: dict[TaskKey, _Sent] = {}
         # Jobs whose time has passed, while their tasks are being called back.
         self._expiring: set[bytes] = set()
-        self._background: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks(metrics)
 
     def submit(self, job: Job, target_ms: float) -> JobAnswer | None:
         """Let a job in and queue its tasks, or return the refusal."""
@@ -214,13 +214,13 @@
         self._events.record("side_up", detail=peer.member.name)
         left = [sent for sent in self._sent.values() if sent.peer is peer]
         if left:
-            self._spawn(self._settle(peer, left))
+            self._background.spawn(self._settle(peer, left))
 
     def side_down(self, peer: SidePeer) -> None:
         """Give a side process a while to come back."""
         self._events.record("side_down", detail=peer.member.name)
         self._metrics.incr("entry.side_down")
-        self._spawn(self._lose_later(peer))
+        self._background.spawn(self._lose_later(peer))
 
     def side_gone(self, peer: SidePeer) -> None:
         """Give up the tasks that were left with a side process that is gone."""
@@ -247,8 +247,7 @@
 
     def stop(self) -> None:
         """End the work in the background."""
-        for task in self._background:
-            task.cancel()
+        self._background.cancel_all()
 
     def _refuse(
         self, request: JobRequest, target_ms: float, costs: list[float]
@@ -275,7 +274,7 @@
 
     def _watch_deadline(self, job: Job) -> None:
         if job.request.timeout_ms > 0 and job.answer is None:
-            self._spawn(self._expire_later(job))
+            self._background.spawn(self._expire_later(job))
 
     async def _expire_later(self, job: Job) -> None:
         await self._clock.sleep_ms(self._left_ms(job))
@@ -419,7 +418,7 @@
         if delay_ms <= 0:
             self._requeue(sent)
         else:
-            self._spawn(self._requeue_after(sent, delay_ms))
+            self._background.spawn(self._requeue_after(sent, delay_ms))
 
     async def _requeue_after(self, sent: _Sent, delay_ms: float) -> None:
         await self._clock.sleep_ms(delay_ms)
@@ -521,9 +520,9 @@
             self._sent[job.job_id, task.index] = _Sent(task, job, peer)
         if peer.up:
             left = [self._sent[job.job_id, task.index] for task in tasks]
-            self._spawn(self._settle(peer, left))
+            self._background.spawn(self._settle(peer, left))
         else:
-            self._spawn(self._lose_later(peer))
+            self._background.spawn(self._lose_later(peer))
 
     async def _settle(self, peer: SidePeer, left: list[_Sent]) -> None:
         """Ask what became of tasks, and go on accordingly."""
@@ -576,8 +575,3 @@
         self._events.record(
             kind, job=job.job_id.hex(), job_class=job.request.job_class, detail=detail
         )
-
-    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
--- a/src/currantbarrow/entry/handover.py
+++ b/src/currantbarrow/entry/handover.py
@@ -4,16 +4,25 @@
 
 from collections.abc import Iterator
 
+import msgspec
+
+from currantbarrow.background import BackgroundTasks
+from currantbarrow.cluster import ClusterState
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.ownership import Ownership
+from currantbarrow.entry.peers import EntryPool
+from currantbarrow.exceptions import LinkError
 from currantbarrow.jobs import MAX_PART_BYTES, TaskAnswer, count_bytes, shard_of
 from currantbarrow.jobs.table import Job, JobTable
 from currantbarrow.protocol import Handover, HandoverDone, JobRow, RecoveredRow, TaskRow
-from currantbarrow.types import Clock
+from currantbarrow.types import Clock, Metrics
 
-__all__ = ["build_handovers", "describe_job", "restore_job", "take_handover"]
+__all__ = ["HandoverSender", "build_handovers", "describe_job", "restore_job", "take_handover"]
 
 JOBS_PER_PART = 64
+PART_TIMEOUT_MS = 1000.0
+GIVE_UP_MS = 4000.0
+RETRY_MS = 20.0
 
 
 def describe_job(job: Job, now_ms: float) -> JobRow:
@@ -120,3 +129,90 @@
     if call.last:
         ownership.make_ready(expected, call.certain_from_ms)
     return HandoverDone(call.call_id, bool(expected))
+
+
+class HandoverSender:
+    """Let go of shards, and send their tables to the next owners."""
+
+    __slots__ = (
+        "_background",
+        "_clock",
+        "_cluster",
+        "_dispatcher",
+        "_entries",
+        "_metrics",
+        "sending",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        background: BackgroundTasks,
+        cluster: ClusterState,
+        dispatcher: Dispatcher,
+        entries: EntryPool,
+    ) -> None:
+        # The number of next owners whose tables are not all out yet.
+        self.sending = 0
+        self._clock = clock
+        self._metrics = metrics
+        self._background = background
+        self._cluster = cluster
+        self._dispatcher = dispatcher
+        self._entries = entries
+
+    def give_up(self, ownership: Ownership, lost: set[int], to_hand_over: set[int]) -> None:
+        """Forget the jobs of lost shards; tables that are up to date go to the next owners."""
+        assignment = self._cluster.assignment
+        table = self._dispatcher.table
+        groups: dict[tuple[str, int], set[int]] = {}
+        for shard in sorted(to_hand_over):
+            key = (assignment.owner_of(shard), assignment.since[shard])
+            groups.setdefault(key, set()).add(shard)
+        for (owner, since), shards in groups.items():
+            now_ms = self._clock.monotonic_ms()
+            parts = build_handovers(ownership, table, shards, since, now_ms)
+            self._background.spawn(self._send(owner, parts))
+        for job in table.in_shards(lost):
+            self._dispatcher.forget(job)
+
+    async def _send(self, owner: str, parts: list[Handover]) -> None:
+        self.sending += 1
+        try:
+            for part in parts:
+                if not await self._send_part(owner, part):
+                    self._metrics.incr("entry.handover_rejected")
+                    return
+        except LinkError:
+            # The next owner will ask the side processes instead.
+            self._metrics.incr("entry.handover_failed")
+        finally:
+            self.sending -= 1
+
+    async def _send_part(self, owner: str, part: Handover) -> bool:
+        """Send one part until it is taken in; raise LinkError, False when it was not wanted."""
+        deadline_ms = self._clock.monotonic_ms() + GIVE_UP_MS
+        while True:
+            try:
+                if await self._offer(owner, part):
+                    return True
+                # The next owner may not have read the record yet that makes it the owner.
+                if self._clock.monotonic_ms() > deadline_ms:
+                    return False
+            except LinkError:
+                if self._clock.monotonic_ms() > deadline_ms:
+                    raise
+            await self._clock.sleep_ms(RETRY_MS)
+
+    async def _offer(self, owner: str, part: Handover) -> bool:
+        peer = self._entries.peers.get(owner)
+        if peer is None:
+            raise LinkError("the next owner is not known")
+        done = await peer.require_caller().call(
+            lambda call_id: msgspec.structs.replace(part, call_id=call_id),
+            HandoverDone,
+            PART_TIMEOUT_MS,
+        )
+        return done.accepted
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -5,23 +5,23 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Coroutine
 
 import msgspec
 
+from currantbarrow.background import BackgroundTasks
 from currantbarrow.classes import ClassState, change_class, change_record_id
 from currantbarrow.cluster import ClusterState, Lease, Member
 from currantbarrow.entry.dispatch import Dispatcher
-from currantbarrow.entry.handover import build_handovers, take_handover
+from currantbarrow.entry.handover import HandoverSender
+from currantbarrow.entry.members import MemberRow, describe_members
 from currantbarrow.entry.ownership import Ownership, OwnershipOptions
 from currantbarrow.entry.peers import EntryPool
 from currantbarrow.entry.router import Router
+from currantbarrow.entry.serving import LinkServer
 from currantbarrow.entry.sides import SidePool
 from currantbarrow.entry.steward import ENTRY_SUSPECT_MS, Steward
 from currantbarrow.exceptions import (
     CurrantbarrowError,
-    JobUnknown,
-    LinkError,
     LogServiceError,
 )
 from currantbarrow.jobs import JobAnswer, JobRequest, retention_ms
@@ -40,30 +40,15 @@
 from currantbarrow.policy import Policies
 from currantbarrow.protocol import (
     Caller,
-    CancelJob,
-    Failure,
-    Forward,
-    Forwarded,
-    Handover,
-    HandoverDone,
-    Heartbeat,
     Hello,
-    JobShown,
-    LastSeen,
-    Message,
-    RecordsWanted,
     Role,
-    Seen,
-    ShowJob,
 )
-from currantbarrow.protocol.heartbeats import HeartbeatSchedule
-from currantbarrow.types import Clock, Link, LogService, Metrics, Network
+from currantbarrow.types import Clock, LogService, Metrics, Network
 
 __all__ = ["EntryNode", "EntryOptions"]
 
 HEARTBEAT_MS = 1000.0
-HANDOVER_TIMEOUT_MS = 1000.0
-HANDOVER_GIVE_UP_MS = 4000.0
+LOOK_MS = 250.0
 DRAIN_LOOK_MS = 20.0
 # An entry that follows the log itself leaves peers alone until it lags by this much.
 LAG_PATIENCE_MS = 1500.0
@@ -88,17 +73,6 @@
     log_retention_ms: float = 86_400_000.0
 
 
-class MemberRow(msgspec.Struct, frozen=True):
-    """Show one member as an entry process sees it."""
-
-    member: Member
-    up: bool
-    shards: int
-    on_panel: bool
-    slots: int
-    used_slots: int
-
-
 class EntryNode:
     """Own shards, dispatch their jobs, and pass other jobs on to their owners."""
 
@@ -124,12 +98,9 @@
         self._network = network
         self._log = log
         self._rng = rng
-        self._links: dict[str, Link] = {}
-        self._heartbeats = HeartbeatSchedule(HEARTBEAT_MS)
         self._tasks: list[asyncio.Task[None]] = []
-        self._background: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks(metrics)
         self._submissions: set[asyncio.Task[JobAnswer]] = set()
-        self._handovers = 0
         self._waiting = 0
         self._hello = Hello(
             Role.ENTRY,
@@ -196,9 +167,19 @@
             metrics=self.metrics,
             events=self.events,
             pool=self.sides,
-            give_up=self._give_up,
+            give_up=lambda lost, to_hand_over: self.handovers.give_up(
+                self.ownership, lost, to_hand_over
+            ),
             is_down=lambda owner: self.entries.down_for_ms(owner) > ENTRY_SUSPECT_MS,
         )
+        self.handovers = HandoverSender(
+            clock=self._clock,
+            metrics=self.metrics,
+            background=self._background,
+            cluster=self.cluster,
+            dispatcher=self.dispatcher,
+            entries=self.entries,
+        )
         self.lease = Lease(
             options.incarnation,
             options.lease_ms,
@@ -219,10 +200,24 @@
             lease_held=self._may_start,
             classes_known=self.class_follower.caught_up.is_set,
         )
+        self.server = LinkServer(
+            HEARTBEAT_MS,
+            clock=self._clock,
+            metrics=self.metrics,
+            background=self._background,
+            router=self.router,
+            ownership=self.ownership,
+            dispatcher=self.dispatcher,
+            sides=self.sides,
+            classes=self.classes,
+            sharing=self.sharing,
+        )
 
     async def start(self) -> None:
         """Listen for links, follow the log and take part."""
-        address = await self._network.listen(self.options.link_address, self._hello, self._serve)
+        address = await self._network.listen(
+            self.options.link_address, self._hello, self.server.serve
+        )
         member = Member(
             Role.ENTRY,
             self.options.name,
@@ -255,7 +250,8 @@
             asyncio.create_task(
                 self.lease.run(self.dispatcher.pump, self.dispatcher.release_waiting)
             ),
-            asyncio.create_task(self._beat()),
+            asyncio.create_task(self.server.beat()),
+            asyncio.create_task(self._look()),
             asyncio.create_task(self.sides.beat()),
             asyncio.create_task(self.sharing.run()),
             asyncio.create_task(self._ask_peers()),
@@ -278,8 +274,9 @@
 
     async def kill(self) -> None:
         """End at once, as a crash does."""
-        for task in [*self._tasks, *self._background, *self._submissions]:
+        for task in [*self._tasks, *self._submissions]:
             task.cancel()
+        self._background.cancel_all()
         self.ownership.stop()
         self.dispatcher.stop()
         await self.sides.stop()
@@ -336,26 +333,7 @@
 
     def describe_members(self) -> list[MemberRow]:
         """Return all members as this process sees them."""
-        rows = []
-        for member in self.cluster.members.values():
-            peer = self.sides.peers.get(member.incarnation)
-            is_entry = member.role is Role.ENTRY
-            up = (
-                self.entries.down_for_ms(member.incarnation) == 0.0
-                if is_entry
-                else bool(peer and peer.up)
-            )
-            rows.append(
-                MemberRow(
-                    member,
-                    up,
-                    len(self.cluster.assignment.shards_of(member.incarnation)),
-                    member.incarnation in self.cluster.assignment.panel,
-                    peer.view.slots if peer else 0,
-                    peer.view.outstanding + peer.view.others if peer else 0,
-                )
-            )
-        return sorted(rows, key=lambda row: (row.member.role, row.member.name))
+        return describe_members(self.cluster, self.entries, self.sides)
 
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
@@ -410,159 +388,19 @@
         version = self.ownership.version
         self.ownership.sync()
         if self.ownership.version != version:
-            self._spawn(self.lease.renew())
+            self._background.spawn(self.lease.renew())
 
     def _is_busy(self) -> bool:
         owns = any(owner == self.options.incarnation for owner in self.cluster.assignment.owners)
         alone = len([m for m in self.cluster.by_role(Role.ENTRY) if not m.draining]) == 0
         open_jobs = bool(self.dispatcher.table.open_jobs())
-        return open_jobs or self._handovers > 0 or self._waiting > 0 or (owns and not alone)
-
-    async def _serve(self, link: Link) -> None:
-        """Handle the messages of one link until it closes."""
-        peer = link.peer.incarnation
-        self._links[peer] = link
-        try:
-            link.post(self.sharing.heartbeat())
-            while True:
-                self._handle(link, await link.receive())
-        except LinkError:
-            if self._links.get(peer) is link:
-                del self._links[peer]
-                self._heartbeats.forget(peer)
-
-    def _handle(self, link: Link, message: Message) -> None:
-        match message:
-            case Forward():
-                self._spawn(self._answer_forward(link, message))
-            case CancelJob():
-                self._spawn(self._answer_cancel(link, message))
-            case ShowJob():
-                self._spawn(self._answer_show(link, message))
-            case Handover():
-                link.post(self._take_handover(link, message))
-            case LastSeen():
-                link.post(self._last_seen(message))
-            case RecordsWanted():
-                link.post(self.sharing.answer(message))
-            case Heartbeat():
-                pass
-            case _:
-                self.metrics.incr("entry.unexpected_message")
-
-    def _last_seen(self, call: LastSeen) -> Seen:
-        peer = self.sides.peers.get(call.incarnation)
-        return Seen(call.call_id, peer is not None and peer.up)
-
-    async def _answer_forward(self, link: Link, call: Forward) -> None:
-        self._waiting += 1
-        try:
-            answer = await self.router.submit(call.request, call.hops)
-            reply: Forwarded | Failure = Forwarded(call.call_id, answer)
-        except CurrantbarrowError as error:
-            reply = Failure(call.call_id, error.code, str(error))
-        finally:
-            self._waiting -= 1
-        self._heartbeats.sent(link.peer.incarnation, self._clock.monotonic_ms())
-        with contextlib.suppress(LinkError):
-            link.post(reply)
+        answering = self._waiting + self.server.answering + self.handovers.sending > 0
+        return open_jobs or answering or (owns and not alone)
 
-    async def _answer_cancel(self, link: Link, call: CancelJob) -> None:
-        try:
-            answer = await self.router.cancel(call.customer, call.key, call.created_at_ms)
-            reply: JobShown | Failure = JobShown(call.call_id, answer is not None, answer)
-        except CurrantbarrowError as error:
-            reply = Failure(call.call_id, error.code, str(error))
-        with contextlib.suppress(LinkError):
-            link.post(reply)
-
-    async def _answer_show(self, link: Link, call: ShowJob) -> None:
-        try:
-            answer = await self.router.show(call.customer, call.key, call.created_at_ms)
-            reply: JobShown | Failure = JobShown(call.call_id, True, answer)
-        except JobUnknown:
-            reply = JobShown(call.call_id, False)
-        except CurrantbarrowError as error:
-            reply = Failure(call.call_id, error.code, str(error))
-        with contextlib.suppress(LinkError):
-            link.post(reply)
-
-    def _take_handover(self, link: Link, call: Handover) -> HandoverDone:
-        targets = {
-            name: revision.definition.target_ms
-            for name in self.classes.names()
-            if (revision := self.classes.find(name)) and revision.definition
-        }
-        return take_handover(
-            call, link.peer.incarnation, self.ownership, self.dispatcher, self._clock, targets
-        )
-
-    def _give_up(self, lost: set[int], to_hand_over: set[int]) -> None:
-        """Let go of shards, and send the tables that are up to date to their next owners."""
-        assignment = self.cluster.assignment
-        table = self.dispatcher.table
-        groups: dict[tuple[str, int], set[int]] = {}
-        for shard in sorted(to_hand_over):
-            key = (assignment.owner_of(shard), assignment.since[shard])
-            groups.setdefault(key, set()).add(shard)
-        for (owner, since), shards in groups.items():
-            now_ms = self._clock.monotonic_ms()
-            parts = build_handovers(self.ownership, table, shards, since, now_ms)
-            self._spawn(self._hand_over(owner, parts))
-        for job in table.in_shards(lost):
-            self.dispatcher.forget(job)
-
-    async def _hand_over(self, owner: str, parts: list[Handover]) -> None:
-        self._handovers += 1
-        try:
-            for part in parts:
-                if not await self._hand_part(owner, part):
-                    self.metrics.incr("entry.handover_rejected")
-                    return
-        except LinkError:
-            # The next owner will ask the side processes instead.
-            self.metrics.incr("entry.handover_failed")
-        finally:
-            self._handovers -= 1
-
-    async def _hand_part(self, owner: str, part: Handover) -> bool:
-        """Send one part until it is taken in; raise LinkError, False when it was not wanted."""
-        deadline_ms = self._clock.monotonic_ms() + HANDOVER_GIVE_UP_MS
+    async def _look(self) -> None:
+        """Forget what is too old to come back, and show new offsets, until cancelled."""
         while True:
-            try:
-                peer = self.entries.peers.get(owner)
-                if peer is None:
-                    raise LinkError("the next owner is not known")
-                done = await peer.require_caller().call(
-                    lambda call_id: msgspec.structs.replace(part, call_id=call_id),
-                    HandoverDone,
-                    HANDOVER_TIMEOUT_MS,
-                )
-                if done.accepted:
-                    return True
-                # The next owner may not have read the record yet that makes it the owner.
-                if self._clock.monotonic_ms() > deadline_ms:
-                    return False
-            except LinkError:
-                if self._clock.monotonic_ms() > deadline_ms:
-                    raise
-            await self._clock.sleep_ms(DRAIN_LOOK_MS)
-
-    async def _beat(self) -> None:
-        while True:
-            await self._clock.sleep_ms(self._heartbeats.look_ms)
+            await self._clock.sleep_ms(LOOK_MS)
             self.dispatcher.table.expire()
             self.ownership.expire()
-            now_ms = self._clock.monotonic_ms()
-            news = self.sharing.offsets()
-            for peer, link in list(self._links.items()):
-                if self._heartbeats.due(peer, now_ms, news):
-                    self._heartbeats.showed(peer, now_ms, news)
-                    with contextlib.suppress(LinkError):
-                        link.post(self.sharing.heartbeat())
             self.sides.show_offsets()
-
-    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
--- a/src/currantbarrow/entry/ownership.py
+++ b/src/currantbarrow/entry/ownership.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Coroutine, Iterable
-from typing import Any, TypeVar
+from collections.abc import Callable, Iterable
 
+from currantbarrow.background import BackgroundTasks
 from currantbarrow.cluster import Assignment, ClusterState, ask_last_seen, majority
 from currantbarrow.entry.sides import SidePeer, SidePool
 from currantbarrow.exceptions import LinkError, OwnershipError
@@ -30,7 +30,6 @@
 HANDOVER_LOOK_MS = 20.0
 
 RecoveredTasks = dict[int, str]
-ValueT = TypeVar("ValueT")
 
 
 class OwnershipOptions:
@@ -97,7 +96,7 @@
         self._version = 0
         self._version_since_ms = 0.0
         self._shards: dict[int, _OwnedShard] = {}
-        self._background: set[asyncio.Task[Any]] = set()
+        self._background = BackgroundTasks(metrics)
         self._closing = False
         self.closed_version = 0
 
@@ -216,7 +215,7 @@
             return
         if self.closed_version < self._version - 1:
             self._closing = True
-            self._spawn(self._close_in_background(self._version))
+            self._background.spawn(self._close_in_background(self._version))
 
     async def _close_in_background(self, version: int) -> None:
         try:
@@ -226,8 +225,7 @@
 
     def stop(self) -> None:
         """End the work in the background."""
-        for task in self._background:
-            task.cancel()
+        self._background.cancel_all()
 
     def _to_hand_over(self, lost: set[int], assignment: Assignment) -> set[int]:
         """Return the lost shards whose next owner follows just this time of owning them.
@@ -247,13 +245,7 @@
             owned = self._shards[shard] = _OwnedShard(assignment.since[shard])
             by_owner.setdefault(assignment.former[shard], {})[shard] = owned
         for former, group in by_owner.items():
-            self._spawn(self._acquire(former, group, self._version))
-
-    def _spawn(self, coroutine: Coroutine[None, None, ValueT]) -> asyncio.Task[ValueT]:
-        task = asyncio.create_task(coroutine)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-        return task
+            self._background.spawn(self._acquire(former, group, self._version))
 
     async def _acquire(self, former: str, group: dict[int, _OwnedShard], version: int) -> None:
         """Make shards ready: at once, by handover, or by takeover."""
@@ -287,7 +279,7 @@
         shards = set(group)
         began_ms = self._clock.monotonic_ms()
         formers = {self._state.assignment.former[shard] for shard in shards}
-        closing = self._spawn(self._end_leases(version, formers))
+        closing = self._background.spawn(self._end_leases(version, formers))
         sides = [member.incarnation for member in self._state.by_role(Role.SIDE)]
         replies = await asyncio.gather(*(self._fence(side, shards, version) for side in sides))
         certain_from_ms = self._departures_certain_from_ms()
--- a/src/currantbarrow/entry/peers.py
+++ b/src/currantbarrow/entry/peers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 
 from currantbarrow.cluster import Member
+from currantbarrow.entry.dialing import keep_connected, receive_in_time
 from currantbarrow.exceptions import LinkClosed, LinkError
 from currantbarrow.logservice import StateSharing
 from currantbarrow.protocol import Caller, Heartbeat, Hello, Reply
@@ -14,8 +15,6 @@
 
 __all__ = ["EntryPeer", "EntryPool"]
 
-RECONNECT_FIRST_MS = 50.0
-RECONNECT_LIMIT_MS = 1000.0
 SILENCE_LIMIT_MS = 2500.0
 
 
@@ -95,33 +94,28 @@
         await asyncio.gather(*(link.close() for link in links))
 
     async def _run(self, peer: EntryPeer) -> None:
-        """Connect, take replies until the link closes, and connect again."""
-        delay_ms = RECONNECT_FIRST_MS
-        while True:
-            try:
-                link = await self._network.connect(peer.member.address, self._hello)
-            except LinkError:
-                await self._clock.sleep_ms(self._rng.uniform(0.5, 1.0) * delay_ms)
-                delay_ms = min(delay_ms * 2, RECONNECT_LIMIT_MS)
-                continue
-            if link.peer.incarnation != peer.member.incarnation:
-                await link.close()
-                await self._clock.sleep_ms(RECONNECT_LIMIT_MS)
-                continue
-            delay_ms = RECONNECT_FIRST_MS
-            peer.link, peer.caller, peer.down_since_ms = link, Caller(link), None
-            self._on_change()
-            try:
-                await self._receive(peer.caller, link)
-            except (LinkError, TimeoutError):
-                await link.close()
+        await keep_connected(
+            peer.member,
+            self._hello,
+            lambda link: self._serve(peer, link),
+            network=self._network,
+            clock=self._clock,
+            rng=self._rng,
+        )
+
+    async def _serve(self, peer: EntryPeer, link: Link) -> None:
+        """Take replies until the link closes."""
+        peer.link, peer.caller, peer.down_since_ms = link, Caller(link), None
+        self._on_change()
+        try:
+            await self._receive(peer.caller, link)
+        except LinkError:
             self._close(peer)
             self._on_change()
 
     async def _receive(self, caller: Caller, link: Link) -> None:
         while True:
-            async with asyncio.timeout(SILENCE_LIMIT_MS / 1000):
-                message = await link.receive()
+            message = await receive_in_time(link, SILENCE_LIMIT_MS)
             if isinstance(message, Reply):
                 caller.settle(message)
             elif isinstance(message, Heartbeat):
--- /dev/null
+++ b/src/currantbarrow/entry/serving.py
@@ -0,0 +1,173 @@
+"""Serve the links that other entry processes open."""
+
+from __future__ import annotations
+
+import contextlib
+
+from currantbarrow.background import BackgroundTasks
+from currantbarrow.classes import ClassState
+from currantbarrow.entry.dispatch import Dispatcher
+from currantbarrow.entry.handover import take_handover
+from currantbarrow.entry.ownership import Ownership
+from currantbarrow.entry.router import Router
+from currantbarrow.entry.sides import SidePool
+from currantbarrow.exceptions import CurrantbarrowError, JobUnknown, LinkError
+from currantbarrow.logservice import StateSharing
+from currantbarrow.protocol import (
+    CancelJob,
+    Failure,
+    Forward,
+    Forwarded,
+    Handover,
+    HandoverDone,
+    Heartbeat,
+    JobShown,
+    LastSeen,
+    Message,
+    RecordsWanted,
+    Reply,
+    Seen,
+    ShowJob,
+)
+from currantbarrow.protocol.heartbeats import HeartbeatSchedule
+from currantbarrow.types import Clock, Link, Metrics
+
+__all__ = ["LinkServer"]
+
+
+class LinkServer:
+    """Answer the calls of other processes, and keep their idle links alive."""
+
+    __slots__ = (
+        "_background",
+        "_classes",
+        "_clock",
+        "_dispatcher",
+        "_heartbeats",
+        "_links",
+        "_metrics",
+        "_ownership",
+        "_router",
+        "_sharing",
+        "_sides",
+        "answering",
+    )
+
+    def __init__(
+        self,
+        heartbeat_ms: float,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        background: BackgroundTasks,
+        router: Router,
+        ownership: Ownership,
+        dispatcher: Dispatcher,
+        sides: SidePool,
+        classes: ClassState,
+        sharing: StateSharing,
+    ) -> None:
+        # The number of forwarded submissions whose answers are not out yet.
+        self.answering = 0
+        self._clock = clock
+        self._metrics = metrics
+        self._background = background
+        self._router = router
+        self._ownership = ownership
+        self._dispatcher = dispatcher
+        self._sides = sides
+        self._classes = classes
+        self._sharing = sharing
+        self._links: dict[str, Link] = {}
+        self._heartbeats = HeartbeatSchedule(heartbeat_ms)
+
+    async def serve(self, link: Link) -> None:
+        """Handle the messages of one link until it closes."""
+        peer = link.peer.incarnation
+        self._links[peer] = link
+        try:
+            link.post(self._sharing.heartbeat())
+            while True:
+                self._handle(link, await link.receive())
+        except LinkError:
+            if self._links.get(peer) is link:
+                del self._links[peer]
+                self._heartbeats.forget(peer)
+
+    async def beat(self) -> None:
+        """Send heartbeats on idle links, and where there is news, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(self._heartbeats.look_ms)
+            now_ms = self._clock.monotonic_ms()
+            news = self._sharing.offsets()
+            for peer, link in list(self._links.items()):
+                if self._heartbeats.due(peer, now_ms, news):
+                    self._heartbeats.showed(peer, now_ms, news)
+                    self._post(link, self._sharing.heartbeat())
+
+    def _handle(self, link: Link, message: Message) -> None:
+        match message:
+            case Forward():
+                self._background.spawn(self._answer_forward(link, message))
+            case CancelJob():
+                self._background.spawn(self._answer_cancel(link, message))
+            case ShowJob():
+                self._background.spawn(self._answer_show(link, message))
+            case Handover():
+                self._post(link, self._take_handover(link, message))
+            case LastSeen():
+                self._post(link, self._last_seen(message))
+            case RecordsWanted():
+                self._post(link, self._sharing.answer(message))
+            case Heartbeat():
+                pass
+            case _:
+                self._metrics.incr("entry.unexpected_message")
+
+    async def _answer_forward(self, link: Link, call: Forward) -> None:
+        reply: Reply
+        self.answering += 1
+        try:
+            answer = await self._router.submit(call.request, call.hops)
+            reply = Forwarded(call.call_id, answer)
+        except CurrantbarrowError as error:
+            reply = Failure(call.call_id, error.code, str(error))
+        finally:
+            self.answering -= 1
+        self._heartbeats.sent(link.peer.incarnation, self._clock.monotonic_ms())
+        self._post(link, reply)
+
+    async def _answer_cancel(self, link: Link, call: CancelJob) -> None:
+        reply: Reply
+        try:
+            answer = await self._router.cancel(call.customer, call.key, call.created_at_ms)
+            reply = JobShown(call.call_id, answer is not None, answer)
+        except CurrantbarrowError as error:
+            reply = Failure(call.call_id, error.code, str(error))
+        self._post(link, reply)
+
+    async def _answer_show(self, link: Link, call: ShowJob) -> None:
+        reply: Reply
+        try:
+            answer = await self._router.show(call.customer, call.key, call.created_at_ms)
+            reply = JobShown(call.call_id, True, answer)
+        except JobUnknown:
+            reply = JobShown(call.call_id, False)
+        except CurrantbarrowError as error:
+            reply = Failure(call.call_id, error.code, str(error))
+        self._post(link, reply)
+
+    def _last_seen(self, call: LastSeen) -> Seen:
+        peer = self._sides.peers.get(call.incarnation)
+        return Seen(call.call_id, peer is not None and peer.up)
+
+    def _take_handover(self, link: Link, call: Handover) -> HandoverDone:
+        former = link.peer.incarnation
+        return take_handover(
+            call, former, self._ownership, self._dispatcher, self._clock, self._classes.targets_ms()
+        )
+
+    @staticmethod
+    def _post(link: Link, message: Message) -> None:
+        with contextlib.suppress(LinkError):
+            link.post(message)
--- a/src/currantbarrow/entry/sides.py
+++ b/src/currantbarrow/entry/sides.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from currantbarrow.cluster import Member
+from currantbarrow.entry.dialing import keep_connected, receive_in_time
 from currantbarrow.exceptions import LinkError
 from currantbarrow.logservice import StateSharing
 from currantbarrow.policy import WorkerView
@@ -27,8 +28,6 @@
 
 __all__ = ["SideListener", "SidePeer", "SidePool"]
 
-RECONNECT_FIRST_MS = 50.0
-RECONNECT_LIMIT_MS = 1000.0
 SILENCE_LIMIT_MS = 3500.0
 HEARTBEAT_MS = 5000.0
 
@@ -170,36 +169,25 @@
         self._listener.side_gone(peer)
 
     async def _run(self, peer: SidePeer) -> None:
-        """Connect, handle messages until the link closes, and connect again."""
-        delay_ms = RECONNECT_FIRST_MS
-        while True:
-            try:
-                link = await self._network.connect(peer.member.address, self._hello)
-            except LinkError:
-                await self._clock.sleep_ms(self._rng.uniform(0.5, 1.0) * delay_ms)
-                delay_ms = min(delay_ms * 2, RECONNECT_LIMIT_MS)
-                continue
-            if link.peer.incarnation != peer.member.incarnation:
-                # The host was replaced; its new incarnation registers by itself.
-                await link.close()
-                await self._clock.sleep_ms(RECONNECT_LIMIT_MS)
-                continue
-            delay_ms = RECONNECT_FIRST_MS
-            self._open(peer, link)
-            with contextlib.suppress(LinkError, TimeoutError):
-                await self._receive(peer, link)
-            await link.close()
+        await keep_connected(
+            peer.member,
+            self._hello,
+            lambda link: self._serve(peer, link),
+            network=self._network,
+            clock=self._clock,
+            rng=self._rng,
+        )
+
+    async def _serve(self, peer: SidePeer, link: Link) -> None:
+        """Handle messages until the link closes."""
+        self._open(peer, link)
+        try:
+            while True:
+                self._handle(peer, await receive_in_time(link, SILENCE_LIMIT_MS))
+        except LinkError:
             self._close(peer)
             self._listener.side_down(peer)
 
-    async def _receive(self, peer: SidePeer, link: Link) -> None:
-        while True:
-            # A side process that is alive sends a heartbeat every second, so silence
-            # means a link that is cut without either end having been told.
-            async with asyncio.timeout(SILENCE_LIMIT_MS / 1000):
-                message = await link.receive()
-            self._handle(peer, message)
-
     def _handle(self, peer: SidePeer, message: Message) -> None:
         now_ms = self._clock.monotonic_ms()
         match message:
