--- a/src/currantbarrow/entry/handover.py
+++ b/src/currantbarrow/entry/handover.py
@@ -11,7 +11,7 @@
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.ownership import Ownership
 from currantbarrow.entry.peers import EntryPool
-from currantbarrow.exceptions import LinkError
+from currantbarrow.exceptions import LinkClosed, LinkError
 from currantbarrow.jobs import MAX_PART_BYTES, TaskAnswer, count_bytes, shard_of
 from currantbarrow.jobs.table import Job, JobTable
 from currantbarrow.protocol import Handover, HandoverDone, JobRow, RecoveredRow, TaskRow
@@ -128,7 +128,8 @@
             dispatcher.table.cancel_early(job_id)
     if call.last:
         ownership.make_ready(expected, call.certain_from_ms)
-    return HandoverDone(call.call_id, bool(expected))
+    taken_in = expected or ownership.holds_since(call.shards, call.version)
+    return HandoverDone(call.call_id, bool(taken_in))
 
 
 class HandoverSender:
@@ -174,12 +175,12 @@
         for (owner, since), shards in groups.items():
             now_ms = self._clock.monotonic_ms()
             parts = build_handovers(ownership, table, shards, since, now_ms)
+            self.sending += 1
             self._background.spawn(self._send(owner, parts))
         for job in table.in_shards(lost):
             self._dispatcher.forget(job)
 
     async def _send(self, owner: str, parts: list[Handover]) -> None:
-        self.sending += 1
         try:
             for part in parts:
                 if not await self._send_part(owner, part):
@@ -209,7 +210,7 @@
     async def _offer(self, owner: str, part: Handover) -> bool:
         peer = self._entries.peers.get(owner)
         if peer is None:
-            raise LinkError("the next owner is not known")
+            raise LinkClosed("the next owner is not known")
         done = await peer.require_caller().call(
             lambda call_id: msgspec.structs.replace(part, call_id=call_id),
             HandoverDone,
