--- a/src/currantbarrow/bench/slopes_sizing.py
+++ b/src/currantbarrow/bench/slopes_sizing.py
@@ -16,6 +16,7 @@
 KIB_PER_MIB = 1024.0
 PANEL_MEMBERS = 5
 PANEL_ASKED = 3
+LOOKS_PER_S = 5
 CORE_MS_PER_S = 1000.0
 CONTROL_CPU_MS_PER_S = 17.0
 CONTROL_MIB = 64e6 / 2**20
@@ -75,6 +76,8 @@
     members = size.workers + size.entries
     cpu = slopes.base("idle, ten sides", "entry", "entry", "ms CPU/s")
     cpu += links * slopes.per("idle links", "entry", over, "ms CPU/s")
+    look = "one look at the wanted assignment"
+    cpu += LOOKS_PER_S * members * slopes.per(look, "entry", "member", "ms")
     sent = links * slopes.per("idle links", "entry", over, "B/s sent")
     sent += size.entries * slopes.per("idle, ten sides", "entry", "entry", "B/s sent")
     received = links * slopes.per("idle, one entry", "side", over, "B/s sent")
@@ -119,7 +122,9 @@
     link_ms = slopes.per("idle", "side", "entry", "ms CPU/s")
     cpu += links * link_ms
     messages = slopes.per("idle, one entry", "side", "linked side process", "messages/s")
+    # Every entry has to reach the panel, whichever side processes it else has links to.
     confirms = size.entries * PANEL_ASKED / PANEL_MEMBERS
+    panel = cpu + (size.entries - links) * link_ms + confirms * link_ms / messages
     sent = links * slopes.per("idle", "side", "entry", "B/s sent")
     control_kib = slopes.per("resident after the imports", "side", "process", "KiB")
     control_kib += links * slopes.per("resident", "side", "entry", "KiB")
@@ -127,10 +132,8 @@
     window = starts * WINDOW_S
     over = "start in the window"
     ledger = window * slopes.per("start ledger, one task a job", "side", over, "KiB")
-    reply = (
-        window / size.entries * slopes.per("reply to a fence of all shards", "side", over, "KiB")
-    )
-    reading = window / size.entries * slopes.per("reading that reply", "entry", over, "ms")
+    reply = window / links * slopes.per("reply to a fence of all shards", "side", over, "KiB")
+    reading = window / links * slopes.per("reading that reply", "entry", over, "ms")
     making = window * slopes.per("making that reply", "side", over, "ms")
     work = starts * slopes.per("loaded", "side", "task/s", "ms CPU/s")
     return [
@@ -138,7 +141,7 @@
         Need(
             "side, control",
             "processor, idle, on the panel",
-            cpu + confirms * link_ms / messages,
+            panel,
             "ms/s",
             CONTROL_CPU_MS_PER_S,
         ),
@@ -152,13 +155,13 @@
         Need(
             "takeover of one entry",
             "all replies",
-            reply * size.workers / KIB_PER_MIB,
+            reply * size.sides_per_entry / KIB_PER_MIB,
             "MiB",
         ),
         Need(
             "takeover of one entry",
             "reading all replies",
-            reading * size.workers / CORE_MS_PER_S,
+            reading * size.sides_per_entry / CORE_MS_PER_S,
             "s",
         ),
     ]
