--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -86,6 +86,7 @@
         table: JobTable,
         may_start: Callable[[], bool],
         epoch: Callable[[], int],
+        owners: Callable[[], int] = lambda: 1,
     ) -> None:
         self.policies = policies
         self.table = table
@@ -96,6 +97,7 @@
         self._events = events
         self._may_start = may_start
         self._epoch = epoch
+        self._owners = owners
         self._sent: dict[TaskKey, _Sent] = {}
         # Jobs whose time has passed, while their tasks are being called back.
         self._expiring: set[bytes] = set()
@@ -184,6 +186,9 @@
                 self.policies.queue.requeue(task)
                 break
             batches.setdefault(worker.incarnation, []).append(self._assign(task, worker))
+            self.policies.health.started(worker.incarnation, now_ms)
+            if not self.policies.health.usable(worker.incarnation, now_ms):
+                workers.remove(worker)
         for incarnation, runs in batches.items():
             for part in self._parts(runs):
                 self._send(incarnation, part)
@@ -257,6 +262,7 @@
             self._clock.monotonic_ms(),
             self.policies.queue,
             self.pool.views() if self.pool else [],
+            self._owners(),
         )
         refusal = self.policies.admission.decide(question)
         if refusal is None:
@@ -450,6 +456,10 @@
 
     def _learn(self, sent: _Sent, result: TaskResult) -> None:
         task = sent.task
+        if sent.job.answer is not None:
+            # A task that was stopped with its job says nothing of its worker or kind.
+            self.policies.queue.ended(task.customer, task.job_class, task.cost_ms, result.run_ms)
+            return
         ok = result.state is TaskState.DONE
         declared_ms = sent.job.request.tasks[task.index].declared_ms
         if ok:
