--- a/src/currantbarrow/scenario/clients.py
+++ b/src/currantbarrow/scenario/clients.py
@@ -111,9 +111,12 @@
         # A paused process neither takes a request nor sends an answer.
         await entry.clock.running.wait()
         try:
-            return await entry.node.submit(self.request)
-        finally:
+            answer = await entry.node.submit(self.request)
+        except CurrantbarrowError:
             await entry.clock.running.wait()
+            raise
+        await entry.clock.running.wait()
+        return answer
 
     def _now_ms(self) -> float:
         return self._fleet.clock.monotonic_ms()
