--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,9 @@
 
 bench: setup
 	$(PY) -m currantbarrow.bench --case "$(CASE)" --output build
+
+SECONDS ?= 600
+SEED ?= 1
+
+fuzz: setup
+	PYTHONHASHSEED=0 $(PY) -m currantbarrow.scenario.fuzz --seconds $(SECONDS) --seed $(SEED)
--- a/src/currantbarrow/scenario/machine.py
+++ b/src/currantbarrow/scenario/machine.py
@@ -29,7 +29,7 @@
 side_names = st.sampled_from([f"side-{number}" for number in range(SIDES)])
 process_names = entry_names | side_names
 link_ends = process_names | st.just("log") | st.sampled_from(PLAN.data_centres)
-spans = st.sampled_from([200, 1000, 3000, 5000, 9000, 15_000]).map(Span)
+spans = st.sampled_from([200, 1000, 1900, 3000, 5000, 9000, 15_000]).map(Span)
 short_spans = st.sampled_from([20, 100, 400, 2000]).map(Span)
 targets = st.integers(100, 900).map(Span)
 
