Break each promise on purpose, and list what catches it

Cause: a check that cannot fail proves nothing. Change: 18 mutations, each caught by a named scenario (docs/testing.md); new scenarios for a cut-off owner that is asked and a late state of a peer; the oracle also checks what operators and callers of a draining entry are told, and crashes of tasks count.

--- a/src/currantbarrow/scenario/clients.py
+++ b/src/currantbarrow/scenario/clients.py
@@ -74,7 +74,7 @@
         try:
             answer = await self._ask(entry)
         except ConnectionLost:
-            self._oracle.lost(self.request)
+            self._oracle.lost(self.request, self._now_ms())
             self.error = ConnectionLost.code
             return COME_BACK_MS
         except CurrantbarrowError as error:
@@ -82,7 +82,7 @@
             self.error = error.code
             return None if isinstance(error, JobInvalid | JobConflict) else COME_BACK_MS
         except asyncio.CancelledError:
-            self._oracle.lost(self.request)
+            self._oracle.hung_up(self.request)
             self.error = HUNG_UP
             raise
         self._oracle.answered(self.request, answer, self._now_ms())
--- a/src/currantbarrow/scenario/faults.py
+++ b/src/currantbarrow/scenario/faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
-from currantbarrow.exceptions import ClassConflict, CurrantbarrowError
+from currantbarrow.exceptions import AppendUnknown, ClassConflict, CurrantbarrowError
 from currantbarrow.logservice import ClassDefinition
 from currantbarrow.scenario import schema
 from currantbarrow.scenario.names import LOG, expand
@@ -187,14 +187,20 @@
 
 
 async def _set_class(world: World, fault: schema.SetClass) -> None:
-    definition = ClassDefinition(float(fault.target))
+    definition = _define(world, fault.target)
     await _change(world, fault.name, definition, fault.entry, latest=fault.based_on_latest)
 
 
+def _define(world: World, target: float) -> ClassDefinition:
+    """Return a definition that tells itself from all others."""
+    world.changes += 1
+    return ClassDefinition(float(target), f"change {world.changes}")
+
+
 async def _race_class(world: World, fault: schema.RaceClass) -> None:
     await asyncio.gather(
         *(
-            _change(world, fault.name, ClassDefinition(float(target)), entry, latest=True)
+            _change(world, fault.name, _define(world, target), entry, latest=True)
             for target, entry in zip(fault.targets, fault.entries, strict=True)
         )
     )
@@ -211,12 +217,21 @@
         return
     node = world.fleet.entries[entry].node
     based_on = node.classes.revision_of(name) if latest else 0
+    change = definition.description if definition else ""
+    told: bool | None = None
     try:
         await node.change_class(name, based_on, definition, "operator")
+        told = True
     except ClassConflict:
         world.class_conflicts += 1
+        told = False
+    except AppendUnknown as error:
+        world.oracle.told[f"class_{error.code}"] += 1
     except CurrantbarrowError as error:
         world.oracle.told[f"class_{error.code}"] += 1
+        told = False
+    if told is not None and change:
+        world.watch.operator_told(change, told)
 
 
 async def _hold_fields(
--- a/src/currantbarrow/scenario/machine.py
+++ b/src/currantbarrow/scenario/machine.py
@@ -190,6 +190,8 @@
             self.loop.close()
 
     def _check(self, world: World) -> None:
+        if world.crashes:
+            raise AssertionError(f"crash: {world.crashes[0]}")
         found = [v for v in world.oracle.violations if v.promise not in self.ignored]
         if found:
             lines = [f"{v.at_ms:.0f} ms: {v.promise}: {v.detail}" for v in found]
@@ -230,8 +232,7 @@
         missing += [f"side-{n}" for n in range(SIDES) if f"side-{n}" not in world.fleet.sides]
         await apply_fault(world, schema.Start(NOW, missing))
         await self._sleep(HEAL_MS)
-        for request in world.open_requests():
-            world.oracle.unanswered(request, world.now_ms())
+        world.settle()
 
     def _require(self) -> World:
         if self.world is None:
--- a/src/currantbarrow/scenario/oracle.py
+++ b/src/currantbarrow/scenario/oracle.py
@@ -48,6 +48,7 @@
     IN_FORCE = "in force within 11 s"
     GRACEFUL = "graceful shutdown cuts nothing off"
     ANSWERED = "every caller is answered"
+    OPERATOR_TOLD = "an operator is told what became of a change"
 
 
 class Violation(msgspec.Struct, frozen=True):
@@ -97,10 +98,15 @@
         key.submitted_ms = now_ms
         key.refused_ms = None
 
-    def lost(self, request: JobRequest) -> None:
+    def hung_up(self, request: JobRequest) -> None:
+        """Take note that a caller went away."""
+        self._keys[make_job_id(request)].open -= 1
+
+    def lost(self, request: JobRequest, now_ms: float) -> None:
         """Take note that a caller's connection broke without an answer."""
         self._keys[make_job_id(request)].open -= 1
         self.told["connection_lost"] += 1
+        self._check_graceful(request, "connection_lost", now_ms)
 
     def failed(self, request: JobRequest, code: str, now_ms: float) -> None:
         """Take note of an error that a caller was told."""
@@ -166,6 +172,13 @@
             )
         self._seen_versions[incarnation, what] = max(seen, version)
 
+    def change_settled(self, change: str, told: bool, accepted: bool, now_ms: float) -> None:
+        """Check what an operator was told of a change against what became of it."""
+        if told != accepted:
+            words = {True: "accepted", False: "not accepted"}
+            detail = f"{change} was told as {words[told]} and is {words[accepted]}"
+            self._break(Promise.OPERATOR_TOLD, now_ms, detail)
+
     def late_in_force(self, detail: str, now_ms: float) -> None:
         """Take note of accepted configuration that is not in force in time."""
         self._break(Promise.IN_FORCE, now_ms, detail)
--- a/src/currantbarrow/scenario/runner.py
+++ b/src/currantbarrow/scenario/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import gc
 import random
 
 import msgspec
@@ -81,12 +82,14 @@
             world.spawn(self._probe(scenario.expect.works_at))
         await self._sleep_until(scenario.until)
         callers = list(world.callers)
-        for request in world.open_requests():
-            world.oracle.unanswered(request, world.now_ms())
+        world.settle()
         counts = self._count([caller.outcome for caller in callers])
         counters = self._sum_counters()
         self._judge(scenario.expect, counts, counters)
         await world.stop()
+        # A task's unseen error is told when the task is collected.
+        gc.collect()
+        self._mistakes.extend(f"crash: {crash}" for crash in world.crashes)
         return Outcome(counts, dict(world.oracle.told), world.oracle.violations, self._mistakes)
 
     async def _submit_work(self, work: Work) -> None:
--- a/src/currantbarrow/scenario/watch.py
+++ b/src/currantbarrow/scenario/watch.py
@@ -27,18 +27,23 @@
 
     __slots__ = (
         "_accepted",
+        "_changes",
         "_fleet",
         "_linked_ms",
         "_oracle",
         "_records",
         "_reported",
         "_seen_ms",
+        "_told",
     )
 
     def __init__(self, fleet: Fleet, oracle: Oracle) -> None:
         self._fleet = fleet
         self._oracle = oracle
         self._accepted: dict[str, _Accepted] = {}
+        # All changes that were ever accepted, and what operators were told, by description.
+        self._changes: set[str] = set()
+        self._told: dict[str, bool] = {}
         self._records: set[str] = set()
         # Since when a process can reach the log or another process.
         self._linked_ms: dict[tuple[str, str], float] = {}
@@ -53,6 +58,16 @@
         entry.node.cluster_follower.on_change(lambda: self._look_at(entry))
         entry.node.class_follower.on_change(lambda: self._look_at(entry))
 
+    def operator_told(self, change: str, accepted: bool) -> None:
+        """Take note of what an operator was told of a change, by its description."""
+        self._told[change] = accepted
+
+    def settle(self) -> None:
+        """Check at the end what operators were told."""
+        now_ms = self._fleet.clock.monotonic_ms()
+        for change, told in self._told.items():
+            self._oracle.change_settled(change, told, change in self._changes, now_ms)
+
     async def run(self) -> None:
         """Look at all entries from time to time until cancelled."""
         while True:
@@ -89,6 +104,8 @@
         if record.based_on == (present.revision if present else 0):
             now_ms = self._fleet.clock.monotonic_ms()
             self._accepted[record.name] = _Accepted(offset + 1, record.definition, now_ms)
+            if record.definition is not None:
+                self._changes.add(record.definition.description)
 
     def _look_at(self, entry: EntryProcess) -> None:
         now_ms = self._fleet.clock.monotonic_ms()
--- a/src/currantbarrow/scenario/world.py
+++ b/src/currantbarrow/scenario/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import traceback
 from collections.abc import Coroutine
 from typing import Any
 
@@ -64,7 +65,10 @@
         self.watch = Watch(self.fleet, self.oracle)
         self.callers: list[Caller] = []
         self.class_conflicts = 0
+        self.changes = 0
         self.overlay = Overlay()
+        # Tasks of the processes, or of the scenario, that ended by an error nobody expected.
+        self.crashes: list[str] = []
         self._open: set[asyncio.Task[None]] = set()
         self._background: set[asyncio.Task[None]] = set()
 
@@ -74,6 +78,7 @@
 
     async def start(self, classes: dict[str, float]) -> None:
         """Start the fleet and the watch over it."""
+        asyncio.get_running_loop().set_exception_handler(self._note_crash)
         await self.fleet.start(classes)
         for entry in self.fleet.entries.values():
             self.watch.entry_started(entry)
@@ -123,14 +128,24 @@
             if answer is not None:
                 self.oracle.shown(request, answer, self.now_ms())
 
-    def open_requests(self) -> list[JobRequest]:
-        """Return the jobs whose callers still wait."""
-        return [caller.request for caller in self.callers if not caller.outcome]
+    def settle(self) -> None:
+        """Check at the end that everybody was told the truth, and anything at all."""
+        self.watch.settle()
+        for caller in self.callers:
+            if not caller.outcome:
+                self.oracle.unanswered(caller.request, self.now_ms())
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run something beside the callers until the end."""
         return self._keep(self._background, coroutine)
 
+    def _note_crash(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if error is not None:
+            last = traceback.extract_tb(error.__traceback__)[-1:]
+            where = f" at {last[0].filename}:{last[0].lineno}" if last else ""
+            self.crashes.append(f"{type(error).__name__}: {error}{where}")
+
     @staticmethod
     def _keep(
         tasks: set[asyncio.Task[None]], coroutine: Coroutine[Any, Any, None]
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -2,26 +2,32 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 
-from currantbarrow.classes import ClassState
+from currantbarrow.classes import ClassState, change
 from currantbarrow.cluster import Lease
 from currantbarrow.entry.dispatch import Dispatcher
+from currantbarrow.entry.node import EntryNode
 from currantbarrow.entry.ownership import Ownership
 from currantbarrow.entry.router import Router
+from currantbarrow.exceptions import AppendUnknown, LogUnavailable
 from currantbarrow.jobs import JobAnswer, JobStatus, TaskAnswer, TaskState
 from currantbarrow.jobs.table import Job, JobTable
-from currantbarrow.logservice import ClassChanged, appender
+from currantbarrow.logservice import ClassChanged, Record, encode_record
 from currantbarrow.logservice.copy import StreamCopy
-from currantbarrow.protocol import FencedTasks
+from currantbarrow.protocol import FencedTasks, Records, RecordsWanted
+from currantbarrow.scenario import Promise, load_scenario, run_scenario
 from currantbarrow.side.gate import StartGate
 from currantbarrow.side.ledger import StartLedger
 from currantbarrow.side.node import SideNode
+from currantbarrow.types import LogService
 
 FOLDER = Path(__file__).parent / "scenarios"
+PAGE = Path(__file__).parent.parent / "docs" / "testing.md"
 Patch = pytest.MonkeyPatch
 
 
@@ -118,21 +124,27 @@
     patch.setattr(ClassState, "apply", apply)
 
 
-def skip_read_back(patch: Patch) -> None:
-    async def find_nothing(*args: Any) -> None:
-        return None
+def call_lost_reply_not_written(patch: Patch) -> None:
+    async def append(log: LogService, stream: str, record: Record, **rest: Any) -> int:
+        try:
+            return await log.append(stream, encode_record(record))
+        except AppendUnknown as error:
+            raise LogUnavailable(str(error)) from error
 
-    patch.setattr(appender, "_find", find_nothing)
+    patch.setattr(change, "append_once", append)
 
 
-def go_back_to_older_state(patch: Patch) -> None:
-    load = ClassState.load
+def take_any_state_of_a_peer(patch: Patch) -> None:
+    def answer(copy: StreamCopy, call: RecordsWanted) -> Records:
+        return Records(call.call_id, copy.stream, copy.offset, snapshot=copy._pack())
 
-    def load_anything(state: ClassState, offset: int, plain: Any) -> bool:
+    def load(state: ClassState, offset: int, plain: Any) -> bool:
         state.offset = -1
-        return load(state, offset, plain)
+        return load_newer(state, offset, plain)
 
-    patch.setattr(ClassState, "load", load_anything)
+    load_newer = ClassState.load
+    patch.setattr(StreamCopy, "answer", answer)
+    patch.setattr(ClassState, "load", load)
 
 
 def never_ask_peers(patch: Patch) -> None:
@@ -140,30 +152,69 @@
 
 
 def work_on_while_leaving(patch: Patch) -> None:
-    def leave(side: SideNode) -> None:
-        return
+    patch.setattr(SideNode, "leave", lambda side: side.announce(side.runner.slots))
 
-    patch.setattr(SideNode, "leave", leave)
 
-
-def drop_table_on_drain(patch: Patch) -> None:
-    patch.setattr(Ownership, "_to_hand_over", lambda owner, lost, assignment: set())
+def drain_without_waiting(patch: Patch) -> None:
+    patch.setattr(EntryNode, "_is_busy", lambda entry: False)
 
 
 def answer_without_lease(patch: Patch) -> None:
     patch.setattr(Router, "_require_lease", lambda router: None)
 
 
-def forget_cancellation(patch: Patch) -> None:
-    patch.setattr(JobTable, "is_cancelled", lambda table, job_id: False)
-
-
 def never_let_callers_know(patch: Patch) -> None:
     patch.setattr(Job, "move", lambda job: None)
 
 
-ALL = [
-    value
-    for name, value in list(globals().items())
-    if callable(value) and getattr(value, "__module__", "") == __name__ and name.islower()
+class Mutation(NamedTuple):
+    """Name a fault, the promise that it breaks, and the scenario that shows it."""
+
+    break_it: Callable[[Patch], None]
+    promise: Promise
+    scenario: str
+
+
+MUTATIONS = [
+    Mutation(skip_fence, Promise.STARTS_ONCE, "starts-overtaken-by-fence"),
+    Mutation(ignore_lease, Promise.STARTS_ONCE, "split-brain"),
+    Mutation(forget_ledger, Promise.STARTS_ONCE, "entry-crash-silent"),
+    Mutation(skip_duplicate_check, Promise.STARTS_ONCE, "all-entries-crash"),
+    Mutation(ignore_window, Promise.STARTS_ONCE, "key-outlives-window"),
+    Mutation(treat_silent_as_empty, Promise.STARTS_ONCE, "crash-with-silent-worker"),
+    Mutation(treat_lost_as_never_started, Promise.STARTS_ONCE, "side-crash"),
+    Mutation(call_lost_not_run, Promise.NOT_RUN, "side-crash"),
+    Mutation(answer_without_lease, Promise.NOT_RUN, "owner-cut-off-from-all"),
+    Mutation(complete_with_one_missing, Promise.WHOLE_ANSWER, "side-crash"),
+    Mutation(swap_results, Promise.WHOLE_ANSWER, "caller-hangs-up"),
+    Mutation(accept_stale_change, Promise.IN_FORCE, "racing-operators"),
+    Mutation(never_ask_peers, Promise.IN_FORCE, "start-while-log-down"),
+    Mutation(take_any_state_of_a_peer, Promise.FORWARD_ONLY, "late-state-of-peer"),
+    Mutation(call_lost_reply_not_written, Promise.OPERATOR_TOLD, "racing-operators"),
+    Mutation(work_on_while_leaving, Promise.LEAVING, "leaving-worker"),
+    Mutation(drain_without_waiting, Promise.GRACEFUL, "planned-restart"),
+    Mutation(never_let_callers_know, Promise.GRACEFUL, "planned-restart"),
 ]
+
+
+class TestMutations:
+    @pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda m: m.break_it.__name__)
+    def test_scenario_catches_a_broken_promise(
+        self, mutation: Mutation, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        mutation.break_it(monkeypatch)
+        outcome = run_scenario(load_scenario(FOLDER / f"{mutation.scenario}.yaml"))
+        assert mutation.promise in {violation.promise for violation in outcome.violations}
+
+    def test_forgotten_cancellation_is_an_unmet_expectation(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(JobTable, "is_cancelled", lambda table, job_id: False)
+        outcome = run_scenario(load_scenario(FOLDER / "cancellation-waves.yaml"))
+        assert any(mistake.startswith("refused") for mistake in outcome.mistakes)
+
+    def test_page_lists_every_mutation_with_what_catches_it(self) -> None:
+        page = PAGE.read_text()
+        for mutation in MUTATIONS:
+            row = f"| `{mutation.break_it.__name__}` | {mutation.promise} | {mutation.scenario} |"
+            assert row in page
