Let classes of shorter target pass one that must wait

Retaking the class order per target also keeps a long class from blocking a short one of another customer. Change: a task without room goes back and only classes with a shorter target are tried.

--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Coroutine
 
@@ -138,14 +139,17 @@
             if self.policies.health.usable(view.incarnation, now_ms)
         ]
         batches: dict[str, list[TaskRun]] = {}
+        shorter_than_ms = math.inf
         while True:
-            task = self.policies.queue.take(now_ms)
+            task = self.policies.queue.take(now_ms, shorter_than_ms)
             if task is None:
                 break
             worker = self.policies.placement.choose(task, workers)
             if worker is None:
+                # Slots may be kept for classes with a shorter target, which go on.
                 self.policies.queue.requeue(task)
-                break
+                shorter_than_ms = task.target_ms
+                continue
             batches.setdefault(worker.incarnation, []).append(self._assign(task, worker))
             self.policies.health.started(worker.incarnation, now_ms)
             if not self.policies.health.usable(worker.incarnation, now_ms):
--- a/src/currantbarrow/policy/queues.py
+++ b/src/currantbarrow/policy/queues.py
@@ -32,9 +32,9 @@
         self._tasks.appendleft(task)
         self._backlog_ms[task.customer] += task.cost_ms
 
-    def take(self, now_ms: float) -> QueuedTask | None:
-        """Return the oldest task."""
-        if not self._tasks:
+    def take(self, now_ms: float, shorter_than_ms: float = math.inf) -> QueuedTask | None:
+        """Return the oldest task; none overtakes it, whatever its target."""
+        if not self._tasks or shorter_than_ms < math.inf:
             return None
         task = self._tasks.popleft()
         self._backlog_ms[task.customer] -= task.cost_ms
@@ -69,13 +69,14 @@
 class _CustomerQueue:
     """Hold one customer's waiting tasks and the work that it was given."""
 
-    __slots__ = ("backlog_ms", "heap", "served_ms", "size")
+    __slots__ = ("backlog_ms", "heaps", "served_ms", "size")
 
     def __init__(self) -> None:
         self.served_ms = 0.0
         # Waiting work by the target of its class.
         self.backlog_ms: dict[float, float] = {}
-        self.heap: list[tuple[float, int, QueuedTask]] = []
+        # Waiting tasks by the target of their class, the most urgent first in each.
+        self.heaps: dict[float, list[tuple[float, int, QueuedTask]]] = {}
         self.size = 0
 
     def count(self, task: QueuedTask, sign: int) -> None:
@@ -112,21 +113,29 @@
         """Put back a task that was taken and surely did not start."""
         self._insert(task, task.cost_ms)
 
-    def take(self, now_ms: float) -> QueuedTask | None:
+    def take(self, now_ms: float, shorter_than_ms: float = math.inf) -> QueuedTask | None:
         """Return the most urgent task of the customer that was given the least work."""
-        while self._turns:
-            served_ms, _, name = heapq.heappop(self._turns)
+        passed: list[tuple[float, int, str]] = []
+        found = None
+        while self._turns and found is None:
+            turn = heapq.heappop(self._turns)
+            name = turn[2]
             queue = self._active.get(name)
-            if queue is None or queue.served_ms != served_ms:
+            if queue is None or queue.served_ms != turn[0]:
                 continue
-            task = self._pop_live(queue)
-            if task is None:
+            if not queue.size:
                 del self._active[name]
                 continue
-            self._floor_ms = max(self._floor_ms, served_ms)
-            self._charge(name, queue, task.cost_ms)
-            return task
-        return None
+            found = self._pop_urgent(queue, shorter_than_ms)
+            if found is None:
+                passed.append(turn)
+                continue
+            if not passed:
+                self._floor_ms = max(self._floor_ms, queue.served_ms)
+            self._charge(name, queue, found.cost_ms)
+        for turn in passed:
+            heapq.heappush(self._turns, turn)
+        return found
 
     def discard(self, job_id: bytes) -> list[QueuedTask]:
         """Remove a job's waiting tasks and return them."""
@@ -183,7 +192,8 @@
         self._charge(name, queue, -refund_ms)
         self._sequence += 1
         due_ms = task.arrived_ms + task.target_ms - task.cost_ms
-        heapq.heappush(queue.heap, (due_ms, self._sequence, task))
+        heap = queue.heaps.setdefault(task.target_ms, [])
+        heapq.heappush(heap, (due_ms, self._sequence, task))
         queue.count(task, 1)
         self._jobs.setdefault(task.job_id, {})[task.index] = task
         self._size += 1
@@ -196,19 +206,34 @@
             if name in self._active or queue.served_ms > self._floor_ms
         }
 
-    def _pop_live(self, queue: _CustomerQueue) -> QueuedTask | None:
-        while queue.heap:
-            _, _, task = heapq.heappop(queue.heap)
+    def _pop_urgent(self, queue: _CustomerQueue, shorter_than_ms: float) -> QueuedTask | None:
+        """Remove and return a customer's most urgent task among classes of short target."""
+        best: list[tuple[float, int, QueuedTask]] | None = None
+        for target_ms, heap in list(queue.heaps.items()):
+            self._drop_dead(heap)
+            if not heap:
+                del queue.heaps[target_ms]
+            elif target_ms < shorter_than_ms and (best is None or heap[0] < best[0]):
+                best = heap
+        if best is None:
+            return None
+        _, _, task = heapq.heappop(best)
+        waiting = self._jobs[task.job_id]
+        del waiting[task.index]
+        if not waiting:
+            del self._jobs[task.job_id]
+        queue.count(task, -1)
+        self._size -= 1
+        return task
+
+    def _drop_dead(self, heap: list[tuple[float, int, QueuedTask]]) -> None:
+        """Remove tasks of discarded jobs from the front."""
+        while heap:
+            task = heap[0][2]
             waiting = self._jobs.get(task.job_id)
-            if waiting is None or waiting.get(task.index) is not task:
-                continue
-            del waiting[task.index]
-            if not waiting:
-                del self._jobs[task.job_id]
-            queue.count(task, -1)
-            self._size -= 1
-            return task
-        return None
+            if waiting is not None and waiting.get(task.index) is task:
+                return
+            heapq.heappop(heap)
 
 
 def create_fifo_queue() -> TaskQueue:
--- a/src/currantbarrow/policy/types.py
+++ b/src/currantbarrow/policy/types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -139,8 +140,8 @@
     def requeue(self, task: QueuedTask) -> None:
         """Put back a task that was taken and surely did not start."""
 
-    def take(self, now_ms: float) -> QueuedTask | None:
-        """Return the task to start next, None when none waits."""
+    def take(self, now_ms: float, shorter_than_ms: float = math.inf) -> QueuedTask | None:
+        """Return the task to start next, of a class with a shorter target than one given."""
 
     def discard(self, job_id: bytes) -> list[QueuedTask]:
         """Remove a job's waiting tasks and return them."""
