--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 
 slopes: setup
 	$(PY) -m currantbarrow.bench.slopes --output build
+
 SECONDS ?= 600
 SEED ?= 1
 
