--- a/src/currantbarrow/entry/handover.py
+++ b/src/currantbarrow/entry/handover.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Iterator
 
 import msgspec
 
+from currantbarrow.background import BackgroundTasks
 from currantbarrow.cluster import ClusterState
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.ownership import Ownership
@@ -17,12 +17,12 @@
 from currantbarrow.protocol import Handover, HandoverDone, JobRow, RecoveredRow, TaskRow
 from currantbarrow.types import Clock, Metrics
 
-__all__ = ["HandoverSender", "describe_job", "restore_job", "take_handover"]
+__all__ = ["HandoverSender", "build_handovers", "describe_job", "restore_job", "take_handover"]
 
 JOBS_PER_PART = 64
-CALL_TIMEOUT_MS = 1000.0
+PART_TIMEOUT_MS = 1000.0
 GIVE_UP_MS = 4000.0
-AGAIN_MS = 20.0
+RETRY_MS = 20.0
 
 
 def describe_job(job: Job, now_ms: float) -> JobRow:
@@ -64,7 +64,7 @@
     return job
 
 
-def _build_parts(
+def build_handovers(
     ownership: Ownership, table: JobTable, shards: set[int], version: int, now_ms: float
 ) -> list[Handover]:
     """Return the parts of a handover of ready shards; the call id is set on sending."""
@@ -133,74 +133,71 @@
 
 
 class HandoverSender:
-    """Send tables of shards to their next owners, part by part."""
+    """Let go of shards, and send their tables to the next owners."""
+
+    __slots__ = (
+        "_background",
+        "_clock",
+        "_cluster",
+        "_dispatcher",
+        "_entries",
+        "_metrics",
+        "sending",
+    )
 
     def __init__(
         self,
-        state: ClusterState,
-        ownership: Ownership,
-        table: JobTable,
-        entries: EntryPool,
         *,
         clock: Clock,
         metrics: Metrics,
+        background: BackgroundTasks,
+        cluster: ClusterState,
+        dispatcher: Dispatcher,
+        entries: EntryPool,
     ) -> None:
-        self._state = state
-        self._ownership = ownership
-        self._table = table
-        self._entries = entries
+        # The number of next owners whose tables are not all out yet.
+        self.sending = 0
         self._clock = clock
         self._metrics = metrics
-        self._sending: set[asyncio.Task[None]] = set()
-
-    @property
-    def busy(self) -> bool:
-        """Tell whether some table is still on its way."""
-        return bool(self._sending)
+        self._background = background
+        self._cluster = cluster
+        self._dispatcher = dispatcher
+        self._entries = entries
 
-    def send(self, shards: set[int]) -> None:
-        """Send the tables of shards, as they are now, to the owners that the log names."""
-        assignment = self._state.assignment
+    def give_up(self, ownership: Ownership, lost: set[int], to_hand_over: set[int]) -> None:
+        """Forget the jobs of lost shards; tables that are up to date go to the next owners."""
+        assignment = self._cluster.assignment
+        table = self._dispatcher.table
         groups: dict[tuple[str, int], set[int]] = {}
-        for shard in sorted(shards):
+        for shard in sorted(to_hand_over):
             key = (assignment.owner_of(shard), assignment.since[shard])
             groups.setdefault(key, set()).add(shard)
-        for (owner, since), group in groups.items():
+        for (owner, since), shards in groups.items():
             now_ms = self._clock.monotonic_ms()
-            parts = _build_parts(self._ownership, self._table, group, since, now_ms)
-            task = asyncio.create_task(self._send_all(owner, parts))
-            self._sending.add(task)
-            task.add_done_callback(self._sending.discard)
-
-    def stop(self) -> None:
-        """End the work in the background."""
-        for task in self._sending:
-            task.cancel()
+            parts = build_handovers(ownership, table, shards, since, now_ms)
+            self.sending += 1
+            self._background.spawn(self._send(owner, parts))
+        for job in table.in_shards(lost):
+            self._dispatcher.forget(job)
 
-    async def _send_all(self, owner: str, parts: list[Handover]) -> None:
+    async def _send(self, owner: str, parts: list[Handover]) -> None:
         try:
             for part in parts:
-                if not await self._send(owner, part):
+                if not await self._send_part(owner, part):
                     self._metrics.incr("entry.handover_rejected")
                     return
         except LinkError:
             # The next owner will ask the side processes instead.
             self._metrics.incr("entry.handover_failed")
+        finally:
+            self.sending -= 1
 
-    async def _send(self, owner: str, part: Handover) -> bool:
+    async def _send_part(self, owner: str, part: Handover) -> bool:
         """Send one part until it is taken in; raise LinkError, False when it was not wanted."""
         deadline_ms = self._clock.monotonic_ms() + GIVE_UP_MS
         while True:
             try:
-                peer = self._entries.peers.get(owner)
-                if peer is None:
-                    raise LinkClosed("the next owner is not known")
-                done = await peer.require_caller().call(
-                    lambda call_id: msgspec.structs.replace(part, call_id=call_id),
-                    HandoverDone,
-                    CALL_TIMEOUT_MS,
-                )
-                if done.accepted:
+                if await self._offer(owner, part):
                     return True
                 # The next owner may not have read the record yet that makes it the owner.
                 if self._clock.monotonic_ms() > deadline_ms:
@@ -208,4 +205,15 @@
             except LinkError:
                 if self._clock.monotonic_ms() > deadline_ms:
                     raise
-            await self._clock.sleep_ms(AGAIN_MS)
+            await self._clock.sleep_ms(RETRY_MS)
+
+    async def _offer(self, owner: str, part: Handover) -> bool:
+        peer = self._entries.peers.get(owner)
+        if peer is None:
+            raise LinkClosed("the next owner is not known")
+        done = await peer.require_caller().call(
+            lambda call_id: msgspec.structs.replace(part, call_id=call_id),
+            HandoverDone,
+            PART_TIMEOUT_MS,
+        )
+        return done.accepted
--- a/src/currantbarrow/scenario/machine.py
+++ b/src/currantbarrow/scenario/machine.py
@@ -29,7 +29,7 @@
 side_names = st.sampled_from([f"side-{number}" for number in range(SIDES)])
 process_names = entry_names | side_names
 link_ends = process_names | st.just("log") | st.sampled_from(PLAN.data_centres)
-spans = st.sampled_from([200, 1000, 3000, 5000, 9000, 15_000]).map(Span)
+spans = st.sampled_from([200, 1000, 1900, 3000, 5000, 9000, 15_000]).map(Span)
 short_spans = st.sampled_from([20, 100, 400, 2000]).map(Span)
 targets = st.integers(100, 900).map(Span)
 
@@ -190,6 +190,8 @@
             self.loop.close()
 
     def _check(self, world: World) -> None:
+        if world.crashes:
+            raise AssertionError(f"crash: {world.crashes[0]}")
         found = [v for v in world.oracle.violations if v.promise not in self.ignored]
         if found:
             lines = [f"{v.at_ms:.0f} ms: {v.promise}: {v.detail}" for v in found]
@@ -230,8 +232,7 @@
         missing += [f"side-{n}" for n in range(SIDES) if f"side-{n}" not in world.fleet.sides]
         await apply_fault(world, schema.Start(NOW, missing))
         await self._sleep(HEAL_MS)
-        for request in world.open_requests():
-            world.oracle.unanswered(request, world.now_ms())
+        world.settle()
 
     def _require(self) -> World:
         if self.world is None:
