Ask how a dead owner's tasks ended before the rest of a job starts

Cause: a task failed, its owner answered that the waiting tasks never ran, and crashed; a resubmission to the successor started them all the same.

Change: the successor asks the side processes about the started tasks first, and queues the rest only if none of them ended badly.

--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -55,6 +55,7 @@
 ATTEMPT_BITS = 16
 SHORTEST_MS = 1.0
 SETTLE_MS = 200.0
+ASK_AGAIN_MS = 100.0
 SETTLE_LOOK_MS = 2.0
 DEADLINE_PASSED = "the time within which the answer was of use has passed"
 
@@ -127,10 +128,28 @@
 
     def adopt(self, job: Job, target_ms: float) -> None:
         """Take over a job from another owner and go on with it."""
+        waiting = self._take_over(job, target_ms)
+        if job.answer is None:
+            for task in waiting:
+                self.policies.queue.add(task)
+        self.pump()
+
+    def recover(self, job: Job, target_ms: float) -> None:
+        """Go on with a job of an owner that is gone, once its started tasks have told how.
+
+        If one of them ended badly, that owner has failed the job and said of the rest that
+        it never ran.
+        """
+        waiting = self._take_over(job, target_ms)
+        self._background.spawn(self._start_rest(job, waiting))
+
+    def _take_over(self, job: Job, target_ms: float) -> list[QueuedTask]:
+        """Attach a job's started tasks, and return those that wait."""
         job.target_ms = target_ms
         self.table.add(job)
         self._event("job_adopted", job)
         by_side: dict[str, list[QueuedTask]] = {}
+        waiting = []
         for index, entry in enumerate(job.tasks):
             if entry.answer is not None:
                 continue
@@ -138,11 +157,26 @@
             if entry.side:
                 by_side.setdefault(entry.side, []).append(task)
             else:
-                self.policies.queue.add(task)
+                waiting.append(task)
         for side, tasks in by_side.items():
             self._attach(job, side, tasks)
         self._watch_deadline(job)
-        self.pump()
+        return waiting
+
+    async def _start_rest(self, job: Job, waiting: list[QueuedTask]) -> None:
+        keys = [(job.job_id, index) for index in range(len(job.tasks))]
+        peers = {sent.peer for key in keys if (sent := self._sent.get(key))}
+        for peer in peers:
+            while self._is_open_here(job):
+                found = [self._sent.get(key) for key in keys]
+                left = [sent for sent in found if sent and sent.peer is peer]
+                if not left or await self._settle(peer, left):
+                    break
+                await self._clock.sleep_ms(ASK_AGAIN_MS)
+        if self._is_open_here(job) and job.job_id not in self._expiring:
+            for task in waiting:
+                self.policies.queue.add(task)
+            self.pump()
 
     def cancel(self, job: Job) -> None:
         """Drop a job's waiting tasks, stop its running ones and answer at once."""
@@ -528,13 +562,13 @@
         else:
             self._background.spawn(self._lose_later(peer))
 
-    async def _settle(self, peer: SidePeer, left: list[_Sent]) -> None:
-        """Ask what became of tasks, and go on accordingly."""
+    async def _settle(self, peer: SidePeer, left: list[_Sent]) -> bool:
+        """Ask what became of tasks, and go on accordingly; tell whether there was a reply."""
         references = [
             TaskReference(sent.task.job_id, sent.task.index, sent.attempt) for sent in left
         ]
         if peer.caller is None:
-            return
+            return False
         try:
             states = await peer.caller.call(
                 lambda call_id: QueryTasks(call_id, references), TaskStates, QUERY_TIMEOUT_MS
@@ -542,7 +576,7 @@
         except LinkError:
             if peer.link is not None:
                 await peer.link.close()
-            return
+            return False
         for result in states.ended:
             self._take_result(peer, result)
         for reference in states.never:
@@ -553,9 +587,9 @@
         if states.ended and known < len(left):
             # The reply was full, so it left the rest out.
             rest = [each for each in left if self._is_open(each, states)]
-            await self._settle(peer, rest)
-            return
+            return await self._settle(peer, rest)
         self.pump()
+        return True
 
     def _is_open(self, sent: _Sent, states: TaskStates) -> bool:
         key = (sent.task.job_id, sent.task.index)
--- a/src/currantbarrow/entry/router.py
+++ b/src/currantbarrow/entry/router.py
@@ -230,7 +230,7 @@
             self._dispatcher.table.add(job)
             job.finish(job.fail("outcome_unknown", "some tasks may have been started"))
             return
-        self._dispatcher.adopt(job, target_ms)
+        self._dispatcher.recover(job, target_ms)
 
     def _target_ms(self, job_class: str) -> float:
         revision = self._classes.find(job_class)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -283,6 +283,22 @@
 
         self.run_bounded(scenario)
 
+    def test_tasks_that_a_dead_owner_called_not_run_do_not_run_after_it(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            job = self.make_job_of(fleet, "entry-1", "k", [400.0] * 80)
+            job.tasks[0].payload["fail"] = True
+            answer = await self.submit(fleet, 0, job)
+            states = [task.state for task in answer.tasks]
+            assert TaskState.NOT_RUN in states
+            await fleet.kill_entry("entry-1")
+            await self.submit_until(fleet, 0, job)
+            await fleet.clock.sleep_ms(5_000)
+            for index, state in enumerate(states):
+                if state is TaskState.NOT_RUN:
+                    assert fleet.book.starts[make_job_id(job), index] == 0
+
+        self.run_bounded(scenario, FleetPlan(sides=4, slots=2))
+
     def test_cancelled_job_of_a_dead_owner_is_not_said_never_to_have_run(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             job = self.make_job_of(fleet, "entry-1", "k", [300.0])
