Keep a side process's start ledger by shard

Cause: a fence names the shards of its new owner, and each reply searched the whole ledger: 15.8 ms for 3 of 256 shards out of 20,000 starts, for each successor of a crashed entry.

Change: jobs are kept by shard. A fence that names a shard that doesn't exist is still answered without it.

--- a/src/currantbarrow/bench/slopes_sizing.py
+++ b/src/currantbarrow/bench/slopes_sizing.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from currantbarrow.bench.slopes_figures import Slope
+from currantbarrow.bench.slopes_state import SHARDS_OF_ONE
 from currantbarrow.jobs import SHARD_COUNT
 
 __all__ = ["Need", "Size", "format_needs", "main", "work_out"]
@@ -134,7 +135,8 @@
     ledger = window * slopes.per("start ledger, one task a job", "side", over, "KiB")
     reply = window / links * slopes.per("reply to a fence of all shards", "side", over, "KiB")
     reading = window / links * slopes.per("reading that reply", "entry", over, "ms")
-    making = window * slopes.per("making that reply", "side", over, "ms")
+    name = f"making a reply for {SHARDS_OF_ONE} shards"
+    making = slopes.base(name, "side", over, "ms") + window * slopes.per(name, "side", over, "ms")
     work = starts * slopes.per("loaded", "side", "task/s", "ms CPU/s")
     return [
         Need("side, control", "processor, idle", cpu, "ms/s", CONTROL_CPU_MS_PER_S),
--- a/src/currantbarrow/bench/slopes_state.py
+++ b/src/currantbarrow/bench/slopes_state.py
@@ -40,7 +40,7 @@
 from currantbarrow.protocol import FencedTasks, Role, TaskResult, decode_frame, encode_frame
 from currantbarrow.side.ledger import StartLedger
 
-__all__ = ["measure_state"]
+__all__ = ["SHARDS_OF_ONE", "measure_state"]
 
 MEMBER_COUNTS = (500, 1500, 2900)
 CLASS_COUNTS = (100, 400, 1600)
@@ -50,6 +50,7 @@
 CUSTOMER_COUNTS = (100, 200, 420)
 JOBS_OF_ONE_TASK = 200
 ENTRY_NAMES = 20
+SHARDS_OF_ONE = 3
 ROUNDS = 20
 WINDOW_MS = 600_000.0
 KIB = 1024.0
@@ -266,8 +267,10 @@
 
 def _measure_takeover() -> list[Slope]:
     """Measure the reply of one side process to the fence of all shards."""
+    shards_of_one = set(range(SHARDS_OF_ONE))
     size: Points = []
     build: Points = []
+    some: Points = []
     decode: Points = []
     for starts in LEDGER_COUNTS:
         ledger = _ledger(starts)
@@ -276,9 +279,11 @@
         frame = encode_frame(1, [message])
         size.append((starts, len(frame) / KIB))
         build.append((starts, _ms_of(functools.partial(ledger.started_in, shards), 3)))
+        some.append((starts, _ms_of(functools.partial(ledger.started_in, shards_of_one), 3)))
         decode.append((starts, _ms_of(functools.partial(decode_frame, frame), 3)))
     over = "start in the window"
     return [
+        fit_slope(f"making a reply for {SHARDS_OF_ONE} shards", "side", over, "ms", some),
         fit_slope("reply to a fence of all shards", "side", over, "KiB", size),
         fit_slope("making that reply", "side", over, "ms", build),
         fit_slope("reading that reply", "entry", over, "ms", decode),
--- a/src/currantbarrow/side/ledger.py
+++ b/src/currantbarrow/side/ledger.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from currantbarrow.jobs import MAX_VALUE_BYTES, TaskState, count_bytes, shard_of
+from currantbarrow.jobs import MAX_VALUE_BYTES, SHARD_COUNT, TaskState, count_bytes, shard_of
 from currantbarrow.protocol import FencedTask, TaskReference, TaskResult
 from currantbarrow.types import Clock
 
@@ -40,9 +40,9 @@
     __slots__ = (
         "_budget_bytes",
         "_clock",
-        "_jobs",
         "_retention_ms",
         "_seen_ms",
+        "_shards",
         "_value_bytes",
         "_values",
         "since_ms",
@@ -53,7 +53,10 @@
     ) -> None:
         self._clock = clock
         self._retention_ms = retention_ms
-        self._jobs: dict[bytes, dict[int, LedgerTask]] = {}
+        # A fence names shards, so that jobs are kept by shard.
+        self._shards: dict[int, dict[bytes, dict[int, LedgerTask]]] = {
+            shard: {} for shard in range(SHARD_COUNT)
+        }
         self._seen_ms: collections.deque[tuple[float, bytes]] = collections.deque()
         self._budget_bytes = budget_bytes
         self._value_bytes = 0
@@ -62,9 +65,10 @@
 
     def task(self, job_id: bytes, index: int) -> LedgerTask:
         """Return the entry of a task, making it when there is none."""
-        job = self._jobs.get(job_id)
+        jobs = self._shards[shard_of(job_id)]
+        job = jobs.get(job_id)
         if job is None:
-            job = self._jobs[job_id] = {}
+            job = jobs[job_id] = {}
             self._seen_ms.append((self._clock.monotonic_ms(), job_id))
         entry = job.get(index)
         if entry is None:
@@ -73,7 +77,8 @@
 
     def find(self, job_id: bytes, index: int) -> LedgerTask | None:
         """Return the entry of a task, None when there is none."""
-        return self._jobs.get(job_id, {}).get(index)
+        job = self._shards[shard_of(job_id)].get(job_id)
+        return job.get(index) if job is not None else None
 
     def keep_result(self, entry: LedgerTask, result: TaskResult) -> TaskResult:
         """Keep a result, dropping the values of the oldest beyond the budget; return it.
@@ -102,8 +107,8 @@
     def started_in(self, shards: set[int]) -> list[FencedTask]:
         """Return the started tasks of shards."""
         found = []
-        for job_id, job in self._jobs.items():
-            if shard_of(job_id) in shards:
+        for shard in shards:
+            for job_id, job in self._shards.get(shard, {}).items():
                 indexes = [index for index, entry in job.items() if entry.attempt is not None]
                 if indexes:
                     found.append(FencedTask(job_id, indexes))
@@ -115,11 +120,12 @@
         running = []
         while self._seen_ms and self._seen_ms[0][0] < horizon_ms:
             _, job_id = self._seen_ms.popleft()
-            job = self._jobs.get(job_id, {})
+            jobs = self._shards[shard_of(job_id)]
+            job = jobs.get(job_id, {})
             if any(entry.attempt is not None and entry.result is None for entry in job.values()):
                 running.append(job_id)
             else:
-                self._jobs.pop(job_id, None)
+                jobs.pop(job_id, None)
                 for entry in job.values():
                     entry.forgotten = True
         now_ms = self._clock.monotonic_ms()
@@ -128,4 +134,4 @@
         self._seen_ms.extend((now_ms, job_id) for job_id in running)
 
     def __len__(self) -> int:
-        return len(self._jobs)
+        return sum(len(jobs) for jobs in self._shards.values())
