Start no second process under a name that lives

Change: a start of a living process does nothing, draining one that is gone does nothing. Conclusion: no fault of the product.

--- a/src/currantbarrow/scenario/faults.py
+++ b/src/currantbarrow/scenario/faults.py
@@ -50,6 +50,8 @@
 
 
 async def _begin(world: World, name: str) -> None:
+    if _lives(world, name):
+        return
     number = int(name.rpartition("-")[2])
     if name.startswith("entry-"):
         world.watch.entry_started(await world.fleet.start_entry(number))
--- a/src/currantbarrow/standins/fleet.py
+++ b/src/currantbarrow/standins/fleet.py
@@ -224,7 +224,9 @@
 
     async def drain_entry(self, name: str) -> None:
         """Shut an entry process down gracefully."""
-        entry = self.entries[name]
+        entry = self.entries.get(name)
+        if entry is None:
+            return
         await entry.node.drain()
         entry.ended.set()
         if self.entries.get(name) is entry:
@@ -241,7 +243,9 @@
 
     async def drain_side(self, name: str) -> None:
         """Shut a side process and its worker down gracefully."""
-        side = self.sides[name]
+        side = self.sides.get(name)
+        if side is None:
+            return
         side.leaving = True
         await side.node.stop()
         if side.announcing is not None:
