--- a/src/currantbarrow/policy/placement.py
+++ b/src/currantbarrow/policy/placement.py
@@ -5,9 +5,30 @@
 import random
 from collections.abc import Sequence
 
+import xxhash
+
+from currantbarrow.policy.slack import ClassSlacks, SlackView
 from currantbarrow.policy.types import Placement, QueuedTask, WorkerView
 
-__all__ = ["create_least_loaded", "create_random", "create_round_robin", "create_two_choices"]
+__all__ = [
+    "create_headroom",
+    "create_least_loaded",
+    "create_random",
+    "create_round_robin",
+    "create_two_choices",
+]
+
+
+# A task is long when it holds a slot for this many times what the others can wait.
+LONG_FACTOR = 4.0
+RESERVED_SLOTS = 1
+# The share of the urgent classes' own work for which slots are kept free.
+RESERVED_WORK_SHARE = 0.5
+HASH_RANGE = 2**32
+# How many more free slots a far worker, or one of another rack than the job's last task,
+# must have to be taken all the same.
+NEAR_SLOTS = 3.0
+SAME_RACK_SLOTS = 3.0
 
 
 class RandomPlacement:
@@ -72,6 +93,68 @@
         return self._rng.choice([worker for worker in fitting if worker.free == most])
 
 
+class HeadroomPlacement:
+    """Bind late, keep a slot of each worker from long tasks, and prefer near workers."""
+
+    __slots__ = ("_data_centre", "_job_id", "_rack", "_ranks", "_rng", "_slacks")
+
+    def __init__(self, rng: random.Random, data_centre: str) -> None:
+        self._rng = rng
+        self._data_centre = data_centre
+        self._slacks = ClassSlacks()
+        self._ranks: dict[str, float] = {}
+        self._job_id = b""
+        self._rack = ""
+
+    def choose(self, task: QueuedTask, workers: Sequence[WorkerView]) -> WorkerView | None:
+        """Return the best worker with room, None to keep the task waiting."""
+        self._slacks.note(task)
+        slacks = self._slacks.view
+        rack = self._rack if task.job_id == self._job_id else ""
+        best: WorkerView | None = None
+        best_rank = (0.0, 0.0)
+        for worker in workers:
+            room = self._room(task, worker, slacks)
+            if room < 0:
+                continue
+            rank = (self._score(worker, room, rack), self._rng.random())
+            if best is None or rank > best_rank:
+                best, best_rank = worker, rank
+        if best is not None:
+            # Tasks of one job that share a rack fail together and travel together, so the
+            # loss of a rack fails fewer jobs, and a start message carries more tasks.
+            self._job_id, self._rack = task.job_id, best.rack
+        return best
+
+    def _room(self, task: QueuedTask, worker: WorkerView, slacks: SlackView) -> int:
+        """Return the slots that would be left, negative when the task must wait."""
+        room = worker.free - task.size_slots
+        if worker.slots > task.size_slots:
+            if task.cost_ms > LONG_FACTOR * slacks.shortest_ms:
+                return room - RESERVED_SLOTS
+            if not slacks.is_urgent(task) and self._is_reserved(worker, slacks):
+                return room - RESERVED_SLOTS
+        # An owner with no task on a worker hears of its free slots only by heartbeats, so
+        # it may leave one task in the queue there.
+        return room + 1 if worker.outstanding == 0 else room
+
+    def _is_reserved(self, worker: WorkerView, slacks: SlackView) -> bool:
+        """Tell whether a worker keeps a slot for urgent classes; all owners agree on it."""
+        rank = self._ranks.get(worker.name)
+        if rank is None:
+            rank = xxhash.xxh32_intdigest(worker.name.encode()) / HASH_RANGE
+            self._ranks[worker.name] = rank
+        return rank < RESERVED_WORK_SHARE * slacks.urgent_work_share * worker.slots
+
+    def _score(self, worker: WorkerView, room: int, rack: str) -> float:
+        score = float(room)
+        if worker.data_centre == self._data_centre:
+            score += NEAR_SLOTS
+        if worker.rack == rack:
+            score += SAME_RACK_SLOTS
+        return score
+
+
 def create_random(rng: random.Random) -> Placement:
     """Return the baseline that ignores load."""
     return RandomPlacement(rng)
@@ -90,3 +173,8 @@
 def create_least_loaded(rng: random.Random, data_centre: str) -> Placement:
     """Return the placement that looks at all workers."""
     return LeastLoadedPlacement(rng, data_centre)
+
+
+def create_headroom(rng: random.Random, data_centre: str) -> Placement:
+    """Return the placement that the daemons use."""
+    return HeadroomPlacement(rng, data_centre)
--- a/src/currantbarrow/policy/types.py
+++ b/src/currantbarrow/policy/types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -111,6 +112,8 @@
     now_ms: float
     queue: TaskQueue
     workers: Sequence[WorkerView]
+    # The number of entry processes that share the workers.
+    owners: int = 1
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -137,8 +140,8 @@
     def requeue(self, task: QueuedTask) -> None:
         """Put back a task that was taken and surely did not start."""
 
-    def take(self, now_ms: float) -> QueuedTask | None:
-        """Return the task to start next, None when none waits."""
+    def take(self, now_ms: float, shorter_than_ms: float = math.inf) -> QueuedTask | None:
+        """Return the task to start next, of a class with a shorter target than one given."""
 
     def discard(self, job_id: bytes) -> list[QueuedTask]:
         """Remove a job's waiting tasks and return them."""
@@ -149,6 +152,9 @@
     def backlog_ms(self, customer: str | None = None) -> float:
         """Return the estimated work that waits, of one customer or of all."""
 
+    def work_before_ms(self, customer: str, target_ms: float, work_ms: float) -> float:
+        """Return the work that is done by the time a customer's new work of a class is."""
+
     def __len__(self) -> int:
         """Return the number of waiting tasks."""
 
@@ -163,6 +169,9 @@
 class WorkerHealth(Protocol):
     """Judge workers by how their tasks end."""
 
+    def started(self, worker: str, now_ms: float) -> None:
+        """Take note of a task that was sent to a worker."""
+
     def ended(self, worker: str, customer: str, job_class: str, ok: bool, now_ms: float) -> None:
         """Take note of one task's end on a worker."""
 
