--- a/src/currantbarrow/standins/memory_network.py
+++ b/src/currantbarrow/standins/memory_network.py
@@ -211,9 +211,11 @@
         """Take connections for an address."""
         self._listeners[address] = (hello, handler)
 
-    def forget(self, address: str) -> None:
-        """Take no more connections for an address."""
-        self._listeners.pop(address, None)
+    def forget(self, address: str, incarnation: str) -> None:
+        """Take no more connections for a process, whose successor may listen already."""
+        listener = self._listeners.get(address)
+        if listener is not None and listener[0].incarnation == incarnation:
+            del self._listeners[address]
 
     async def connect(self, address: str, hello: Hello) -> _MemoryLink:
         """Join two processes; raise LinkClosed or LinkTimeout."""
@@ -246,6 +248,7 @@
     def __init__(self, fabric: MemoryFabric) -> None:
         self._fabric = fabric
         self._address = ""
+        self._incarnation = ""
         self._links: list[Link] = []
 
     async def connect(self, address: str, hello: Hello) -> Link:
@@ -261,13 +264,13 @@
             self._links.append(link)
             await handler(link)
 
-        self._address = address
+        self._address, self._incarnation = address, hello.incarnation
         self._fabric.listen(address, hello, keep)
         return address
 
     async def stop(self) -> None:
         """Stop accepting links and close those that are open."""
         if self._address:
-            self._fabric.forget(self._address)
+            self._fabric.forget(self._address, self._incarnation)
         for link in self._links:
             await link.close()
