Let a customer that asked for little go first by a bounded claim

Change: a customer that asked for little may be up to 5,000 ms of work ahead at each owner, about a quarter of a second of the fleet; admission counts the same accounts.

--- a/src/currantbarrow/policy/queues.py
+++ b/src/currantbarrow/policy/queues.py
@@ -11,6 +11,8 @@
 __all__ = ["create_fair_queue", "create_fifo_queue"]
 
 REMEMBERED_CUSTOMERS = 1024
+# The work by which a customer that asked for little may be ahead of the others.
+CREDIT_MS = 5000.0
 
 
 class FifoQueue:
@@ -162,15 +164,22 @@
         """Return the work that is done by the time a customer's new work of a class is."""
         own = self._customers.get(customer)
         own_ms = work_ms + (own.work_ms(target_ms) if own else 0.0)
-        # While this customer is served so much, each other one is served no more than that.
+        level_ms = own_ms + (self._account_ms(own) if own else self._floor_ms - CREDIT_MS)
+        # While this customer is served so much, each other one is served up to its level.
         others_ms = sum(
-            min(queue.work_ms(), own_ms) for queue in self._active.values() if queue is not own
+            min(queue.work_ms(), max(0.0, level_ms - queue.served_ms))
+            for queue in self._active.values()
+            if queue is not own
         )
         return own_ms + others_ms
 
     def __len__(self) -> int:
         return self._size
 
+    def _account_ms(self, queue: _CustomerQueue) -> float:
+        """Return what a customer counts as served, its claim bounded."""
+        return max(queue.served_ms, self._floor_ms - CREDIT_MS)
+
     def _charge(self, name: str, queue: _CustomerQueue, work_ms: float) -> None:
         queue.served_ms += work_ms
         if name in self._active:
@@ -184,11 +193,12 @@
             if len(self._customers) >= REMEMBERED_CUSTOMERS:
                 self._forget_level()
             queue = self._customers[name] = _CustomerQueue()
+            queue.served_ms = self._floor_ms - CREDIT_MS
         if name not in self._active:
-            # A customer that was idle starts level with the others: it has no claim on the
-            # time in which it asked for nothing, but what it was given too much stands.
+            # A customer that asked for little keeps a bounded claim, so that a small one's
+            # whole job goes first; what a customer was given too much stands.
             self._active[name] = queue
-            queue.served_ms = max(queue.served_ms, self._floor_ms)
+            queue.served_ms = self._account_ms(queue)
         self._charge(name, queue, -refund_ms)
         self._sequence += 1
         due_ms = task.arrived_ms + task.target_ms - task.cost_ms
@@ -203,7 +213,7 @@
         self._customers = {
             name: queue
             for name, queue in self._customers.items()
-            if name in self._active or queue.served_ms > self._floor_ms
+            if name in self._active or queue.served_ms > self._floor_ms - CREDIT_MS
         }
 
     def _pop_urgent(self, queue: _CustomerQueue, shorter_than_ms: float) -> QueuedTask | None:
--- a/tests/test_policy_queues.py
+++ b/tests/test_policy_queues.py
@@ -70,6 +70,20 @@
         assert task is not None
         assert task.customer == "b"
 
+    def test_claim_of_a_customer_that_was_idle_is_bounded(self) -> None:
+        queue = create_fair_queue()
+        for number in range(500):
+            queue.add(make_task("busy", number))
+        for _ in range(100):
+            queue.take(0.0)
+        for number in range(200):
+            queue.add(make_task("idle", number))
+        first = [queue.take(0.0) for _ in range(200)]
+        names = [task.customer for task in first if task is not None]
+        # Its claim of 5,000 ms is 50 tasks; then both share equally.
+        assert names[:40] == ["idle"] * 40
+        assert 120 <= names.count("idle") <= 130
+
     def test_class_that_must_wait_does_not_hold_up_a_shorter_one(self) -> None:
         queue = create_fair_queue()
         queue.add(make_task("a", 0, target_ms=3000.0))
