--- a/src/currantbarrow/entry/handover.py
+++ b/src/currantbarrow/entry/handover.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
+import msgspec
+
+from currantbarrow.background import BackgroundTasks
+from currantbarrow.cluster import ClusterState
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.ownership import Ownership
-from currantbarrow.jobs import TaskAnswer, shard_of
+from currantbarrow.entry.peers import EntryPool
+from currantbarrow.exceptions import LinkClosed, LinkError
+from currantbarrow.jobs import MAX_PART_BYTES, TaskAnswer, count_bytes, shard_of
 from currantbarrow.jobs.table import Job, JobTable
 from currantbarrow.protocol import Handover, HandoverDone, JobRow, RecoveredRow, TaskRow
-from currantbarrow.types import Clock
+from currantbarrow.types import Clock, Metrics
 
-__all__ = ["build_handovers", "describe_job", "restore_job", "take_handover"]
+__all__ = ["HandoverSender", "build_handovers", "describe_job", "restore_job", "take_handover"]
 
 JOBS_PER_PART = 64
+PART_TIMEOUT_MS = 1000.0
+GIVE_UP_MS = 4000.0
+RETRY_MS = 20.0
 
 
 def describe_job(job: Job, now_ms: float) -> JobRow:
@@ -19,7 +30,8 @@
     tasks = []
     for entry in job.tasks:
         row = TaskRow(entry.attempt, entry.side)
-        if entry.answer is not None:
+        # The answer of a job that has one holds the values already.
+        if entry.answer is not None and job.answer is None:
             answer = entry.answer
             row = TaskRow(entry.attempt, entry.side, answer.state, answer.value, answer.error)
         tasks.append(row)
@@ -45,7 +57,9 @@
         entry.side = task.side
         if task.state is not None:
             job.end_task(index, TaskAnswer(task.state, task.value, task.error))
+            job.answer_bytes += count_bytes(task.value)
     if row.answer is not None:
+        job.answer_bytes = count_bytes(row.answer)
         job.finish(row.answer)
     return job
 
@@ -58,15 +72,31 @@
     recovered = [
         RecoveredRow(job_id, sides) for job_id, sides in ownership.recovered_in(shards).items()
     ]
-    rows = [describe_job(job, now_ms) for job in table.in_shards(shards)]
-    chunks = [rows[start : start + JOBS_PER_PART] for start in range(0, len(rows), JOBS_PER_PART)]
     numbers = sorted(shards)
-    parts = [Handover(0, version, numbers, chunk, [], certain_from_ms, False) for chunk in chunks]
+    parts = [
+        Handover(0, version, numbers, rows, [], certain_from_ms, False)
+        for rows in _chunks(table.in_shards(shards), now_ms)
+    ]
     cancelled = table.cancelled_in(shards)
     parts.append(Handover(0, version, numbers, [], recovered, certain_from_ms, True, cancelled))
     return parts
 
 
+def _chunks(jobs: list[Job], now_ms: float) -> Iterator[list[JobRow]]:
+    """Yield the rows of jobs in chunks that fit well into a frame."""
+    rows: list[JobRow] = []
+    chunk_bytes = 0
+    for job in jobs:
+        job_bytes = job.request_bytes + job.answer_bytes
+        if rows and (len(rows) >= JOBS_PER_PART or chunk_bytes + job_bytes > MAX_PART_BYTES):
+            yield rows
+            rows, chunk_bytes = [], 0
+        rows.append(describe_job(job, now_ms))
+        chunk_bytes += job_bytes
+    if rows:
+        yield rows
+
+
 def take_handover(
     call: Handover,
     former: str,
@@ -87,6 +117,7 @@
             continue
         if job.answer is not None:
             dispatcher.table.add(job)
+            dispatcher.table.keep_answer(job)
         else:
             dispatcher.adopt(job, target_of.get(job.request.job_class, 0.0))
     for recovered in call.recovered:
@@ -97,4 +128,92 @@
             dispatcher.table.cancel_early(job_id)
     if call.last:
         ownership.make_ready(expected, call.certain_from_ms)
-    return HandoverDone(call.call_id, bool(expected))
+    taken_in = expected or ownership.holds_since(call.shards, call.version)
+    return HandoverDone(call.call_id, bool(taken_in))
+
+
+class HandoverSender:
+    """Let go of shards, and send their tables to the next owners."""
+
+    __slots__ = (
+        "_background",
+        "_clock",
+        "_cluster",
+        "_dispatcher",
+        "_entries",
+        "_metrics",
+        "sending",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        background: BackgroundTasks,
+        cluster: ClusterState,
+        dispatcher: Dispatcher,
+        entries: EntryPool,
+    ) -> None:
+        # The number of next owners whose tables are not all out yet.
+        self.sending = 0
+        self._clock = clock
+        self._metrics = metrics
+        self._background = background
+        self._cluster = cluster
+        self._dispatcher = dispatcher
+        self._entries = entries
+
+    def give_up(self, ownership: Ownership, lost: set[int], to_hand_over: set[int]) -> None:
+        """Forget the jobs of lost shards; tables that are up to date go to the next owners."""
+        assignment = self._cluster.assignment
+        table = self._dispatcher.table
+        groups: dict[tuple[str, int], set[int]] = {}
+        for shard in sorted(to_hand_over):
+            key = (assignment.owner_of(shard), assignment.since[shard])
+            groups.setdefault(key, set()).add(shard)
+        for (owner, since), shards in groups.items():
+            now_ms = self._clock.monotonic_ms()
+            parts = build_handovers(ownership, table, shards, since, now_ms)
+            self.sending += 1
+            self._background.spawn(self._send(owner, parts))
+        for job in table.in_shards(lost):
+            self._dispatcher.forget(job)
+
+    async def _send(self, owner: str, parts: list[Handover]) -> None:
+        try:
+            for part in parts:
+                if not await self._send_part(owner, part):
+                    self._metrics.incr("entry.handover_rejected")
+                    return
+        except LinkError:
+            # The next owner will ask the side processes instead.
+            self._metrics.incr("entry.handover_failed")
+        finally:
+            self.sending -= 1
+
+    async def _send_part(self, owner: str, part: Handover) -> bool:
+        """Send one part until it is taken in; raise LinkError, False when it was not wanted."""
+        deadline_ms = self._clock.monotonic_ms() + GIVE_UP_MS
+        while True:
+            try:
+                if await self._offer(owner, part):
+                    return True
+                # The next owner may not have read the record yet that makes it the owner.
+                if self._clock.monotonic_ms() > deadline_ms:
+                    return False
+            except LinkError:
+                if self._clock.monotonic_ms() > deadline_ms:
+                    raise
+            await self._clock.sleep_ms(RETRY_MS)
+
+    async def _offer(self, owner: str, part: Handover) -> bool:
+        peer = self._entries.peers.get(owner)
+        if peer is None:
+            raise LinkClosed("the next owner is not known")
+        done = await peer.require_caller().call(
+            lambda call_id: msgspec.structs.replace(part, call_id=call_id),
+            HandoverDone,
+            PART_TIMEOUT_MS,
+        )
+        return done.accepted
--- a/src/currantbarrow/entry/router.py
+++ b/src/currantbarrow/entry/router.py
@@ -28,7 +28,7 @@
     shard_of,
 )
 from currantbarrow.jobs.table import Job
-from currantbarrow.protocol import CancelJob, Forward, Forwarded, JobShown, ShowJob
+from currantbarrow.protocol import Caller, CancelJob, Forward, Forwarded, JobShown, ShowJob
 from currantbarrow.types import Clock, Metrics
 
 __all__ = ["Router"]
@@ -39,6 +39,7 @@
 FORWARD_TIMEOUT_MS = 120_000.0
 CONTROL_TIMEOUT_MS = 2000.0
 MAX_HOPS = 2
+CLASS_UNKNOWN = "class_unknown"
 
 
 class Router:
@@ -78,7 +79,7 @@
         deadline_ms = self._clock.monotonic_ms() + OWNER_WAIT_MS
         while True:
             try:
-                self.check(request)
+                self._check_time(request)
                 return await self._submit_once(request, job_id, shard, hops)
             except (OwnershipError, LinkError) as error:
                 # The key makes it safe to ask again: the owner joins a second copy to the first.
@@ -132,14 +133,24 @@
 
     def check(self, request: JobRequest) -> None:
         """Raise JobInvalid for a job that can't be let in, whoever owns it."""
-        now_ms = self._clock.wall_ms()
-        if request.created_at_ms > now_ms + self._options.skew_ms:
+        self._check_time(request)
+        # Whether the key ran before its class was removed, only its owner can tell.
+        self._check_class(request, not_run=False)
+
+    def _check_time(self, request: JobRequest) -> None:
+        ahead_ms = request.created_at_ms - self._clock.wall_ms()
+        if ahead_ms > 2 * self._options.skew_ms:
             raise JobInvalid("the key's creation time is in the future", field="created_at_ms")
+        if ahead_ms > self._options.skew_ms:
+            # An entry whose clock is ahead may have taken the key, so it isn't said never to
+            # have run; a moment later it is not ahead any more.
+            raise OwnershipError("the key's creation time is ahead of this entry's clock")
+
+    def _check_class(self, request: JobRequest, *, not_run: bool) -> None:
         if self._classes.find(request.job_class) is None:
             if not self._classes_known():
                 raise OwnershipError("this entry has not read the classes yet")
-            message = f"there is no class named {request.job_class}"
-            raise JobInvalid(message, field="class", code="class_unknown")
+            raise _class_unknown(request.job_class, not_run=not_run)
 
     async def _submit_once(
         self, request: JobRequest, job_id: bytes, shard: int, hops: int
@@ -148,22 +159,37 @@
         if owner == self._owner:
             await self._ownership.wait_ready(shard, OWNER_WAIT_MS)
             return await self._submit_here(request, job_id, shard)
-        peer = self._entries.peers.get(owner)
-        if peer is None or hops >= MAX_HOPS:
+        if not owner or hops >= MAX_HOPS:
             raise OwnershipError("the owner of the shard cannot be reached")
         try:
-            reply = await peer.require_caller().call(
+            reply = await self._way_to(owner, hops).call(
                 lambda call_id: Forward(call_id, request, hops + 1), Forwarded, FORWARD_TIMEOUT_MS
             )
         except RemoteError as error:
             if error.remote_code == JobConflict.code:
                 raise JobConflict("the key was used before with another body") from error
+            if error.remote_code == CLASS_UNKNOWN:
+                raise _class_unknown(request.job_class, not_run=True) from error
             raise
         return reply.answer
 
+    def _way_to(self, owner: str, hops: int) -> Caller:
+        """Return the link to an owner, or to an entry that may reach it; raise OwnershipError."""
+        peer = self._entries.peers.get(owner)
+        if peer is not None and peer.caller is not None:
+            return peer.caller
+        relays = [peer.caller for peer in self._entries.peers.values() if peer.caller is not None]
+        if not relays or hops + 1 >= MAX_HOPS:
+            raise OwnershipError("the owner of the shard cannot be reached")
+        self._metrics.incr("entry.relayed")
+        return relays[0]
+
     async def _submit_here(self, request: JobRequest, job_id: bytes, shard: int) -> JobAnswer:
         job = self._dispatcher.table.find_same(job_id, request)
         if job is not None:
+            if job.has_waiting:
+                # It would wait for a start that this process may not make at present.
+                self._require_lease()
             self._metrics.incr("entry.job_joined")
             return await asyncio.shield(job.future)
         self._require_lease()
@@ -179,6 +205,8 @@
         cancelled = self._dispatcher.table.is_cancelled(job_id)
         if cancelled and started is None:
             return self._refuse_cancelled(request)
+        if started is None:
+            self._check_class(request, not_run=True)
         job = Job(job_id, request, self._clock.monotonic_ms())
         target_ms = self._target_ms(request.job_class)
         if started is not None:
@@ -232,3 +260,8 @@
             return await peer.require_caller().call(build, JobShown, CONTROL_TIMEOUT_MS)
         except LinkError as error:
             raise OwnershipError(str(error)) from error
+
+
+def _class_unknown(name: str, *, not_run: bool) -> JobInvalid:
+    message = f"there is no class named {name}"
+    return JobInvalid(message, field="class", code=CLASS_UNKNOWN, not_run=not_run)
--- a/src/currantbarrow/exceptions.py
+++ b/src/currantbarrow/exceptions.py
@@ -10,6 +10,7 @@
     "ConfigurationError",
     "CurrantbarrowError",
     "DispatchError",
+    "DrainCutShort",
     "JobConflict",
     "JobInvalid",
     "JobUnknown",
@@ -58,6 +59,13 @@
     hint = "Another process listens there, or this host has no such address; see the settings."
 
 
+class DrainCutShort(CurrantbarrowError):
+    """Report a process that ended before it had drained."""
+
+    code = "drain_cut_short"
+    hint = "A second signal or the bound drain_ms ended it; callers submit their keys again."
+
+
 class ValueTooComplex(CurrantbarrowError):
     """Report a value that can't travel between processes, with its path."""
 
@@ -202,9 +210,12 @@
 
     code = "job_invalid"
 
-    def __init__(self, message: str, *, field: str = "", code: str | None = None) -> None:
+    def __init__(
+        self, message: str, *, field: str = "", code: str | None = None, not_run: bool = True
+    ) -> None:
         super().__init__(message)
         self.field = field
+        self.not_run = not_run
         if code is not None:
             self.code = code
 
--- a/src/currantbarrow/scenario/faults.py
+++ b/src/currantbarrow/scenario/faults.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
-from currantbarrow.exceptions import ClassConflict, CurrantbarrowError
+from currantbarrow.exceptions import AppendUnknown, ClassConflict, CurrantbarrowError
 from currantbarrow.logservice import ClassDefinition
 from currantbarrow.scenario import schema
 from currantbarrow.scenario.names import LOG, expand
@@ -91,7 +92,17 @@
         world.fleet.fabric.delay(sender, receiver, 0.0)
 
 
+def _disturb_if_last(world: World, leaving: list[str]) -> None:
+    """Take note when nobody is left to take over from those who leave."""
+    fleet = world.fleet
+    entries = [n for n, e in fleet.entries.items() if n not in leaving and not e.node.draining]
+    sides = [n for n, s in fleet.sides.items() if n not in leaving and not s.leaving]
+    if not entries or not sides:
+        world.oracle.disturb(math.inf)
+
+
 async def _drain(world: World, fault: schema.Drain) -> None:
+    _disturb_if_last(world, expand(world.fleet, fault.who))
     draining = []
     for name in expand(world.fleet, fault.who):
         if name in world.fleet.entries:
@@ -103,6 +114,7 @@
 
 
 async def _leave(world: World, fault: schema.Leave) -> None:
+    _disturb_if_last(world, expand(world.fleet, fault.who))
     for name in expand(world.fleet, fault.who):
         if name in world.fleet.sides:
             world.oracle.leaving(name, world.now_ms())
@@ -175,14 +187,20 @@
 
 
 async def _set_class(world: World, fault: schema.SetClass) -> None:
-    definition = ClassDefinition(float(fault.target))
+    definition = _define(world, fault.target)
     await _change(world, fault.name, definition, fault.entry, latest=fault.based_on_latest)
 
 
+def _define(world: World, target: float) -> ClassDefinition:
+    """Return a definition that tells itself from all others."""
+    world.changes += 1
+    return ClassDefinition(float(target), f"change {world.changes}")
+
+
 async def _race_class(world: World, fault: schema.RaceClass) -> None:
     await asyncio.gather(
         *(
-            _change(world, fault.name, ClassDefinition(float(target)), entry, latest=True)
+            _change(world, fault.name, _define(world, target), entry, latest=True)
             for target, entry in zip(fault.targets, fault.entries, strict=True)
         )
     )
@@ -199,24 +217,31 @@
         return
     node = world.fleet.entries[entry].node
     based_on = node.classes.revision_of(name) if latest else 0
+    change = definition.description if definition else ""
+    told: bool | None = None
     try:
         await node.change_class(name, based_on, definition, "operator")
+        told = True
     except ClassConflict:
         world.class_conflicts += 1
+        told = False
+    except AppendUnknown as error:
+        world.oracle.told[f"class_{error.code}"] += 1
     except CurrantbarrowError as error:
         world.oracle.told[f"class_{error.code}"] += 1
+        told = False
+    if told is not None and change:
+        world.watch.operator_told(change, told)
 
 
 async def _hold_fields(
     world: World, holders: Iterable[Any], lasts_ms: float, fields: dict[str, float | bool]
 ) -> None:
-    """Set fields for a while."""
-    kept = [(holder, name, getattr(holder, name)) for holder in holders for name in fields]
-    for holder, name, _ in kept:
-        setattr(holder, name, fields[name])
+    """Set fields for a while; where faults overlap, the one that came last counts."""
+    held = [world.overlay.put(holder, name, fields[name]) for holder in holders for name in fields]
     await world.fleet.clock.sleep_ms(lasts_ms)
-    for holder, name, former in kept:
-        setattr(holder, name, former)
+    for token in held:
+        world.overlay.take_back(token)
 
 
 def _upstreams(world: World, who: list[str]) -> list[UpstreamFaults]:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Share one small fleet of daemons between the tests that only talk to it."""
+"""Share a small fleet between tests that only talk to it, and print what is known to be red."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 import pytest
 
+from known_red import read_known_red
 from loopback import LoopbackThread, small_set
 
 
@@ -17,3 +18,11 @@
     thread.start()
     yield thread
     thread.stop()
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    entries = read_known_red()
+    if entries:
+        terminalreporter.section("known red, for real faults")
+    for entry in entries:
+        terminalreporter.write_line(f"{entry.test}: {entry.seen} ({entry.issue}): {entry.command}")
