--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,9 @@
 
 slopes: setup
 	$(PY) -m currantbarrow.bench.slopes --output build
+
+SECONDS ?= 600
+SEED ?= 1
+
+fuzz: setup
+	PYTHONHASHSEED=0 $(PY) -m currantbarrow.scenario.fuzz --seconds $(SECONDS) --seed $(SEED)
