--- a/src/currantbarrow/cli/classes.py
+++ b/src/currantbarrow/cli/classes.py
@@ -4,6 +4,7 @@
 
 import datetime
 import getpass
+import uuid
 from typing import Any
 
 import msgspec
@@ -44,6 +45,8 @@
             "based_on": based_on,
             "definition": definition,
             "operator": self.option("by") or _login_name(),
+            # Were the request to reach the entry twice, the change would still be made once.
+            "change_id": uuid.uuid4().hex,
         }
         made = await client.post(f"{self.operator_url}/classes", body)
         revision = int(made["revision"])
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,80 @@
+"""Check that the operators' pages name what the code emits."""
+
+from __future__ import annotations
+
+import ast
+import re
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from currantbarrow.entry.problems import CODE_BY_STATUS, STATUS_BY_CODE
+from currantbarrow.protocol.websocket import SENT_COUNTERS
+
+ROOT = Path(__file__).parent.parent
+SOURCE = ROOT / "src" / "currantbarrow"
+DOCS = ROOT / "docs"
+METRICS = ("incr", "timing", "gauge")
+# What only tests and measurements run emits nothing on a host.
+NOT_DEPLOYED = ("bench", "standins", "scenario", "load")
+PLACEHOLDER = re.compile(r"<[^>]*>")
+
+
+def calls_of(names: tuple[str, ...]) -> Iterator[str]:
+    """Yield the first argument of each call by these names, with * for what varies."""
+    for path in SOURCE.rglob("*.py"):
+        if path.relative_to(SOURCE).parts[0] in NOT_DEPLOYED:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+                continue
+            if node.func.attr in names and node.args:
+                yield from read_text(node.args[0])
+
+
+def read_text(node: ast.expr) -> Iterator[str]:
+    if isinstance(node, ast.Constant) and isinstance(node.value, str):
+        yield node.value
+    elif isinstance(node, ast.IfExp):
+        yield from read_text(node.body)
+        yield from read_text(node.orelse)
+    elif isinstance(node, ast.JoinedStr):
+        parts = [str(part.value) if isinstance(part, ast.Constant) else "*" for part in node.values]
+        yield "".join(parts)
+
+
+def named_in(page: Path) -> set[str]:
+    """Return the names in the first column of a page's tables, with * for what varies."""
+    rows = [line for line in page.read_text().splitlines() if line.startswith("| `")]
+    return {
+        PLACEHOLDER.sub("*", name)
+        for row in rows
+        for name in re.findall(r"`([^`]+)`", row.split("|")[1])
+    }
+
+
+def test_page_lists_every_counter_and_no_other() -> None:
+    emitted = set(calls_of(METRICS)) | {
+        f"{next(iter(SENT_COUNTERS.values())).rpartition('.')[0]}.*"
+    }
+    assert named_in(DOCS / "operations" / "counters.md") == emitted
+
+
+def test_page_lists_every_event_and_no_other() -> None:
+    emitted = set(calls_of(("record", "_event")))
+    assert emitted
+    assert named_in(DOCS / "operations" / "timeline.md") == emitted
+
+
+@pytest.mark.parametrize(
+    "code", sorted({*CODE_BY_STATUS.values(), *STATUS_BY_CODE} - {"unavailable"})
+)
+def test_page_of_the_api_names_every_code(code: str) -> None:
+    assert f"`{code}`" in (DOCS / "api.md").read_text()
+
+
+@pytest.mark.parametrize("page", sorted(DOCS.rglob("*.md")) + sorted(ROOT.glob("*.md")), ids=str)
+def test_links_between_pages_lead_somewhere(page: Path) -> None:
+    for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
+        assert (page.parent / target).exists(), f"{page.name}: {target}"
