--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -463,6 +463,9 @@
             # A task that was stopped with its job says nothing of its worker or kind.
             self.policies.queue.ended(task.customer, task.job_class, task.cost_ms, result.run_ms)
             return
+        if result.run_ms > task.target_ms:
+            # Such a task misses its target in any order; operators see which class has many.
+            self._metrics.incr(f"entry.run_over_target.{task.job_class}")
         ok = result.state is TaskState.DONE
         declared_ms = sent.job.request.tasks[task.index].declared_ms
         if ok:
