Take the end-to-end test's ports from below those of connections

Cause: the test failed in two of six runs made two at a time, and once in a whole run beside other work: address_unavailable in a side's log. The ports it had found free are among those that the system gives to outgoing connections, and one was taken before the process bound it.

Change: each test holds a block of ports below that range for as long as it runs. A run that times out prints the entries' log lines.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import random
 import re
 import shutil
 import signal
@@ -19,6 +20,10 @@
     "entry": "currantbarrow.entry.main",
 }
 END_LIMIT_S = 10
+LOCALHOST = "127.0.0.1"
+# Below the ports that the system gives to connections, which would take one that is free now.
+FIRST_PORT, LAST_PORT = 12_000, 32_000
+BLOCK_PORTS = 128
 ADDRESS = re.compile(r"127\.0\.0\.1:(\d+)")
 
 
@@ -75,6 +80,7 @@
             process.kill()
         async with asyncio.timeout(END_LIMIT_S):
             await asyncio.gather(*(process.wait() for process in left))
+        self._held.close()
 
     async def _start(self, name: str, module: str, path: Path) -> None:
         with (self.folder / f"{name}.log").open("w") as log:
@@ -95,16 +101,36 @@
     def _operator(self) -> str:
         return str(self.folder / "operator.yaml")
 
+    def _reserve(self, count: int) -> list[int]:
+        """Return free ports of a block that is this test's own until it ends."""
+        bases = list(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+        random.shuffle(bases)
+        for base in bases:
+            ports = list(range(base + 1, base + 1 + count))
+            try:
+                held = socket.create_server((LOCALHOST, base))
+            except OSError:
+                continue
+            if all(_is_free(port) for port in ports):
+                self._held = held
+                return ports
+            held.close()
+        raise OSError("no block of ports is free")
+
     def _move_to_free_ports(self) -> dict[int, int]:
         files = list(self.folder.glob("*.yaml"))
         ports = {int(port) for path in files for port in ADDRESS.findall(path.read_text())}
-        # All are open at the same time, so that none is given out twice.
-        sockets = [socket.create_server(("127.0.0.1", 0)) for _ in ports]
-        free = [each.getsockname()[1] for each in sockets]
-        for each in sockets:
-            each.close()
+        free = self._reserve(len(ports))
         moved = dict(zip(sorted(ports), free, strict=True))
         for path in files:
             text = ADDRESS.sub(lambda m: f"127.0.0.1:{moved[int(m[1])]}", path.read_text())
             path.write_text(text)
         return moved
+
+
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server((LOCALHOST, port)).close()
+    except OSError:
+        return False
+    return True
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -152,6 +152,9 @@
             try:
                 async with asyncio.timeout(LIMIT_S), aiohttp.ClientSession() as session:
                     await run_scenario(processes, session)
+            except TimeoutError:
+                print(*(processes.log_of(name) for name in ENTRIES), sep="\n")
+                raise
             finally:
                 await processes.end_all()
 
