Split the dispatcher: sent tasks, and finding out what became of them

Change: SentTasks keeps the tasks that are out and the slots they hold; TaskSettler asks side processes, calls tasks back and gives up lost ones. The mutation that takes lost tasks for never started now breaks TaskSettler.lose instead of Dispatcher._lose: the same fault at its new place. Behaviour stays as it was.

--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -13,9 +13,10 @@
     after_start,
     answer_too_large,
     before_sending,
-    outcome_unknown,
     refused,
 )
+from currantbarrow.entry.sent import SentTask, SentTasks, group_by_peer
+from currantbarrow.entry.settling import TaskSettler
 from currantbarrow.entry.sides import SidePeer, SidePool
 from currantbarrow.exceptions import LinkError
 from currantbarrow.jobs import (
@@ -33,24 +34,16 @@
 from currantbarrow.observe import EventRing
 from currantbarrow.policy import AdmissionQuestion, Policies, QueuedTask, WorkerView
 from currantbarrow.protocol import (
-    Cancel,
-    QueryTasks,
     Refused,
     RefusedReason,
     Result,
     Start,
-    TaskReference,
     TaskResult,
-    TaskStates,
 )
 from currantbarrow.types import Clock, Metrics
 
 __all__ = ["Dispatcher"]
 
-QUERY_TIMEOUT_MS = 1000.0
-# A side process that stays away longer than this leaves its tasks with unknown outcome.
-LOST_AFTER_MS = 2500.0
-
 # Attempts of one owner at one task are numbered below this many bits.
 ATTEMPT_BITS = 16
 SHORTEST_MS = 1.0
@@ -59,20 +52,6 @@
 SETTLE_LOOK_MS = 2.0
 DEADLINE_PASSED = "the time within which the answer was of use has passed"
 
-TaskKey = tuple[bytes, int]
-
-
-class _Sent:
-    """Hold a task that was handed to a side process."""
-
-    __slots__ = ("attempt", "job", "peer", "task")
-
-    def __init__(self, task: QueuedTask, job: Job, peer: SidePeer) -> None:
-        self.task = task
-        self.attempt = job.tasks[task.index].attempt
-        self.job = job
-        self.peer = peer
-
 
 class Dispatcher:
     """Own accepted jobs from admission to answer."""
@@ -100,7 +79,14 @@
         self._may_start = may_start
         self._epoch = epoch
         self._owners = owners
-        self._sent: dict[TaskKey, _Sent] = {}
+        self._sent = SentTasks()
+        self._settler = TaskSettler(
+            self._sent,
+            clock=clock,
+            metrics=metrics,
+            on_result=self._take_result,
+            on_failure=self._failed,
+        )
         # Jobs whose time has passed, while their tasks are being called back.
         self._expiring: set[bytes] = set()
         self._background = BackgroundTasks(metrics)
@@ -164,12 +150,9 @@
         return waiting
 
     async def _start_rest(self, job: Job, waiting: list[QueuedTask]) -> None:
-        keys = [(job.job_id, index) for index in range(len(job.tasks))]
-        peers = {sent.peer for key in keys if (sent := self._sent.get(key))}
-        for peer in peers:
+        for peer in group_by_peer(self._sent.of_job(job)):
             while self._is_open_here(job):
-                found = [self._sent.get(key) for key in keys]
-                left = [sent for sent in found if sent and sent.peer is peer]
+                left = [sent for sent in self._sent.of_job(job) if sent.peer is peer]
                 if not left or await self._settle(peer, left):
                     break
                 await self._clock.sleep_ms(ASK_AGAIN_MS)
@@ -187,10 +170,8 @@
     def forget(self, job: Job) -> None:
         """Let go of a job that another owner goes on with."""
         self.policies.queue.discard(job.job_id)
-        for index in range(len(job.tasks)):
-            sent = self._sent.pop((job.job_id, index), None)
-            if sent is not None:
-                sent.peer.view.outstanding -= sent.task.size_slots
+        for sent in self._sent.of_job(job):
+            self._sent.remove(sent)
         self.table.remove(job.job_id)
         job.move()
 
@@ -250,7 +231,7 @@
     def side_up(self, peer: SidePeer) -> None:
         """Ask a side process that is back about the tasks that were left with it."""
         self._events.record("side_up", detail=peer.member.name)
-        left = [sent for sent in self._sent.values() if sent.peer is peer]
+        left = self._sent.of_peer(peer)
         if left:
             self._background.spawn(self._settle(peer, left))
 
@@ -258,11 +239,11 @@
         """Give a side process a while to come back."""
         self._events.record("side_down", detail=peer.member.name)
         self._metrics.incr("entry.side_down")
-        self._background.spawn(self._lose_later(peer))
+        self._background.spawn(self._settler.lose_later(peer))
 
     def side_gone(self, peer: SidePeer) -> None:
         """Give up the tasks that were left with a side process that is gone."""
-        self._lose(peer)
+        self._settler.lose(peer)
 
     def load_changed(self, peer: SidePeer) -> None:
         """Use room that a worker has now."""
@@ -277,8 +258,8 @@
         """Queue refused tasks again; a refusal proves that they did not start."""
         self._metrics.incr("entry.starts_refused", len(message.tasks))
         for reference in message.tasks:
-            sent = self._sent.get((reference.job_id, reference.index))
-            if sent is None or sent.peer is not peer or sent.attempt != reference.attempt:
+            sent = self._sent.find_at(peer, reference)
+            if sent is None:
                 self._metrics.incr("entry.late_refusal")
                 continue
             self._failed(sent, refused(message.reason), message.reason)
@@ -320,10 +301,10 @@
             return
         self._expiring.add(job.job_id)
         self.policies.queue.discard(job.job_id)
-        self._cancel_sent(job)
+        self._settler.call_back(self._sent.of_job(job))
         # The side processes' replies tell what never started; they take one round trip.
         until_ms = self._clock.monotonic_ms() + SETTLE_MS
-        while self._has_sent(job) and self._clock.monotonic_ms() < until_ms:
+        while self._sent.of_job(job) and self._clock.monotonic_ms() < until_ms:
             await self._clock.sleep_ms(SETTLE_LOOK_MS)
         self._expiring.discard(job.job_id)
         if self._is_open_here(job):
@@ -332,9 +313,6 @@
     def _is_open_here(self, job: Job) -> bool:
         return job.answer is None and self.table.find(job.job_id) is job
 
-    def _has_sent(self, job: Job) -> bool:
-        return any((job.job_id, index) in self._sent for index in range(len(job.tasks)))
-
     def _left_ms(self, job: Job) -> float:
         """Return the time until a job's answer is of no use, 0 when there is no such time."""
         timeout_ms = job.request.timeout_ms
@@ -373,8 +351,7 @@
         # refuse for the earlier one never stands in the way.
         entry.attempt = max(entry.attempt, self._epoch() << ATTEMPT_BITS) + 1
         entry.side = worker.incarnation
-        worker.outstanding += task.size_slots
-        self._sent[task.job_id, task.index] = _Sent(task, job, self.pool.peers[worker.incarnation])
+        self._sent.add(SentTask(task, job, self.pool.peers[worker.incarnation]))
         waited_ms = self._clock.monotonic_ms() - task.arrived_ms
         return TaskRun(
             task.job_id,
@@ -400,7 +377,9 @@
         except LinkError as error:
             failure = before_sending(str(error))
             for run in runs:
-                self._failed(self._sent[run.job_id, run.index], failure)
+                sent = self._sent.find(run.job_id, run.index)
+                if sent is not None:
+                    self._failed(sent, failure)
             return
         self._metrics.incr("entry.tasks_sent", len(runs))
         for run in runs:
@@ -412,14 +391,13 @@
                 detail=peer.member.name,
             )
 
-    def _unsend(self, sent: _Sent) -> None:
+    def _unsend(self, sent: SentTask) -> None:
         """Take back a task that surely did not start."""
-        del self._sent[sent.task.job_id, sent.task.index]
-        sent.peer.view.outstanding -= sent.task.size_slots
+        self._sent.remove(sent)
         sent.job.tasks[sent.task.index].side = ""
 
     def _failed(
-        self, sent: _Sent, failure: DispatchFailure, reason: RefusedReason | None = None
+        self, sent: SentTask, failure: DispatchFailure, reason: RefusedReason | None = None
     ) -> None:
         """Go on after a failed dispatch: try again only what surely did not start."""
         self._metrics.incr(f"entry.dispatch_failed.{failure.phase}")
@@ -427,8 +405,7 @@
             self._unsend(sent)
             self._retry(sent, failure, reason)
             return
-        del self._sent[sent.task.job_id, sent.task.index]
-        sent.peer.view.outstanding -= sent.task.size_slots
+        self._sent.remove(sent)
         answer = TaskAnswer(failure.task_state, None, failure.cause)
         first = sent.job.end_task(sent.task.index, answer)
         if first and sent.job.job_id not in self._expiring:
@@ -436,7 +413,9 @@
                 self._metrics.incr("entry.task_unknown")
             self._fail(sent.job, failure.code, failure.cause)
 
-    def _retry(self, sent: _Sent, failure: DispatchFailure, reason: RefusedReason | None) -> None:
+    def _retry(
+        self, sent: SentTask, failure: DispatchFailure, reason: RefusedReason | None
+    ) -> None:
         if sent.job.answer is not None or sent.job.job_id in self._expiring:
             return
         if reason is RefusedReason.EXPIRED:
@@ -452,23 +431,23 @@
         self._metrics.incr("entry.task_retried")
         self._requeue_later(sent, delay_ms)
 
-    def _requeue_later(self, sent: _Sent, delay_ms: float) -> None:
+    def _requeue_later(self, sent: SentTask, delay_ms: float) -> None:
         if delay_ms <= 0:
             self._requeue(sent)
         else:
             self._background.spawn(self._requeue_after(sent, delay_ms))
 
-    async def _requeue_after(self, sent: _Sent, delay_ms: float) -> None:
+    async def _requeue_after(self, sent: SentTask, delay_ms: float) -> None:
         await self._clock.sleep_ms(delay_ms)
         self._requeue(sent)
         self.pump()
 
-    def _requeue(self, sent: _Sent) -> None:
+    def _requeue(self, sent: SentTask) -> None:
         if self._is_open_here(sent.job) and sent.job.job_id not in self._expiring:
             self.policies.queue.requeue(sent.task)
 
     def _take_result(self, peer: SidePeer, result: TaskResult) -> None:
-        sent = self._sent.get((result.job_id, result.index))
+        sent = self._sent.find(result.job_id, result.index)
         if sent is None or sent.peer is not peer:
             # It may be late, a second copy, or of a job that has its answer.
             self._metrics.incr("entry.late_result")
@@ -483,15 +462,14 @@
             self._metrics.incr("entry.answer_too_large")
             self._failed(sent, answer_too_large())
             return
-        del self._sent[result.job_id, result.index]
-        peer.view.outstanding -= sent.task.size_slots
+        self._sent.remove(sent)
         if not job.end_task(result.index, TaskAnswer(result.state, result.value)):
             return
         job.answer_bytes += value_bytes
         if job.open_tasks == 0:
             self._finish(job, job.complete())
 
-    def _learn(self, sent: _Sent, result: TaskResult) -> None:
+    def _learn(self, sent: SentTask, result: TaskResult) -> None:
         task = sent.task
         if sent.job.answer is not None:
             # A task that was stopped with its job says nothing of its worker or kind.
@@ -526,29 +504,9 @@
         """Answer a job that cannot complete: waiting tasks are dropped, others stopped."""
         self.policies.queue.discard(job.job_id)
         answer = job.fail(code, reason, owned=self._may_start())
-        self._cancel_sent(job)
+        self._settler.call_back(self._sent.of_job(job))
         self._finish(job, answer)
 
-    def _cancel_sent(self, job: Job) -> None:
-        """Ask the side processes to drop or stop what they have of a job."""
-        by_side: dict[str, list[TaskReference]] = {}
-        for index in range(len(job.tasks)):
-            sent = self._sent.get((job.job_id, index))
-            if sent is not None:
-                reference = TaskReference(job.job_id, index, sent.attempt)
-                by_side.setdefault(sent.peer.member.incarnation, []).append(reference)
-        for incarnation, references in by_side.items():
-            self._post(incarnation, Cancel(references))
-
-    def _post(self, incarnation: str, message: Cancel) -> None:
-        peer = self.pool.peers.get(incarnation) if self.pool else None
-        if peer is None or peer.link is None:
-            return
-        try:
-            peer.link.post(message)
-        except LinkError:
-            self._metrics.incr("entry.cancel_not_sent")
-
     def _attach(self, job: Job, side: str, tasks: list[QueuedTask]) -> None:
         peer = self.pool.peers.get(side) if self.pool else None
         if peer is None:
@@ -556,61 +514,18 @@
                 job.end_task(task.index, TaskAnswer(TaskState.UNKNOWN))
             self._fail(job, "outcome_unknown", "the worker of a started task is gone")
             return
-        for task in tasks:
-            peer.view.outstanding += task.size_slots
-            self._sent[job.job_id, task.index] = _Sent(task, job, peer)
+        left = [SentTask(task, job, peer) for task in tasks]
+        for sent in left:
+            self._sent.add(sent)
         if peer.up:
-            left = [self._sent[job.job_id, task.index] for task in tasks]
             self._background.spawn(self._settle(peer, left))
         else:
-            self._background.spawn(self._lose_later(peer))
+            self._background.spawn(self._settler.lose_later(peer))
 
-    async def _settle(self, peer: SidePeer, left: list[_Sent]) -> bool:
-        """Ask what became of tasks, and go on accordingly; tell whether there was a reply."""
-        references = [
-            TaskReference(sent.task.job_id, sent.task.index, sent.attempt) for sent in left
-        ]
-        if peer.caller is None:
-            return False
-        try:
-            states = await peer.caller.call(
-                lambda call_id: QueryTasks(call_id, references), TaskStates, QUERY_TIMEOUT_MS
-            )
-        except LinkError:
-            if peer.link is not None:
-                await peer.link.close()
-            return False
-        for result in states.ended:
-            self._take_result(peer, result)
-        for reference in states.never:
-            sent = self._sent.get((reference.job_id, reference.index))
-            if sent is not None and sent.peer is peer and sent.attempt == reference.attempt:
-                self._failed(sent, refused(None))
-        known = len(states.ended) + len(states.running) + len(states.never)
-        if states.ended and known < len(left):
-            # The reply was full, so it left the rest out.
-            rest = [each for each in left if self._is_open(each, states)]
-            return await self._settle(peer, rest)
+    async def _settle(self, peer: SidePeer, left: list[SentTask]) -> bool:
+        answered = await self._settler.settle(peer, left)
         self.pump()
-        return True
-
-    def _is_open(self, sent: _Sent, states: TaskStates) -> bool:
-        key = (sent.task.job_id, sent.task.index)
-        running = any((each.job_id, each.index) == key for each in states.running)
-        return not running and self._sent.get(key) is sent
-
-    async def _lose_later(self, peer: SidePeer) -> None:
-        since_ms = peer.down_since_ms
-        await self._clock.sleep_ms(LOST_AFTER_MS)
-        if not peer.up and peer.down_since_ms == since_ms:
-            self._lose(peer)
-
-    def _lose(self, peer: SidePeer) -> None:
-        """Answer the jobs with tasks at a side process that may or may not have run them."""
-        lost = [sent for sent in self._sent.values() if sent.peer is peer]
-        failure = outcome_unknown("the worker of a started task cannot be reached")
-        for sent in lost:
-            self._failed(sent, failure)
+        return answered
 
     def _event(self, kind: str, job: Job, detail: str = "") -> None:
         self._events.record(
--- /dev/null
+++ b/src/currantbarrow/entry/settling.py
@@ -0,0 +1,95 @@
+"""Find out what became of sent tasks, call them back, and give up those that are lost."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from currantbarrow.entry.failures import DispatchFailure, outcome_unknown, refused
+from currantbarrow.entry.sent import SentTask, SentTasks, group_by_peer
+from currantbarrow.entry.sides import SidePeer
+from currantbarrow.exceptions import LinkError
+from currantbarrow.protocol import Cancel, QueryTasks, TaskReference, TaskResult, TaskStates
+from currantbarrow.types import Clock, Metrics
+
+__all__ = ["TaskSettler"]
+
+QUERY_TIMEOUT_MS = 1000.0
+# A side process that stays away longer than this leaves its tasks with unknown outcome.
+LOST_AFTER_MS = 2500.0
+
+
+class TaskSettler:
+    """Talk to side processes about tasks that are out."""
+
+    __slots__ = ("_clock", "_metrics", "_on_failure", "_on_result", "_sent")
+
+    def __init__(
+        self,
+        sent: SentTasks,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        on_result: Callable[[SidePeer, TaskResult], None],
+        on_failure: Callable[[SentTask, DispatchFailure], None],
+    ) -> None:
+        self._sent = sent
+        self._clock = clock
+        self._metrics = metrics
+        self._on_result = on_result
+        self._on_failure = on_failure
+
+    async def settle(self, peer: SidePeer, left: list[SentTask]) -> bool:
+        """Ask what became of tasks, and go on accordingly; tell whether there was a reply."""
+        references = [sent.reference for sent in left]
+        if peer.caller is None:
+            return False
+        try:
+            states = await peer.caller.call(
+                lambda call_id: QueryTasks(call_id, references), TaskStates, QUERY_TIMEOUT_MS
+            )
+        except LinkError:
+            if peer.link is not None:
+                await peer.link.close()
+            return False
+        for result in states.ended:
+            self._on_result(peer, result)
+        for reference in states.never:
+            sent = self._sent.find_at(peer, reference)
+            if sent is not None:
+                self._on_failure(sent, refused(None))
+        known = len(states.ended) + len(states.running) + len(states.never)
+        if states.ended and known < len(left):
+            # The reply was full, so it left the rest out.
+            rest = [sent for sent in left if self._is_open(sent, states.running)]
+            return await self.settle(peer, rest)
+        return True
+
+    async def lose_later(self, peer: SidePeer) -> None:
+        """Give up the tasks at a side process unless it comes back in time."""
+        since_ms = peer.down_since_ms
+        await self._clock.sleep_ms(LOST_AFTER_MS)
+        if not peer.up and peer.down_since_ms == since_ms:
+            self.lose(peer)
+
+    def lose(self, peer: SidePeer) -> None:
+        """Fail the tasks at a side process that may or may not have run them."""
+        failure = outcome_unknown("the worker of a started task cannot be reached")
+        for sent in self._sent.of_peer(peer):
+            # One failure ends its job, which may take others of these tasks along.
+            if self._sent.holds(sent):
+                self._on_failure(sent, failure)
+
+    def call_back(self, tasks: Iterable[SentTask]) -> None:
+        """Ask the side processes to drop or stop tasks."""
+        for peer, group in group_by_peer(tasks).items():
+            if peer.link is None:
+                continue
+            try:
+                peer.link.post(Cancel([sent.reference for sent in group]))
+            except LinkError:
+                self._metrics.incr("entry.cancel_not_sent")
+
+    def _is_open(self, sent: SentTask, running: list[TaskReference]) -> bool:
+        return self._sent.holds(sent) and not any(
+            (each.job_id, each.index) == sent.key for each in running
+        )
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -10,10 +10,12 @@
 
 from currantbarrow.classes import ClassState, change
 from currantbarrow.cluster import Lease
-from currantbarrow.entry.dispatch import Dispatcher
+from currantbarrow.entry.failures import refused
 from currantbarrow.entry.node import EntryNode
 from currantbarrow.entry.ownership import Ownership
 from currantbarrow.entry.router import Router
+from currantbarrow.entry.settling import TaskSettler
+from currantbarrow.entry.sides import SidePeer
 from currantbarrow.exceptions import AppendUnknown, LogUnavailable
 from currantbarrow.jobs import JobAnswer, JobStatus, TaskAnswer, TaskState
 from currantbarrow.jobs.table import Job, JobTable
@@ -68,12 +70,11 @@
 
 
 def treat_lost_as_never_started(patch: Patch) -> None:
-    def requeue(dispatcher: Dispatcher, peer: Any) -> None:
-        for sent in [each for each in dispatcher._sent.values() if each.peer is peer]:
-            dispatcher._unsend(sent)
-            dispatcher._requeue(sent)
+    def requeue(settler: TaskSettler, peer: SidePeer) -> None:
+        for sent in settler._sent.of_peer(peer):
+            settler._on_failure(sent, refused(None))
 
-    patch.setattr(Dispatcher, "_lose", requeue)
+    patch.setattr(TaskSettler, "lose", requeue)
 
 
 def call_lost_not_run(patch: Patch) -> None:
