--- a/src/currantbarrow/entry/handover.py
+++ b/src/currantbarrow/entry/handover.py
@@ -51,6 +51,8 @@
     if row.request is None:
         return None
     job = Job(row.job_id, row.request, now_ms - row.accepted_ago_ms)
+    # The request of a job that is complete comes without its tasks.
+    job.digest = row.digest
     for index, task in enumerate(row.tasks):
         entry = job.tasks[index]
         entry.attempt = task.attempt
--- a/src/currantbarrow/jobs/table.py
+++ b/src/currantbarrow/jobs/table.py
@@ -79,10 +79,9 @@
 
     def end_task(self, index: int, answer: TaskAnswer) -> bool:
         """Record a task's end once; tell whether this was the first time."""
-        entry = self.tasks[index]
-        if entry.answer is not None or self.answer is not None:
+        if self.answer is not None or self.tasks[index].answer is not None:
             return False
-        entry.answer = answer
+        self.tasks[index].answer = answer
         self.open_tasks -= 1
         return True
 
@@ -118,12 +117,17 @@
             for task in self.answer.tasks
         ]
         self.answer = JobAnswer(JobStatus.FAILED, tasks, "result_dropped", reason)
-        for entry, task in zip(self.tasks, tasks, strict=True):
-            entry.answer = task
         self.answer_bytes = 0
         self.future = asyncio.get_running_loop().create_future()
         self.future.set_result(self.answer)
 
+    def compact(self) -> None:
+        """Let go of all that a complete job needs no more; its digest and answer stay."""
+        if self.answer is not None and self.answer.status is JobStatus.COMPLETE:
+            self.request = msgspec.structs.replace(self.request, tasks=[])
+            self.request_bytes = 0
+            self.tasks = []
+
     def complete(self) -> JobAnswer:
         """Return the answer of a job whose tasks are all done."""
         answers = [self._describe(entry, TaskState.UNKNOWN) for entry in self.tasks]
@@ -194,6 +198,7 @@
         """Count a job's answer, and drop the values of the oldest ones beyond the budget."""
         if job.answer is None or self._jobs.get(job.job_id) is not job:
             return
+        job.compact()
         self._answered.append((job.job_id, job.answer_bytes))
         self._answer_bytes += job.answer_bytes
         while self._answer_bytes > self._budget_bytes and self._answered:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -8,7 +8,7 @@
 import pytest
 
 from currantbarrow.entry import EntryNode
-from currantbarrow.exceptions import JobInvalid, OwnershipError
+from currantbarrow.exceptions import JobConflict, JobInvalid, OwnershipError
 from currantbarrow.jobs import JobAnswer, JobRequest, JobStatus, TaskState, make_job_id, shard_of
 from currantbarrow.protocol import HandoverDone, Hello, Message
 from currantbarrow.standins.fleet import Fleet, FleetPlan
@@ -443,3 +443,17 @@
             assert table.find(make_job_id(job)) is None
 
         self.run_bounded(scenario, plan)
+
+
+class TestAnswersKept(OwnershipTest):
+    def test_complete_job_answers_and_conflicts_after_a_planned_restart(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            job = self.make_job_of(fleet, "entry-1", "k", [50.0] * 4)
+            first = await self.submit(fleet, 0, job)
+            await fleet.entries.pop("entry-1").node.drain()
+            assert await self.submit(fleet, 0, job) == first
+            other = JobRequest(job.key, job.created_at_ms, "a", "quote", job.tasks[:3])
+            with pytest.raises(JobConflict):
+                await self.submit(fleet, 0, other)
+
+        self.run_bounded(scenario)
