--- a/src/currantbarrow/bench/ownership.py
+++ b/src/currantbarrow/bench/ownership.py
@@ -15,7 +15,7 @@
 from currantbarrow.standins.fleet import EntryProcess, Fleet, FleetPlan
 from currantbarrow.standins.virtual import run_virtual
 
-__all__ = ["OwnershipFigures", "measure_way"]
+__all__ = ["OWNERS", "OwnershipFigures", "OwnershipRun", "measure_way"]
 
 OWNERS = "owners"
 CLAIMS = "claims in the log"
@@ -61,34 +61,33 @@
     unknown: bool
 
 
-class _Run:
+class OwnershipRun:
     """Run one way through a quiet time, an outage of the log and a crash of an entry."""
 
-    def __init__(self, way: str, seed: int) -> None:
+    def __init__(self, way: str, seed: int, end_ms: float = END_MS) -> None:
         self.fleet = Fleet(FleetPlan(seed=seed))
+        self.seen: list[_Seen] = []
         self._way = way
+        self._end_ms = end_ms
         self._seed = seed
         self._rng = random.Random(seed)
         self._begin_ms = 0.0
-        self._seen: list[_Seen] = []
         self._tasks_sent = 0
         self._followers: list[asyncio.Task[None]] = []
 
     async def measure(self) -> OwnershipFigures:
         """Return the figures of the whole run."""
-        await self.fleet.start({"quote": 300.0})
-        self._install()
-        self._begin_ms = self.fleet.clock.monotonic_ms()
+        await self.begin()
         appends, messages = self.fleet.log.appends, sum(self.fleet.fabric.sent.values())
-        load = asyncio.create_task(self._load())
-        await self._until(OUTAGE_AT_MS)
+        load = asyncio.create_task(self.load())
+        await self.until(OUTAGE_AT_MS)
         appends = self.fleet.log.appends - appends
         messages = sum(self.fleet.fabric.sent.values()) - messages
         per_task = messages / max(1, self._tasks_sent)
         self.fleet.log.faults.down = True
-        await self._until(OUTAGE_AT_MS + OUTAGE_MS)
+        await self.until(OUTAGE_AT_MS + OUTAGE_MS)
         self.fleet.log.faults.down = False
-        await self._until(CRASH_AT_MS)
+        await self.until(CRASH_AT_MS)
         shards_back_ms = await self.crash()
         await load
         for follower in self._followers:
@@ -96,6 +95,12 @@
         await self.fleet.stop()
         return self._figures(per_task, appends / (OUTAGE_AT_MS / 1000), shards_back_ms)
 
+    async def begin(self) -> None:
+        """Start the fleet, and count the time from here."""
+        await self.fleet.start({"quote": 300.0})
+        self._install()
+        self._begin_ms = self.fleet.clock.monotonic_ms()
+
     def _install(self) -> None:
         locks = LockTable()
         for entry in self.fleet.entries.values():
@@ -107,28 +112,33 @@
                 locks.add(entry.node)
                 entry.node.router = ClaimRouter(entry.node, locks, entry.clock)
 
-    async def _until(self, at_ms: float) -> None:
+    async def until(self, at_ms: float) -> None:
+        """Wait until a time of the run."""
         await self.fleet.clock.sleep_ms(self._begin_ms + at_ms - self.fleet.clock.monotonic_ms())
 
     async def crash(self) -> float:
         """Kill an entry; return how long the others took to work on all its shards."""
         await self.fleet.kill_entry("entry-1")
         began_ms = self.fleet.clock.monotonic_ms()
-        while not self._is_settled():
+        while not self.is_settled():
             await self.fleet.clock.sleep_ms(LOOK_MS)
         return self.fleet.clock.monotonic_ms() - began_ms
 
-    def _is_settled(self) -> bool:
+    def is_settled(self) -> bool:
+        """Tell whether the living entries own all shards and may work on them."""
         nodes = [entry.node for entry in self.fleet.entries.values()]
         living = {node.options.incarnation for node in nodes}
         return all(
-            set(node.cluster.assignment.owners) == living and node.ownership.is_settled()
+            set(node.cluster.assignment.owners) == living
+            and node.ownership.is_settled()
+            and node.lease.held()
             for node in nodes
         )
 
-    async def _load(self) -> None:
+    async def load(self) -> None:
+        """Send jobs to the end of the run, and wait for the last answer."""
         callers: list[asyncio.Task[None]] = []
-        while self.fleet.clock.monotonic_ms() - self._begin_ms < END_MS:
+        while self.fleet.clock.monotonic_ms() - self._begin_ms < self._end_ms:
             callers.append(asyncio.create_task(self._call(len(callers))))
             await self.fleet.clock.sleep_ms(self._rng.expovariate(JOBS_PER_S / 1000))
         await asyncio.gather(*callers)
@@ -148,7 +158,7 @@
         unknown = answer is None or TaskState.UNKNOWN in {each.state for each in answer.tasks}
         refused = answer is not None and answer.status is JobStatus.REFUSED
         ratio = response_ms / (max(run_ms) + UNAVOIDABLE_MS)
-        self._seen.append(_Seen(sent_ms - self._begin_ms, response_ms, ratio, refused, unknown))
+        self.seen.append(_Seen(sent_ms - self._begin_ms, response_ms, ratio, refused, unknown))
 
     async def _ask(self, entry: EntryProcess, job: JobRequest) -> JobAnswer | None:
         asking = asyncio.create_task(entry.node.submit(job))
@@ -167,11 +177,11 @@
     def _figures(
         self, messages_per_task: float, appends_per_s: float, shards_back_ms: float
     ) -> OwnershipFigures:
-        quiet = [seen for seen in self._seen if seen.sent_ms < OUTAGE_AT_MS]
+        quiet = [seen for seen in self.seen if seen.sent_ms < OUTAGE_AT_MS]
         outage_end_ms = OUTAGE_AT_MS + OUTAGE_MS
-        outage = [seen for seen in self._seen if OUTAGE_AT_MS <= seen.sent_ms < outage_end_ms]
+        outage = [seen for seen in self.seen if OUTAGE_AT_MS <= seen.sent_ms < outage_end_ms]
         # Jobs that were open at the crash, and those that came after it.
-        crash = [seen for seen in self._seen if seen.sent_ms + seen.response_ms >= CRASH_AT_MS]
+        crash = [seen for seen in self.seen if seen.sent_ms + seen.response_ms >= CRASH_AT_MS]
         ratios = sorted(seen.ratio for seen in quiet)
         return OwnershipFigures(
             self._way,
@@ -190,13 +200,13 @@
 
 def measure_way(way: str, seed: int) -> OwnershipFigures:
     """Return the figures of one way."""
-    return run_virtual(_Run(way, seed).measure())
+    return run_virtual(OwnershipRun(way, seed).measure())
 
 
 async def _measure_silent(seed: int) -> float:
     """Return how long a crashed entry's shards rest while a side process is silent."""
-    run = _Run(OWNERS, seed)
-    await run.fleet.start({"quote": 300.0})
+    run = OwnershipRun(OWNERS, seed)
+    await run.begin()
     run.fleet.pause(SILENT_SIDE)
     back_ms = await run.crash()
     run.fleet.resume(SILENT_SIDE)
