Refuse late copies of refused submissions, and prove departures by their successors

What is left on a link that its peer has replaced is not worked on. A process that joins at the address of departed ones proves that they are gone. A panel whose majority is lost and never replaced still holds takeovers up.

--- a/src/currantbarrow/bench/claims.py
+++ b/src/currantbarrow/bench/claims.py
@@ -139,7 +139,7 @@
         self._claims = claims
         self._time = clock
 
-    async def submit(self, request: JobRequest, hops: int = 0) -> JobAnswer:
+    async def submit(self, request: JobRequest, hops: int = 0, submission: str = "") -> JobAnswer:
         """Return the answer to a job; raise OwnershipError."""
         job_id = make_job_id(request)
         known = self._node.dispatcher.table.find_same(job_id, request)
--- a/src/currantbarrow/cluster/state.py
+++ b/src/currantbarrow/cluster/state.py
@@ -48,6 +48,8 @@
     # Once all assignments from before the record are closed, nobody starts work there.
     settled: bool = False
     offset: int = -1
+    name: str = ""
+    address: str = ""
 
 
 class Assignment(msgspec.Struct, frozen=True):
@@ -192,6 +194,7 @@
                 # Nothing reaches a process whose address another one listens at.
                 proven = member.address == record.address
                 self._leave(offset, member.incarnation, record.at_ms, proven=proven)
+        self._prove_departures(record)
         self.members[record.incarnation] = Member(
             record.role,
             record.name,
@@ -203,11 +206,29 @@
             record.operator_address,
         )
 
+    def _prove_departures(self, record: MemberJoined) -> None:
+        """Take a process at the address of departed ones as the proof of their end."""
+        for index, departure in enumerate(self.departures):
+            succeeded = (departure.role, departure.address) == (record.role, record.address)
+            if succeeded and not departure.proven:
+                self.departures[index] = msgspec.structs.replace(
+                    departure, proven=True, at_ms=max(departure.at_ms, record.at_ms)
+                )
+
     def _leave(self, offset: int, incarnation: str, at_ms: int, *, proven: bool) -> None:
         member = self.members.pop(incarnation, None)
         if member is not None:
             self.departures.append(
-                Departure(member.role, incarnation, at_ms, proven, False, offset)
+                Departure(
+                    member.role,
+                    incarnation,
+                    at_ms,
+                    proven,
+                    False,
+                    offset,
+                    member.name,
+                    member.address,
+                )
             )
 
     def _drain(self, incarnation: str) -> None:
--- a/src/currantbarrow/entry/router.py
+++ b/src/currantbarrow/entry/router.py
@@ -10,6 +10,7 @@
 from currantbarrow.entry.dispatch import Dispatcher
 from currantbarrow.entry.ownership import Ownership, OwnershipOptions
 from currantbarrow.entry.peers import EntryPool
+from currantbarrow.entry.refusals import RefusedSubmissions
 from currantbarrow.exceptions import (
     JobConflict,
     JobInvalid,
@@ -60,6 +61,8 @@
         lease_held: Callable[[], bool],
         classes_known: Callable[[], bool],
     ) -> None:
+        self._refused = RefusedSubmissions(clock)
+        self._submissions = 0
         self._lease_held = lease_held
         self._classes_known = classes_known
         self._owner = owner
@@ -72,15 +75,17 @@
         self._entries = entries
         self._dispatcher = dispatcher
 
-    async def submit(self, request: JobRequest, hops: int = 0) -> JobAnswer:
+    async def submit(self, request: JobRequest, hops: int = 0, submission: str = "") -> JobAnswer:
         """Return the answer to a job; raise JobInvalid, JobConflict or OwnershipError."""
+        if not submission:
+            self._submissions += 1
+            submission = f"{self._owner}/{self._submissions}"
         job_id = make_job_id(request)
-        shard = shard_of(job_id)
         deadline_ms = self._clock.monotonic_ms() + OWNER_WAIT_MS
         while True:
             try:
                 self._check_time(request)
-                return await self._submit_once(request, job_id, shard, hops)
+                return await self._submit_once(request, job_id, hops, submission)
             except (OwnershipError, LinkError) as error:
                 # The key makes it safe to ask again: the owner joins a second copy to the first.
                 if hops or self._clock.monotonic_ms() > deadline_ms:
@@ -153,17 +158,20 @@
             raise _class_unknown(request.job_class, not_run=not_run)
 
     async def _submit_once(
-        self, request: JobRequest, job_id: bytes, shard: int, hops: int
+        self, request: JobRequest, job_id: bytes, hops: int, submission: str
     ) -> JobAnswer:
+        shard = shard_of(job_id)
         owner = self._cluster.assignment.owner_of(shard)
         if owner == self._owner:
             await self._ownership.wait_ready(shard, OWNER_WAIT_MS)
-            return await self._submit_here(request, job_id, shard)
+            return await self._submit_here(request, job_id, submission)
         if not owner or hops >= MAX_HOPS:
             raise OwnershipError("the owner of the shard cannot be reached")
         try:
             reply = await self._way_to(owner, hops).call(
-                lambda call_id: Forward(call_id, request, hops + 1), Forwarded, FORWARD_TIMEOUT_MS
+                lambda call_id: Forward(call_id, request, hops + 1, submission),
+                Forwarded,
+                FORWARD_TIMEOUT_MS,
             )
         except RemoteError as error:
             if error.remote_code == JobConflict.code:
@@ -184,7 +192,8 @@
         self._metrics.incr("entry.relayed")
         return relays[0]
 
-    async def _submit_here(self, request: JobRequest, job_id: bytes, shard: int) -> JobAnswer:
+    async def _submit_here(self, request: JobRequest, job_id: bytes, submission: str) -> JobAnswer:
+        shard = shard_of(job_id)
         job = self._dispatcher.table.find_same(job_id, request)
         if job is not None:
             if job.has_waiting:
@@ -193,6 +202,10 @@
             self._metrics.incr("entry.job_joined")
             return await asyncio.shield(job.future)
         self._require_lease()
+        repeated = self._refused.find(submission, request)
+        if repeated is not None:
+            self._metrics.incr("entry.late_submission")
+            return repeated
         oldest_ms = self._clock.wall_ms() - self._options.window_ms
         if request.created_at_ms <= oldest_ms:
             return self._refuse_unknown(request, "key_expired", "the key is older than the window")
@@ -216,6 +229,7 @@
         else:
             refusal = self._dispatcher.submit(job, target_ms)
             if refusal is not None:
+                self._refused.note(submission, refusal)
                 return refusal
         return await asyncio.shield(job.future)
 
--- a/src/currantbarrow/entry/serving.py
+++ b/src/currantbarrow/entry/serving.py
@@ -87,7 +87,9 @@
         self._links[peer] = link
         try:
             link.post(self._sharing.heartbeat())
-            while True:
+            # What is left of a link that its peer has replaced is not worked on: the peer
+            # has taken those calls for failed.
+            while self._links.get(peer) is link:
                 self._handle(link, await link.receive())
         except LinkError:
             if self._links.get(peer) is link:
@@ -128,7 +130,7 @@
         reply: Reply
         self.answering += 1
         try:
-            answer = await self._router.submit(call.request, call.hops)
+            answer = await self._router.submit(call.request, call.hops, call.submission)
             reply = Forwarded(call.call_id, answer)
         except CurrantbarrowError as error:
             reply = Failure(call.call_id, error.code, str(error))
--- a/src/currantbarrow/protocol/messages.py
+++ b/src/currantbarrow/protocol/messages.py
@@ -262,6 +262,7 @@
 
     request: JobRequest
     hops: int = 0
+    submission: str = ""
 
 
 class Forwarded(Reply, frozen=True):
