--- a/src/currantbarrow/scenario/machine.py
+++ b/src/currantbarrow/scenario/machine.py
@@ -24,6 +24,7 @@
 CLASSES = {"quote": 300.0, "hold": 200.0}
 HEAL_MS = 40_000.0
 NOW = Span(0)
+RETENTION = Span(60_000)
 
 entry_names = st.sampled_from([f"entry-{number}" for number in range(ENTRIES)])
 side_names = st.sampled_from([f"side-{number}" for number in range(SIDES)])
@@ -145,6 +146,11 @@
         """Lose replies to appends that took effect."""
         self._apply(schema.LogLossy(NOW, share, lasts))
 
+    @rule(lasts=spans)
+    def expire_records(self, lasts: Span) -> None:
+        """Let records that are older than the retention expire."""
+        self._apply(schema.LogExpire(NOW, RETENTION, lasts))
+
     @rule(names=st.lists(entry_names, min_size=1, max_size=3, unique=True), first=targets)
     def race_configuration(self, names: list[str], first: Span) -> None:
         """Let operators change one class at once."""
@@ -166,7 +172,7 @@
         """Let a worker break the connection of all that it starts."""
         self._apply(schema.LosesAll(NOW, [name], lasts))
 
-    @rule(duration=st.sampled_from([5, 50, 300, 1000, 3000, 6000, 12_000]))
+    @rule(duration=st.sampled_from([5, 50, 300, 1000, 3000, 6000, 12_000, 40_000]))
     def advance(self, duration: int) -> None:
         """Let time pass."""
         self.loop.run(self._sleep(float(duration)))
