Let a draining entry's responses end their connections

Cause: callers on open connections went on sending to an entry that drains, up to the moment at which it closed them.

Change: from the start of a drain each response carries Connection: close.

Conclusion: a caller's next request goes to another entry; a test sees the header come and go.

--- a/src/currantbarrow/entry/api.py
+++ b/src/currantbarrow/entry/api.py
@@ -9,6 +9,7 @@
 import msgspec
 from sanic import Request, Sanic
 from sanic.exceptions import SanicException
+from sanic.http import Http
 from sanic.response import HTTPResponse
 
 from currantbarrow.entry.http_server import create_app, json_response
@@ -80,6 +81,7 @@
 def _route_jobs(app: Sanic[Any, Any], node: EntryNode, max_tasks: int, max_body_bytes: int) -> None:
     @app.post("/v1/jobs")
     async def submit(request: Request) -> HTTPResponse:
+        _end_connection_if_draining(request, node)
         _check_body(request, max_body_bytes)
         job, wait = read_submission(request.body, max_tasks)
         if wait:
@@ -97,6 +99,7 @@
 
     @app.get("/v1/jobs/<key:str>", unquote=True)
     async def show(request: Request, key: str) -> HTTPResponse:
+        _end_connection_if_draining(request, node)
         customer, created_at_ms = _read_query(request, key)
         answer = await node.router.show(customer, key, created_at_ms)
         if answer is None:
@@ -105,6 +108,7 @@
 
     @app.delete("/v1/jobs/<key:str>", unquote=True)
     async def cancel(request: Request, key: str) -> HTTPResponse:
+        _end_connection_if_draining(request, node)
         customer, created_at_ms = _read_query(request, key)
         answer = await node.router.cancel(customer, key, created_at_ms)
         if answer is None:
@@ -142,6 +146,12 @@
         return describe_internal_error()
 
 
+def _end_connection_if_draining(request: Request, node: EntryNode) -> None:
+    """Make this the connection's last response, so that its caller goes to another entry."""
+    if node.draining and isinstance(request.stream, Http):
+        request.stream.keep_alive = False
+
+
 def _check_body(request: Request, max_body_bytes: int) -> None:
     if len(request.body) > max_body_bytes:
         message = f"a body has at most {max_body_bytes} bytes"
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -214,6 +214,20 @@
         check_documented("/v1/jobs/{key}", "get", reply)
         assert (reply.status, reply.body["code"]) == (404, "job_unknown")
 
+    def test_draining_entry_answers_and_ends_the_connection(
+        self, small_fleet: LoopbackThread
+    ) -> None:
+        node = small_fleet.fleet.entries[0].node
+        node.draining = True
+        try:
+            reply = small_fleet.send("POST", "/v1/jobs", make_body())
+            assert (reply.status, reply.headers["connection"]) == (200, "close")
+            assert small_fleet.send("GET", "/readyz").status == 503
+        finally:
+            node.draining = False
+        reply = small_fleet.send("POST", "/v1/jobs", make_body())
+        assert reply.headers["connection"] == "keep-alive"
+
     def test_health_and_readiness(self, small_fleet: LoopbackThread) -> None:
         assert small_fleet.send("GET", "/healthz").body == {"status": "ok"}
         assert small_fleet.send("GET", "/readyz").body == {"ready": True}
