Report a task that is stopped as it starts, and free its slot

The order in which a successor asked side processes was not the same in each run.

Change: a run is cancelled once, after its first step; before it, it ends by itself.

--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -165,7 +165,7 @@
 
     async def _start_rest(self, job: Job, waiting: list[QueuedTask]) -> None:
         keys = [(job.job_id, index) for index in range(len(job.tasks))]
-        peers = {sent.peer for key in keys if (sent := self._sent.get(key))}
+        peers = dict.fromkeys(sent.peer for key in keys if (sent := self._sent.get(key)))
         for peer in peers:
             while self._is_open_here(job):
                 found = [self._sent.get(key) for key in keys]
--- a/src/currantbarrow/side/runner.py
+++ b/src/currantbarrow/side/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import heapq
 import math
 from collections.abc import Callable
@@ -38,6 +39,7 @@
     """Start queued tasks when slots are free, and report how each ended."""
 
     __slots__ = (
+        "_begun",
         "_clock",
         "_heap",
         "_metrics",
@@ -47,6 +49,7 @@
         "_queued",
         "_running",
         "_sequence",
+        "_stopped",
         "_upstream",
         "_waiting",
         "sizes",
@@ -75,6 +78,9 @@
         self._on_expired = on_expired
         self._heap: list[QueuedRun] = []
         self._queued: dict[tuple[bytes, int], QueuedRun] = {}
+        # Tasks whose run has taken its first step, and those that were stopped before it.
+        self._begun: set[tuple[bytes, int]] = set()
+        self._stopped: set[tuple[bytes, int]] = set()
         self._waiting: set[asyncio.Task[None]] = set()
         self._running: dict[tuple[bytes, int], asyncio.Task[None]] = {}
         self._sequence = 0
@@ -129,7 +135,13 @@
         running = self._running.get((job_id, index))
         if running is None:
             return False
-        running.cancel()
+        if (job_id, index) in self._begun:
+            # A second cancellation would interrupt the clearing up after the first.
+            self._begun.discard((job_id, index))
+            running.cancel()
+        else:
+            # A coroutine that is cancelled before its first step would report nothing.
+            self._stopped.add((job_id, index))
         return True
 
     def abandon(self) -> None:
@@ -178,9 +190,14 @@
         self._running[key] = asyncio.create_task(self._run(task))
 
     async def _run(self, task: TaskRun) -> None:
+        key = (task.job_id, task.index)
         began_ms = self._clock.monotonic_ms()
         try:
-            outcome = await self._run_bounded(task)
+            self._begun.add(key)
+            if key in self._stopped:
+                outcome = TaskRunResult(error="stopped")
+            else:
+                outcome = await self._run_bounded(task)
             state = TaskState.RAN if outcome.error else TaskState.DONE
         except UpstreamError as error:
             outcome, state = TaskRunResult(error=str(error)), TaskState.RAN
@@ -188,9 +205,12 @@
                 self._metrics.incr("side.upstream_lost")
         except asyncio.CancelledError:
             outcome, state = TaskRunResult(error="stopped"), TaskState.RAN
-            await self._upstream.stop(task)
+            with contextlib.suppress(UpstreamError):
+                await self._upstream.stop(task)
         run_ms = self._clock.monotonic_ms() - began_ms
-        del self._running[task.job_id, task.index]
+        del self._running[key]
+        self._begun.discard(key)
+        self._stopped.discard(key)
         self.sizes.pop((task.job_id, task.index), None)
         self.used_slots -= task.size_slots
         self._metrics.timing("side.task_run", run_ms)
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from currantbarrow.cluster import ClusterState
 from currantbarrow.entry.ownership import Ownership, OwnershipOptions
-from currantbarrow.jobs import SHARD_COUNT, TaskRun, shard_of
+from currantbarrow.jobs import SHARD_COUNT, TaskRun, TaskState, shard_of
 from currantbarrow.logservice import AssignmentChanged
 from currantbarrow.observe import EventRing, HybridClock, MetricsBook
-from currantbarrow.protocol import RefusedReason, Start, TaskReference
+from currantbarrow.protocol import RefusedReason, Start, TaskReference, TaskResult
 from currantbarrow.side.gate import Duplicate, StartGate
 from currantbarrow.side.ledger import StartLedger
+from currantbarrow.side.runner import TaskRunner
 from currantbarrow.standins.fleet import Fleet, LoopClock
+from currantbarrow.standins.upstream import MemoryUpstream, StartBook
 from currantbarrow.standins.virtual import run_virtual
 from helpers import FleetTest
 
@@ -133,3 +136,23 @@
             return gate.check(Start(epoch, stamp_ms, [task]), task)
 
         return run_virtual(check())
+
+
+class TestRunner:
+    def test_task_that_is_stopped_as_it_starts_ends_and_frees_its_slot(self) -> None:
+        async def scenario() -> None:
+            clock = LoopClock()
+            ended: list[TaskResult] = []
+            upstream = MemoryUpstream("u", clock, random.Random(1), StartBook())
+            runner = TaskRunner(
+                upstream, clock, MetricsBook(), lambda task: None, ended.append, lambda task: None
+            )
+            runner.slots = 1
+            runner.add(TaskRun(JOB, 0, 1, "quote", "a", {"run_ms": 50.0}, 0.0, 0.0), 1)
+            assert runner.stop(JOB, 0)
+            async with asyncio.timeout(1):
+                await asyncio.sleep(0.1)
+            assert [result.state for result in ended] == [TaskState.RAN]
+            assert (runner.used_slots, runner.running) == (0, 0)
+
+        run_virtual(scenario())
