Close a version once all its owners have left it behind

The same look at takeovers found that their evidence about leases asked the newest panel only, though an owner may have been confirmed under an older one until it was closed. Ruled out: the panel's majority rule itself, which has to hold for owners that cannot be heard. Change: an owner's heartbeats show the newest record that it knows, and it never asks for a lease under an older version; a version counts as closed when each of its owners has shown a newer one or is gone for certain. A takeover also waits out a lease from the time older versions were closed. The newest version still needs its panel's majority, or the panel's replacement.

--- a/src/currantbarrow/cluster/state.py
+++ b/src/currantbarrow/cluster/state.py
@@ -92,6 +92,7 @@
     assignment: Assignment
     panels: dict[str, tuple[str, ...]]
     record_ids: list[str]
+    owners: dict[str, tuple[str, ...]] = {}
 
 
 class ClusterState:
@@ -105,6 +106,7 @@
         "members",
         "offset",
         "panels",
+        "version_owners",
     )
 
     def __init__(self) -> None:
@@ -118,6 +120,8 @@
         self.assignment = Assignment()
         # The panels of versions that may still be open; a takeover has to close them all.
         self.panels: dict[int, tuple[str, ...]] = {}
+        # The owners in those versions; nobody else can hold a lease under them.
+        self.version_owners: dict[int, tuple[str, ...]] = {}
         self._record_ids: collections.OrderedDict[str, None] = collections.OrderedDict()
 
     def apply(self, offset: int, record: Record) -> None:
@@ -147,9 +151,11 @@
     def dump(self) -> Any:
         """Return the state as plain data for a snapshot."""
         panels = {str(version): panel for version, panel in self.panels.items()}
+        owners = {str(version): names for version, names in self.version_owners.items()}
         members = list(self.members.values())
+        departures, record_ids = list(self.departures), list(self._record_ids)
         return msgspec.to_builtins(
-            _Dump(members, list(self.departures), self.assignment, panels, list(self._record_ids))
+            _Dump(members, departures, self.assignment, panels, record_ids, owners)
         )
 
     def load(self, offset: int, plain: Any) -> bool:
@@ -162,6 +168,7 @@
         self.departures = collections.deque(dump.departures, maxlen=REMEMBERED_DEPARTURES)
         self.assignment = dump.assignment
         self.panels = {int(version): panel for version, panel in dump.panels.items()}
+        self.version_owners = {int(version): names for version, names in dump.owners.items()}
         self._record_ids = collections.OrderedDict.fromkeys(dump.record_ids)
         self.offset = offset
         return True
@@ -245,8 +252,10 @@
         version = offset + 1
         self.assignment = self._follow(self.assignment, version, owners, record.panel, closed)
         self.panels[version] = tuple(record.panel)
+        self.version_owners[version] = tuple(sorted(set(owners)))
         for old in [old for old in self.panels if old <= closed]:
             del self.panels[old]
+            self.version_owners.pop(old, None)
         self._settle(closed, record.at_ms)
 
     def _settle(self, closed: int, at_ms: int) -> None:
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -171,6 +171,7 @@
                 self.ownership, lost, to_hand_over
             ),
             is_down=lambda owner: self.entries.down_for_ms(owner) > ENTRY_SUSPECT_MS,
+            heard_version=self.entries.heard_version,
         )
         self.handovers = HandoverSender(
             clock=self._clock,
--- a/src/currantbarrow/entry/ownership.py
+++ b/src/currantbarrow/entry/ownership.py
@@ -83,7 +83,9 @@
         pool: SidePool,
         give_up: Callable[[set[int], set[int]], None],
         is_down: Callable[[str], bool],
+        heard_version: Callable[[str], int],
     ) -> None:
+        self._heard_version = heard_version
         self._owner = owner
         self._state = state
         self._options = options
@@ -99,6 +101,7 @@
         self._background = BackgroundTasks(metrics)
         self._closing = False
         self.closed_version = 0
+        self._closed_ms = 0.0
 
     @property
     def version(self) -> int:
@@ -194,7 +197,7 @@
             return
         self._version = assignment.version
         self._version_since_ms = self._clock.monotonic_ms()
-        self.closed_version = max(self.closed_version, assignment.closed_version)
+        self._note_closed(assignment.closed_version)
         mine = assignment.shards_of(self._owner)
         # A shard that went to another owner and came back between two looks is both
         # lost and gained; the version that gave it tells.
@@ -332,12 +335,14 @@
 
     async def _end_leases(self, version: int, formers: set[str]) -> float:
         """Close all versions before one, and return when the former owners' leases end."""
+        older_closed_ms = self._closed_ms
         open_versions = self._open_versions(version)
         await self._close_versions(version)
         closed_ms = self._clock.monotonic_ms()
         if len(open_versions) != 1:
             # Owners before the former ones may hold leases of older versions.
             return closed_ms + self._options.lease_ms
+        older_end_ms = older_closed_ms + self._options.lease_ms
         (panel,) = open_versions.values()
         callers = [self._caller_of(side) for side in panel]
         youngest_ms = math.inf
@@ -347,7 +352,7 @@
                 return closed_ms + self._options.lease_ms
             youngest_ms = min(youngest_ms, *ages_ms)
         # Each majority that confirmed a lease has a member among those that answered.
-        return closed_ms + self._options.lease_ms - youngest_ms
+        return max(older_end_ms, closed_ms + self._options.lease_ms - youngest_ms)
 
     def _open_versions(self, version: int) -> dict[int, tuple[str, ...]]:
         return {
@@ -365,12 +370,31 @@
                     break
                 self._metrics.incr("entry.close_without_majority")
                 await self._clock.sleep_ms(RETRY_MS)
-        self.closed_version = max(self.closed_version, version - 1)
+        self._note_closed(version - 1)
 
     async def _close_version(self, version: int, panel: tuple[str, ...]) -> bool:
         answers = await asyncio.gather(*(self._ask_close(side, version) for side in panel))
-        self.closed_version = max(self.closed_version, self._state.assignment.closed_version)
-        return sum(answers) >= majority(len(panel))
+        self._note_closed(self._state.assignment.closed_version)
+        return sum(answers) >= majority(len(panel)) or self._is_left_behind(version)
+
+    def _note_closed(self, version: int) -> None:
+        if version > self.closed_version:
+            self.closed_version = version
+            self._closed_ms = self._clock.monotonic_ms()
+
+    def _is_left_behind(self, version: int) -> bool:
+        """Tell whether no owner of a version asks for leases under it any more.
+
+        Each is gone for certain or has said that it knows a newer one, so the version counts
+        as closed even when most of its panel was lost.
+        """
+        owners = self._state.version_owners.get(version, ())
+        return bool(owners) and all(
+            owner == self._owner
+            or self._state.is_proven_gone(owner)
+            or self._heard_version(owner) > version
+            for owner in owners
+        )
 
     async def _ask_close(self, side: str, version: int) -> bool:
         if self._state.is_proven_gone(side):
--- a/src/currantbarrow/entry/peers.py
+++ b/src/currantbarrow/entry/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import random
 from collections.abc import Callable, Iterable
 
@@ -15,6 +16,7 @@
 
 __all__ = ["EntryPeer", "EntryPool"]
 
+HEARD_LIMIT = 1024
 SILENCE_LIMIT_MS = 2500.0
 
 
@@ -58,6 +60,7 @@
         self._sharing = sharing
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._closing: list[asyncio.Task[None]] = []
+        self._heard_versions: collections.OrderedDict[str, int] = collections.OrderedDict()
 
     def sync(self, members: Iterable[Member]) -> None:
         """Open links to new members and drop those that left."""
@@ -86,6 +89,10 @@
             return 0.0
         return self._clock.monotonic_ms() - peer.down_since_ms
 
+    def heard_version(self, incarnation: str) -> int:
+        """Return the newest assignment that an entry said to know, 0 when it said nothing."""
+        return self._heard_versions.get(incarnation, 0)
+
     async def stop(self) -> None:
         """Close all links."""
         for task in self._tasks.values():
@@ -108,18 +115,27 @@
         peer.link, peer.caller, peer.down_since_ms = link, Caller(link), None
         self._on_change()
         try:
-            await self._receive(peer.caller, link)
+            await self._receive(peer, peer.caller, link)
         except LinkError:
             self._close(peer)
             self._on_change()
 
-    async def _receive(self, caller: Caller, link: Link) -> None:
+    async def _receive(self, peer: EntryPeer, caller: Caller, link: Link) -> None:
         while True:
             message = await receive_in_time(link, SILENCE_LIMIT_MS)
             if isinstance(message, Reply):
                 caller.settle(message)
             elif isinstance(message, Heartbeat):
                 self._sharing.note(caller, message)
+                self._hear(peer.member.incarnation, message)
+
+    def _hear(self, incarnation: str, heartbeat: Heartbeat) -> None:
+        # A process acts on a record as it takes it in, and the version follows the offset.
+        known = max(self.heard_version(incarnation), heartbeat.cluster_offset + 1)
+        self._heard_versions[incarnation] = known
+        self._heard_versions.move_to_end(incarnation)
+        while len(self._heard_versions) > HEARD_LIMIT:
+            self._heard_versions.popitem(last=False)
 
     def _close(self, peer: EntryPeer) -> None:
         if peer.caller is not None:
--- a/tests/test_old_owner.py
+++ b/tests/test_old_owner.py
@@ -6,10 +6,11 @@
 
 from currantbarrow.exceptions import OwnershipError
 from currantbarrow.jobs import JobRequest, JobStatus, make_job_id, shard_of
-from currantbarrow.standins.fleet import Fleet
+from currantbarrow.standins.fleet import Fleet, FleetPlan
 from helpers import FleetTest
 
 LEASE_MS = 3000.0
+PERMISSION_MS = 2000.0
 
 
 class TestOldOwner(FleetTest):
@@ -40,6 +41,20 @@
 
         self.run_fleet(scenario)
 
+    def test_version_that_all_owners_left_behind_needs_no_panel_to_be_closed(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            # With one of two members gone, the first panel has no majority ever again.
+            await fleet.kill_side("side-1")
+            await fleet.clock.sleep_ms(30_000)
+            job = self._job_of(fleet, "entry-1")
+            crashed_ms = fleet.clock.monotonic_ms()
+            await fleet.kill_entry("entry-1")
+            answer = await self.submit(fleet, 0, job)
+            assert fleet.clock.monotonic_ms() - crashed_ms <= LEASE_MS + PERMISSION_MS + 2000.0
+            assert answer.status is JobStatus.COMPLETE
+
+        self.run_fleet(scenario, FleetPlan(entries=3, sides=2))
+
     def _job_of(self, fleet: Fleet, entry: str) -> JobRequest:
         """Return a job whose shard an entry owns."""
         owner = fleet.entries[entry].node.options.incarnation
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -90,6 +90,7 @@
             pool=fleet.entries["entry-0"].node.sides,
             give_up=lambda lost, to_hand_over: given.append(to_hand_over),
             is_down=lambda owner: False,
+            heard_version=lambda owner: 0,
         )
 
 
