Ask about tasks that have been out for long

The owner asked about its tasks only when a link broke. Ruled out: a lost reply; the side processes had never heard of the tasks. Change: tasks that have been out for 8 s are asked about; one that its side process does not know is refused there for good and given to another worker.

--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -264,6 +264,10 @@
                 continue
             self._failed(sent, refused(message.reason), message.reason)
 
+    async def run(self) -> None:
+        """Look after tasks that have been out for long, until cancelled."""
+        await self._settler.ask_overdue()
+
     def stop(self) -> None:
         """End the work in the background."""
         self._background.cancel_all()
@@ -351,7 +355,8 @@
         # refuse for the earlier one never stands in the way.
         entry.attempt = max(entry.attempt, self._epoch() << ATTEMPT_BITS) + 1
         entry.side = worker.incarnation
-        self._sent.add(SentTask(task, job, self.pool.peers[worker.incarnation]))
+        peer = self.pool.peers[worker.incarnation]
+        self._sent.add(SentTask(task, job, peer, self._clock.monotonic_ms()))
         waited_ms = self._clock.monotonic_ms() - task.arrived_ms
         return TaskRun(
             task.job_id,
@@ -514,7 +519,8 @@
                 job.end_task(task.index, TaskAnswer(TaskState.UNKNOWN))
             self._fail(job, "outcome_unknown", "the worker of a started task is gone")
             return
-        left = [SentTask(task, job, peer) for task in tasks]
+        now_ms = self._clock.monotonic_ms()
+        left = [SentTask(task, job, peer, now_ms) for task in tasks]
         for sent in left:
             self._sent.add(sent)
         if peer.up:
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -253,6 +253,7 @@
             ),
             asyncio.create_task(self.server.beat()),
             asyncio.create_task(self._look()),
+            asyncio.create_task(self.dispatcher.run()),
             asyncio.create_task(self.sides.beat()),
             asyncio.create_task(self.sharing.run()),
             asyncio.create_task(self._ask_peers()),
--- a/src/currantbarrow/entry/sent.py
+++ b/src/currantbarrow/entry/sent.py
@@ -15,9 +15,11 @@
 class SentTask:
     """Hold a task that was handed to a side process."""
 
-    __slots__ = ("attempt", "job", "peer", "task")
+    __slots__ = ("asked_ms", "attempt", "job", "peer", "task")
 
-    def __init__(self, task: QueuedTask, job: Job, peer: SidePeer) -> None:
+    def __init__(self, task: QueuedTask, job: Job, peer: SidePeer, now_ms: float) -> None:
+        # When the side process was last told of the task, or asked about it.
+        self.asked_ms = now_ms
         self.task = task
         self.attempt = job.tasks[task.index].attempt
         self.job = job
@@ -72,6 +74,10 @@
         found = (self._tasks.get((job.job_id, index)) for index in range(len(job.tasks)))
         return [sent for sent in found if sent is not None]
 
+    def asked_before(self, time_ms: float) -> list[SentTask]:
+        """Return the tasks that are out and were not asked about since a time."""
+        return [sent for sent in self._tasks.values() if sent.asked_ms < time_ms]
+
     def of_peer(self, peer: SidePeer) -> list[SentTask]:
         """Return the tasks that are out at a side process."""
         return [sent for sent in self._tasks.values() if sent.peer is peer]
--- a/src/currantbarrow/entry/settling.py
+++ b/src/currantbarrow/entry/settling.py
@@ -16,6 +16,8 @@
 QUERY_TIMEOUT_MS = 1000.0
 # A side process that stays away longer than this leaves its tasks with unknown outcome.
 LOST_AFTER_MS = 2500.0
+OVERDUE_MS = 8000.0
+OVERDUE_LOOK_MS = 1000.0
 
 
 class TaskSettler:
@@ -64,6 +66,23 @@
             return await self.settle(peer, rest)
         return True
 
+    async def ask_overdue(self) -> None:
+        """Ask about tasks that have been out for long, over and over, until cancelled.
+
+        A start that is held up on its way, with the link open, is thereby found and given
+        to another worker; the side process refuses it when it comes at last.
+        """
+        while True:
+            await self._clock.sleep_ms(OVERDUE_LOOK_MS)
+            now_ms = self._clock.monotonic_ms()
+            overdue = self._sent.asked_before(now_ms - OVERDUE_MS)
+            for peer, group in group_by_peer(overdue).items():
+                for sent in group:
+                    sent.asked_ms = now_ms
+                if peer.up:
+                    self._metrics.incr("entry.overdue_asked", len(group))
+                    await self.settle(peer, group)
+
     async def lose_later(self, peer: SidePeer) -> None:
         """Give up the tasks at a side process unless it comes back in time."""
         since_ms = peer.down_since_ms
--- a/src/currantbarrow/scenario/oracle.py
+++ b/src/currantbarrow/scenario/oracle.py
@@ -15,6 +15,7 @@
     TaskState,
     make_job_id,
 )
+from currantbarrow.standins.fleet import START_WALL_MS
 
 __all__ = ["LEAVING_BOUND_MS", "Oracle", "Promise", "Violation"]
 
@@ -22,6 +23,7 @@
 # A fault may show in answers for this long after it ended.
 DISTURBED_MS = 30_000.0
 # Answers that name a lack of room or the caller's own wish, whatever happens around them.
+OUTCOME_UNKNOWN = "outcome_unknown"
 ORDINARY_CODES = frozenset(
     {
         "overloaded",
@@ -226,6 +228,10 @@
         key.answers.append(answer)
 
     def _check_graceful(self, request: JobRequest, code: str, now_ms: float) -> None:
+        created_ms = request.created_at_ms - START_WALL_MS
+        if code == OUTCOME_UNKNOWN and created_ms <= self._disturbed_until_ms:
+            # Who asks about an old key hears later, too, that a crash took what was known of it.
+            return
         if now_ms > self._disturbed_until_ms and code not in ORDINARY_CODES:
             detail = f"{request.key} got {code} with nothing broken"
             self._break(Promise.GRACEFUL, now_ms, detail)
