--- a/src/currantbarrow/bench/variants.py
+++ b/src/currantbarrow/bench/variants.py
@@ -69,7 +69,7 @@
 
 
 def _least_loaded(policies: Policies, rng: random.Random) -> None:
-    policies.placement = create_least_loaded(rng, "")
+    policies.placement = create_least_loaded(rng)
 
 
 def _no_stragglers(policies: Policies, rng: random.Random) -> None:
--- a/src/currantbarrow/policy/placement.py
+++ b/src/currantbarrow/policy/placement.py
@@ -76,13 +76,12 @@
 
 
 class LeastLoadedPlacement:
-    """Choose the worker with most free slots, near ones first, ties at random."""
+    """Choose the worker with most free slots, ties at random."""
 
-    __slots__ = ("_data_centre", "_rng")
+    __slots__ = ("_rng",)
 
-    def __init__(self, rng: random.Random, data_centre: str) -> None:
+    def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._data_centre = data_centre
 
     def choose(self, task: QueuedTask, workers: Sequence[WorkerView]) -> WorkerView | None:
         """Return the freest worker with room, None to keep the task waiting."""
@@ -170,9 +169,9 @@
     return TwoChoicesPlacement(rng)
 
 
-def create_least_loaded(rng: random.Random, data_centre: str) -> Placement:
+def create_least_loaded(rng: random.Random) -> Placement:
     """Return the placement that looks at all workers."""
-    return LeastLoadedPlacement(rng, data_centre)
+    return LeastLoadedPlacement(rng)
 
 
 def create_headroom(rng: random.Random, data_centre: str) -> Placement:
