Take out a callback and a random generator that nothing used

Cause: a read of the whole change: the pool of entries called back at each change of a link, and its one user passed a function that does nothing; the dispatcher kept a random generator that no policy takes from it. Change: both are gone. Behaviour stays as it was. Measured: formatter, linter and types clean; the whole suite, run in three parts, passed.

--- a/src/currantbarrow/entry/dispatch.py
+++ b/src/currantbarrow/entry/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import random
 from collections.abc import Callable
 
 from currantbarrow.background import BackgroundTasks
@@ -60,7 +59,6 @@
         self,
         *,
         clock: Clock,
-        rng: random.Random,
         metrics: Metrics,
         events: EventRing,
         policies: Policies,
@@ -73,7 +71,6 @@
         self.table = table
         self.pool: SidePool | None = None
         self._clock = clock
-        self._rng = rng
         self._metrics = metrics
         self._events = events
         self._may_start = may_start
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -126,7 +126,6 @@
         )
         self.dispatcher = Dispatcher(
             clock=self._clock,
-            rng=self._rng,
             metrics=self.metrics,
             events=self.events,
             policies=policies,
@@ -150,7 +149,6 @@
             clock=self._clock,
             network=self._network,
             rng=self._rng,
-            on_change=lambda: None,
             sharing=self.sharing,
         )
         times = OwnershipOptions(
--- a/src/currantbarrow/entry/peers.py
+++ b/src/currantbarrow/entry/peers.py
@@ -5,7 +5,7 @@
 import asyncio
 import collections
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from currantbarrow.cluster import Member
 from currantbarrow.entry.dialing import keep_connected, receive_in_time
@@ -48,7 +48,6 @@
         clock: Clock,
         network: Network,
         rng: random.Random,
-        on_change: Callable[[], None],
         sharing: StateSharing,
     ) -> None:
         self.peers: dict[str, EntryPeer] = {}
@@ -56,7 +55,6 @@
         self._clock = clock
         self._network = network
         self._rng = rng
-        self._on_change = on_change
         self._sharing = sharing
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._closing: list[asyncio.Task[None]] = []
@@ -113,12 +111,10 @@
     async def _serve(self, peer: EntryPeer, link: Link) -> None:
         """Take replies until the link closes."""
         peer.link, peer.caller, peer.down_since_ms = link, Caller(link), None
-        self._on_change()
         try:
             await self._receive(peer, peer.caller, link)
         except LinkError:
             self._close(peer)
-            self._on_change()
 
     async def _receive(self, peer: EntryPeer, caller: Caller, link: Link) -> None:
         while True:
