--- /dev/null
+++ b/src/currantbarrow/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatch jobs that live with the entry that took them."""
--- /dev/null
+++ b/src/currantbarrow/direct/desk.py
@@ -0,0 +1,323 @@
+"""Take jobs in, have their tasks run on workers, and settle their answers."""
+
+from __future__ import annotations
+
+import random
+
+from currantbarrow.direct.admission import Backlog, Refusal, admit
+from currantbarrow.direct.estimates import RunTimes
+from currantbarrow.direct.fleet import SideFleet, SideHandle
+from currantbarrow.direct.job import JobTask, OpenJob, longest_chain_ms
+from currantbarrow.direct.model import JobSpec, JobState, Room, WorkQueue
+from currantbarrow.direct.placement import WorkerOffer, choose_worker
+from currantbarrow.direct.standings import StandingBook
+from currantbarrow.direct.urgency import create_times
+from currantbarrow.exceptions import LinkError
+from currantbarrow.observe import logger
+from currantbarrow.protocol.direct import EndRow, RunEnd, RunningRow, Standing, TaskOrder
+from currantbarrow.types import Clock, Metrics
+
+__all__ = ["JobDesk"]
+
+TICK_MS = 25.0
+# A task that a side process turned away waits for newer reports before it is ordered again.
+TURNED_AWAY_MS = 20.0
+# While nothing is known of the fleet, callers are asked to come back after this long.
+UNKNOWN_RETRY_S = 1
+STANDING_OF_STATE = {
+    JobState.COMPLETED: Standing.COMPLETED,
+    JobState.FAILED: Standing.FAILED,
+    JobState.CANCELLED: Standing.CANCELLED,
+    JobState.REFUSED: Standing.REFUSED,
+    JobState.MOVED: Standing.UNKNOWN,
+}
+
+
+class JobDesk:
+    """Own the jobs that this entry has taken."""
+
+    def __init__(
+        self, *, clock: Clock, metrics: Metrics, rng: random.Random, book: StandingBook
+    ) -> None:
+        self.fleet: SideFleet | None = None
+        self.jobs: dict[str, OpenJob] = {}
+        self.run_times = RunTimes()
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+        self._book = book
+        self._entries = 1
+        # Jobs with tasks that wait; the others need no look.
+        self._waiting: dict[str, OpenJob] = {}
+
+    def set_entries(self, count: int) -> None:
+        """Tell how many entries share the workers."""
+        self._entries = max(1, count)
+
+    # Taking jobs in.
+
+    def submit(
+        self, spec: JobSpec, queue: WorkQueue, patience_ms: float, attempts: int = 0
+    ) -> OpenJob | Refusal:
+        """Take a job in, or return why it is not taken."""
+        now_ms = self._clock.monotonic_ms()
+        expected_ms = [
+            self.run_times.expected_ms(queue.name, step.estimate_ms) for step in spec.steps
+        ]
+        chain_ms = longest_chain_ms(spec.steps, expected_ms)
+        times = create_times(now_ms, chain_ms, queue.stretch, queue.target_ms, patience_ms)
+        job = OpenJob(spec, queue, times, expected_ms, attempts)
+        refusal = self._check(job, now_ms)
+        if refusal is not None:
+            self._metrics.incr(f"entry.job_refused.{refusal.reason}")
+            self._log_job("job refused", job, refusal.reason, wait_ms=round(refusal.wait_ms))
+            return refusal
+        self.jobs[spec.job_id] = job
+        self._waiting[spec.job_id] = job
+        self._book.take(spec.job_id)
+        self._metrics.incr("entry.job_accepted")
+        self._log_job("job accepted", job, "", tasks=len(job.tasks), expected_ms=round(chain_ms))
+        self.pump()
+        return job
+
+    def cancel(self, job: OpenJob, reason: str) -> None:
+        """End a job whose answer nobody wants."""
+        if job.state is JobState.OPEN:
+            self._metrics.incr("entry.job_cancelled")
+            self._end(job, JobState.CANCELLED, reason)
+
+    def move(self, job: OpenJob) -> None:
+        """Let go of a job that another entry goes on with."""
+        if job.state is JobState.OPEN:
+            self._metrics.incr("entry.job_moved")
+            self._end(job, JobState.MOVED, "sent again to another entry")
+
+    def pending(self, queue: str) -> int:
+        """Return how many jobs of a queue have no task begun."""
+        return sum(job.queue.name == queue and not job.begun for job in self.jobs.values())
+
+    # Events of the fleet.
+
+    def run_began(self, handle: SideHandle, row: RunningRow) -> None:
+        """Take in that a worker has begun a run."""
+        self._metrics.incr("entry.run_began")
+
+    def run_ended(self, handle: SideHandle, row: EndRow) -> None:
+        """Take in the end of a run."""
+        entry = handle.ordered.pop((row.job, row.step, row.index), None)
+        if entry is None or entry[1].attempts != row.attempt:
+            self._metrics.incr("entry.late_result")
+            return
+        self._settle(*entry, handle, row.end, row.ran_ms)
+
+    def runs_lost(self, handle: SideHandle) -> None:
+        """Take in that nothing ordered over a link goes on."""
+        ordered, handle.ordered = handle.ordered, {}
+        for job, task in ordered.values():
+            self._settle(job, task, handle, RunEnd.LOST, 0.0)
+        self.pump()
+
+    def room_changed(self) -> None:
+        """Use room that there may be now."""
+        self.pump()
+
+    # Ordering runs.
+
+    def pump(self) -> None:
+        """Order the tasks that wait, the most urgent jobs first, as far as there is room."""
+        if not self._waiting or self.fleet is None:
+            return
+        now_ms = self._clock.monotonic_ms()
+        offers = self._offers()
+        blocked: set[str] = set()
+        batches: dict[tuple[str, str], list[JobTask]] = {}
+        for job in sorted(self._waiting.values(), key=lambda job: job.times.rank(now_ms)):
+            service = job.queue.service
+            if service in blocked:
+                continue
+            for task in job.ready_tasks(now_ms):
+                step = job.spec.steps[task.step]
+                offer = choose_worker(
+                    step.room,
+                    step.required_label,
+                    task.avoid,
+                    [each for _, each in offers.get(service, [])],
+                    self._rng,
+                )
+                if offer is None:
+                    # A task that only some workers may run holds up nobody else.
+                    if not step.required_label:
+                        blocked.add(service)
+                    break
+                offer.free = offer.free.minus(step.room)
+                if offer.on_trial:
+                    offer.free = Room()
+                batches.setdefault((job.spec.job_id, offer.worker), []).append(task)
+        for (job_id, worker), tasks in batches.items():
+            handle = next(
+                handle
+                for pairs in offers.values()
+                for handle, each in pairs
+                if each.worker == worker
+            )
+            self._order(self._waiting[job_id], handle, tasks, now_ms)
+        self._forget_ordered()
+
+    def _offers(self) -> dict[str, list[tuple[SideHandle, WorkerOffer]]]:
+        offers: dict[str, list[tuple[SideHandle, WorkerOffer]]] = {}
+        assert self.fleet is not None
+        for handle in self.fleet.handles():
+            offer = handle.offer()
+            if offer is not None and handle.report is not None:
+                offers.setdefault(handle.report.state.service, []).append((handle, offer))
+        return offers
+
+    def _order(self, job: OpenJob, handle: SideHandle, tasks: list[JobTask], now_ms: float) -> None:
+        start_within_ms = job.times.latest_start_ms - now_ms
+        orders = []
+        for task in tasks:
+            room = job.spec.steps[task.step].room
+            task.attempts += 1
+            orders.append(
+                TaskOrder(
+                    task.step,
+                    task.index,
+                    task.attempts,
+                    room.cpu_millis,
+                    room.memory_mb,
+                    room.gpus,
+                    job.expected_ms[task.step],
+                    start_within_ms,
+                )
+            )
+        try:
+            handle.send(job, orders)
+        except LinkError:
+            # Nothing was sent; the tasks wait for the next look.
+            self._metrics.incr("entry.order_unsent", len(orders))
+            return
+        job.begun = True
+        for task in tasks:
+            task.side = handle
+            job.unordered -= 1
+            handle.ordered[job.spec.job_id, task.step, task.index] = (job, task)
+        self._metrics.incr("entry.tasks_sent", len(tasks))
+        self._log_job(
+            "tasks ordered",
+            job,
+            "",
+            worker=handle.worker,
+            tasks=len(tasks),
+            report_age_ms=round(now_ms - handle.watch.heard_ms),
+            slack_ms=round(start_within_ms),
+        )
+
+    def _forget_ordered(self) -> None:
+        for job_id in [job_id for job_id, job in self._waiting.items() if not job.unordered]:
+            del self._waiting[job_id]
+
+    # Ends.
+
+    def _settle(
+        self, job: OpenJob, task: JobTask, handle: SideHandle, end: RunEnd, ran_ms: float
+    ) -> None:
+        if task.side is not handle:
+            return
+        task.side = None
+        job.unordered += 1
+        if job.state is not JobState.OPEN:
+            return
+        now_ms = self._clock.monotonic_ms()
+        if end is RunEnd.DONE:
+            job.unordered -= 1
+            self._take_done(job, task, handle, ran_ms)
+            return
+        self._metrics.incr(f"entry.run_undone.{end.value}")
+        self._waiting[job.spec.job_id] = job
+        if end is RunEnd.NOT_STARTED:
+            task.not_before_ms = now_ms + TURNED_AWAY_MS
+        elif end is RunEnd.FAILED:
+            task.failures += 1
+            task.avoid |= {handle.worker}
+            if task.failures >= job.queue.max_attempts:
+                self._end(job, JobState.FAILED, f"task {task.index} failed {task.failures} times")
+        else:
+            task.avoid |= {handle.worker}
+
+    def _take_done(self, job: OpenJob, task: JobTask, handle: SideHandle, ran_ms: float) -> None:
+        job.finish_task(task)
+        slowness = handle.report.state.slowness if handle.report is not None else 1.0
+        declared_ms = job.spec.steps[task.step].estimate_ms
+        self.run_times.note(job.queue.name, declared_ms, ran_ms / slowness)
+        if job.complete:
+            self._end(job, JobState.COMPLETED)
+
+    def _end(self, job: OpenJob, state: JobState, reason: str = "", retry_after_s: int = 0) -> None:
+        now_ms = self._clock.monotonic_ms()
+        if self.fleet is not None:
+            self.fleet.drop(job)
+        self._waiting.pop(job.spec.job_id, None)
+        self.jobs.pop(job.spec.job_id, None)
+        if STANDING_OF_STATE[state] is not Standing.UNKNOWN:
+            self._book.end(job.spec.job_id, STANDING_OF_STATE[state])
+        job.end(state, reason, retry_after_s)
+        took_ms = now_ms - job.times.received_ms
+        self._metrics.incr(f"entry.job_ended.{state.value}")
+        self._metrics.timing("entry.job_ms", took_ms)
+        self._log_job(
+            "job ended",
+            job,
+            reason,
+            state=state.value,
+            took_ms=round(took_ms),
+            objective_ms=round(job.times.on_time_ms - job.times.received_ms),
+        )
+
+    # Time.
+
+    def tick(self) -> None:
+        """Send away jobs whose time has passed, and order tasks whose pause is over."""
+        now_ms = self._clock.monotonic_ms()
+        for job in list(self._waiting.values()):
+            if job.begun or not job.times.is_late(now_ms):
+                continue
+            refusal = admit(self._backlog(job, now_ms), job.times.last_start_ms - now_ms)
+            if refusal is None and job.times.is_useless(now_ms):
+                refusal = Refusal("overload", UNKNOWN_RETRY_S, 0.0)
+            if refusal is not None:
+                self._metrics.incr("entry.job_refused.late")
+                self._end(job, JobState.REFUSED, "its time passed", refusal.retry_after_s)
+        self.pump()
+
+    # Decisions at the door.
+
+    def _check(self, job: OpenJob, now_ms: float) -> Refusal | None:
+        if self.fleet is None:
+            return Refusal("no_worker", UNKNOWN_RETRY_S, 0.0)
+        largest = self.fleet.largest(job.queue.service)
+        if largest is None:
+            return Refusal("no_worker", UNKNOWN_RETRY_S, 0.0)
+        if any(not largest.holds(step.room) for step in job.spec.steps):
+            return Refusal("too_large", UNKNOWN_RETRY_S, 0.0)
+        return admit(self._backlog(job, now_ms), job.times.latest_start_ms - now_ms)
+
+    def _backlog(self, job: OpenJob, now_ms: float) -> Backlog:
+        """Work out what goes before a job; other entries are taken to wait for as much."""
+        assert self.fleet is not None
+        rank = job.times.rank(now_ms)
+        ahead = total = 0.0
+        for other in self._waiting.values():
+            if other is job or other.queue.service != job.queue.service:
+                continue
+            core_ms = other.waiting_core_ms()
+            total += core_ms
+            if other.times.rank(now_ms) < rank:
+                ahead += core_ms
+        cores = self.fleet.cores(job.queue.service) / self._entries
+        return Backlog(ahead, total + job.waiting_core_ms(), cores)
+
+    def _log_job(self, what: str, job: OpenJob, reason: str, **fields: object) -> None:
+        logger.info(
+            what,
+            extra={"job": job.spec.job_id, "queue": job.queue.name, "reason": reason, **fields},
+        )
--- /dev/null
+++ b/src/currantbarrow/direct/driver.py
@@ -0,0 +1,500 @@
+"""Drive the worker beside a side process: begin, watch and stop runs within its room."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from currantbarrow.background import BackgroundTasks
+from currantbarrow.direct.life import WorkerLife
+from currantbarrow.direct.model import Room
+from currantbarrow.direct.runs import Run, RunPhase
+from currantbarrow.direct.worker import (
+    Announcement,
+    RunSpec,
+    StartAnswer,
+    StartVerdict,
+    WorkerControl,
+    WorkerEnd,
+    WorkerLists,
+)
+from currantbarrow.exceptions import UpstreamError, WorkerReplaced, WorkerSilent, WorkerUnreached
+from currantbarrow.observe import logger
+from currantbarrow.protocol.direct import RunEnd, WorkerState
+from currantbarrow.types import Clock, Metrics
+
+__all__ = ["WorkerDriver"]
+
+# A look waits this long for an end; leases of a second are renewed three times in their length.
+LOOK_WAIT_MS = 300.0
+# Runs whose fate is open are looked at this often.
+OPEN_LOOK_MS = 40.0
+# A worker that gave no answer is asked again after this long.
+SILENT_LOOK_MS = 100.0
+# A worker is beside its side process, so orders take milliseconds; stops are tried again soon.
+STOP_AGAIN_MS = 100.0
+# After a stop is confirmed, the worker lists the end within this time.
+STOP_SETTLE_MS = 80.0
+# An order is given again at most this often after answers that tell what to change in it.
+START_TRIES = 4
+# Run numbers rise by this much when a worker knows of higher ones.
+NUMBER_STEP = 16
+# A fencing token rises by this much when another process has used a higher one: a minute in
+# milliseconds, more than clocks jump.
+TOKEN_STEP = 60_000
+# Names of lives that ended are kept for this many, against their late announcements.
+RETIRED_KEPT = 64
+
+
+class WorkerDriver:
+    """Answer for all runs on the worker beside this process."""
+
+    def __init__(
+        self,
+        control: WorkerControl,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        lease_ms: float,
+        on_begin: Callable[[Run], None],
+        on_end: Callable[[Run, RunEnd], None],
+        on_change: Callable[[], None],
+    ) -> None:
+        self.life: WorkerLife | None = None
+        self.closing = False
+        self._control = control
+        self._clock = clock
+        self._metrics = metrics
+        self._lease_ms = lease_ms
+        self._on_begin = on_begin
+        self._on_end = on_end
+        self._on_change = on_change
+        self._background = BackgroundTasks(metrics)
+        self._work = asyncio.Event()
+        self._retired: list[str] = []
+        self._adopting = ""
+        self._last_token = 0
+
+    # Announcements.
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take what the worker says of itself."""
+        life = self.life
+        if life is not None and life.worker == announcement.worker:
+            self._update(life, announcement)
+        elif announcement.worker in self._retired:
+            # Delayed on its way, it tells of a life that has ended since.
+            self._metrics.incr("side.late_announcement")
+        elif self._adopting != announcement.worker:
+            self._adopting = announcement.worker
+            self._background.spawn(self._adopt(announcement))
+
+    def leave(self, worker: str) -> None:
+        """Take note that a worker has ended."""
+        if self.life is not None and self.life.worker == worker:
+            self._end_life(self.life, "worker left")
+
+    def state(self) -> WorkerState:
+        """Describe the worker."""
+        now_ms = self._clock.monotonic_ms()
+        life = self.life
+        if life is None:
+            return WorkerState("", "", False, 0, 0, 0, 0, 0, 0, 0, 0, 1.0, False, [])
+        capacity = life.announcement.capacity
+        waiting = life.waiting()
+        begun = len(life.runs) - len(waiting)
+        free = life.book.free if life.soundness.may_begin(now_ms, begun) else Room()
+        return WorkerState(
+            life.worker,
+            life.announcement.service,
+            self._accepts(life),
+            capacity.cpu_millis,
+            capacity.memory_mb,
+            capacity.gpus,
+            free.cpu_millis,
+            free.memory_mb,
+            free.gpus,
+            len(waiting),
+            sum(run.room.cpu_millis for run in waiting),
+            life.soundness.slowness,
+            life.soundness.on_trial,
+            sorted(life.announcement.labels),
+        )
+
+    # Orders.
+
+    def order(self, run: Run) -> None:
+        """Begin a run as soon as there is room for it."""
+        life = self.life
+        if life is None or not self._accepts(life) or run.name.task in life.runs:
+            self._refuse(run)
+            return
+        life.runs[run.name.task] = run
+        self.fill()
+
+    def withdraw(self, run: Run, reason: RunEnd = RunEnd.STOPPED) -> None:
+        """End a run before its time."""
+        life = self.life
+        if life is None or run.phase is RunPhase.ENDED:
+            return
+        if run.phase is RunPhase.WAITING:
+            self._finish(life, run, RunEnd.NOT_STARTED)
+            return
+        run.stop_reason = reason
+        if not run.stopping and run.phase is not RunPhase.STARTING:
+            self._stop(life, run)
+        run.stopping = True
+
+    def runs(self) -> list[Run]:
+        """Return the runs whose end is not proven."""
+        return list(self.life.runs.values()) if self.life is not None else []
+
+    def fill(self) -> None:
+        """Begin what waits, the most urgent first, as far as there is room."""
+        life = self.life
+        if life is None or not life.ready:
+            return
+        now_ms = self._clock.monotonic_ms()
+        for run in life.waiting():
+            if not self._accepts(life):
+                self._finish(life, run, RunEnd.NOT_STARTED)
+                continue
+            if not run.session.lease.holds(now_ms):
+                # The entry may have given up on this process by now.
+                self._finish(life, run, RunEnd.NOT_STARTED)
+                continue
+            begun = len(life.runs) - life.count(RunPhase.WAITING)
+            if not life.soundness.may_begin(now_ms, begun):
+                self._finish(life, run, RunEnd.NOT_STARTED)
+                continue
+            if not life.book.book(run.name.task, run.room):
+                break
+            run.phase = RunPhase.STARTING
+            life.number_for(run)
+            self._background.spawn(self._start(life, run))
+
+    def tick(self) -> None:
+        """Look for runs that take too long, and for leases that have lapsed."""
+        life = self.life
+        if life is None or not life.ready:
+            return
+        now_ms = self._clock.monotonic_ms()
+        if life.silent_since_ms is not None and life.has_lapsed(now_ms):
+            for run in list(life.runs.values()):
+                if run.phase is RunPhase.RUNNING:
+                    # Its room stays booked until the worker lists the end.
+                    self._report(run, RunEnd.LOST)
+        self._stop_overdue(life, now_ms)
+
+    async def run(self) -> None:
+        """Look after the worker's runs, until cancelled."""
+        while True:
+            life = self.life
+            if life is None or not life.ready or not life.runs:
+                self._work.clear()
+                await self._work.wait()
+                continue
+            await self._look(life)
+
+    def stop(self) -> None:
+        """End the work in the background."""
+        self._background.cancel_all()
+
+    # Lives of the worker.
+
+    def _accepts(self, life: WorkerLife) -> bool:
+        return (
+            life.ready
+            and not self.closing
+            and not life.announcement.leaving
+            and life.silent_since_ms is None
+        )
+
+    def _update(self, life: WorkerLife, announcement: Announcement) -> None:
+        if announcement.sequence < life.announcement.sequence:
+            self._metrics.incr("side.late_announcement")
+            return
+        began_leaving = announcement.leaving and not life.announcement.leaving
+        life.announcement = announcement
+        life.book.capacity = announcement.capacity
+        if began_leaving:
+            logger.info("worker leaving", extra={"worker": life.worker})
+            self.fill()
+            self._on_change()
+
+    async def _adopt(self, announcement: Announcement) -> None:
+        """Take over a life of the worker, and clear it of runs that nobody answers for."""
+        worker = announcement.worker
+        life = WorkerLife(announcement, self._next_token(), self._lease_ms)
+        try:
+            lists = await self._look_until_clear(life)
+        except UpstreamError as error:
+            # The next announcement begins anew.
+            logger.info("worker not reached", extra={"worker": worker, "error": str(error)})
+            return
+        finally:
+            self._adopting = ""
+        if self.life is not None:
+            self._end_life(self.life, "worker replaced")
+        life.noted = max((end.place for end in lists.ends), default=0)
+        life.ready = True
+        self.life = life
+        logger.info(
+            "worker ready",
+            extra={"worker": worker, "cpu_millis": announcement.capacity.cpu_millis},
+        )
+        self._on_change()
+
+    async def _look_until_clear(self, life: WorkerLife) -> WorkerLists:
+        while True:
+            asked_ms = self._clock.monotonic_ms()
+            lists = await self._control.look(
+                life.worker, life.token, noted=0, lease_until_ms=None, wait_ms=0
+            )
+            if lists is None:
+                life.token = self._next_token()
+                continue
+            life.read_clock(lists.clock_ms, asked_ms)
+            if not lists.running:
+                return lists
+            for name in lists.running:
+                self._metrics.incr("side.stray_run")
+                await self._control.stop(life.worker, name, life.token)
+            await self._clock.sleep_ms(OPEN_LOOK_MS)
+
+    def _next_token(self) -> int:
+        # The time serves as a token that rises over restarts of this process.
+        self._last_token = max(self._last_token + TOKEN_STEP, self._clock.wall_ms())
+        return self._last_token
+
+    def _end_life(self, life: WorkerLife, reason: str) -> None:
+        if life.over:
+            return
+        life.over = True
+        logger.info("worker gone", extra={"worker": life.worker, "reason": reason})
+        self._metrics.incr("side.worker_gone")
+        self._retired = [*self._retired[-RETIRED_KEPT:], life.worker]
+        if self.life is life:
+            self.life = None
+        for run in list(life.runs.values()):
+            begun = run.phase is not RunPhase.WAITING
+            self._finish(life, run, RunEnd.LOST if begun else RunEnd.NOT_STARTED)
+        self._on_change()
+
+    # Runs.
+
+    async def _start(self, life: WorkerLife, run: Run) -> None:
+        asked_ms = self._clock.monotonic_ms()
+        try:
+            answer = await self._give_start(life, run)
+        except WorkerUnreached:
+            self._note_silence(life)
+            self._finish(life, run, RunEnd.NOT_STARTED)
+            return
+        except WorkerReplaced:
+            self._end_life(life, "another life answered")
+            return
+        except WorkerSilent:
+            run.phase = RunPhase.UNSURE
+            run.unsure_ms = self._clock.monotonic_ms()
+            self._metrics.incr("side.start_unanswered")
+            logger.info(
+                "start unanswered",
+                extra={"job": run.name.job, "task": run.name.index, "run": run.name.number},
+            )
+            self._work.set()
+            return
+        self._metrics.timing("side.start_answer_ms", self._clock.monotonic_ms() - asked_ms)
+        self._take_start(life, run, answer)
+
+    def _take_start(self, life: WorkerLife, run: Run, answer: StartAnswer) -> None:
+        if run.phase is not RunPhase.STARTING:
+            # The list of ends overtook the answer.
+            return
+        if answer.verdict is StartVerdict.STARTED:
+            run.begin(self._clock.monotonic_ms())
+            self._metrics.incr("side.task_started")
+            if not run.reported:
+                self._on_begin(run)
+            if run.stopping:
+                self._stop(life, run)
+            self._work.set()
+            return
+        self._metrics.incr(f"side.start_rejected.{answer.verdict.value}")
+        logger.info(
+            "start rejected",
+            extra={
+                "job": run.name.job,
+                "task": run.name.index,
+                "run": run.name.number,
+                "reason": answer.verdict.value,
+            },
+        )
+        invalid = answer.verdict is StartVerdict.INVALID
+        self._finish(life, run, RunEnd.FAILED if invalid else RunEnd.NOT_STARTED)
+
+    async def _give_start(self, life: WorkerLife, run: Run) -> StartAnswer:
+        for _ in range(START_TRIES):
+            asked_ms = self._clock.monotonic_ms()
+            lease_until_ms = life.lease_until_ms(asked_ms)
+            answer = await self._control.start(
+                life.worker, RunSpec(run.name, run.payload), lease_until_ms, life.token
+            )
+            if answer.clock_ms is not None:
+                life.read_clock(answer.clock_ms, asked_ms)
+            if answer.verdict is StartVerdict.FENCED:
+                life.token = self._next_token()
+            elif answer.verdict is StartVerdict.OUTDATED:
+                life.numbers[run.name.task] = run.name.number + NUMBER_STEP
+                life.number_for(run)
+            elif answer.verdict is not StartVerdict.LATE:
+                break
+        return answer
+
+    def _stop(self, life: WorkerLife, run: Run) -> None:
+        run.stopping = True
+        self._background.spawn(self._stop_until_confirmed(life, run))
+
+    async def _stop_until_confirmed(self, life: WorkerLife, run: Run) -> None:
+        while not life.over and run.phase is not RunPhase.ENDED:
+            try:
+                if await self._control.stop(life.worker, run.name, life.token):
+                    run.stopped_ms = self._clock.monotonic_ms()
+                    self._work.set()
+                    return
+                life.token = self._next_token()
+            except WorkerReplaced:
+                self._end_life(life, "another life answered")
+                return
+            except UpstreamError:
+                self._metrics.incr("side.stop_unanswered")
+                await self._clock.sleep_ms(STOP_AGAIN_MS)
+
+    def _stop_overdue(self, life: WorkerLife, now_ms: float) -> None:
+        """Put a worker on trial on which runs of several jobs take too long, and free them."""
+        ratios: dict[str, float] = {}
+        overdue: list[tuple[float, Run]] = []
+        for run in life.runs.values():
+            if run.phase is RunPhase.RUNNING and not run.stopping:
+                ratio = life.soundness.overdue_ratio(now_ms - run.began_ms, run.expected_ms)
+                ratios[run.name.job] = max(ratio, ratios.get(run.name.job, 0.0))
+                overdue.append((ratio, run))
+        if life.soundness.note_overdue(now_ms, list(ratios.values())):
+            logger.info(
+                "worker on trial",
+                extra={"worker": life.worker, "reason": "runs overdue", "runs": len(overdue)},
+            )
+            self._metrics.incr("side.worker_on_trial")
+            self._on_change()
+        if not life.soundness.on_trial:
+            return
+        for ratio, run in overdue:
+            # What was moved once already is likely long by itself.
+            if life.soundness.is_overdue(ratio) and run.attempt == 1:
+                self.withdraw(run, RunEnd.LOST)
+
+    async def _look(self, life: WorkerLife) -> None:
+        asked_ms = self._clock.monotonic_ms()
+        renew = life.silent_since_ms is None
+        is_open = any(run.stopping or run.phase is RunPhase.UNSURE for run in life.runs.values())
+        wait_ms = LOOK_WAIT_MS if renew and not is_open else 0.0
+        try:
+            lists = await self._control.look(
+                life.worker,
+                life.token,
+                noted=life.noted,
+                lease_until_ms=life.lease_until_ms(asked_ms) if renew else None,
+                wait_ms=wait_ms,
+            )
+        except WorkerReplaced:
+            self._end_life(life, "another life answered")
+            return
+        except UpstreamError:
+            self._note_silence(life)
+            await self._clock.sleep_ms(SILENT_LOOK_MS)
+            return
+        if lists is None:
+            life.token = self._next_token()
+            return
+        self._take_lists(life, lists, asked_ms)
+        if is_open and life.runs:
+            await self._clock.sleep_ms(OPEN_LOOK_MS)
+
+    def _take_lists(self, life: WorkerLife, lists: WorkerLists, asked_ms: float) -> None:
+        if life.over:
+            return
+        life.read_clock(lists.clock_ms, asked_ms)
+        if life.silent_since_ms is not None:
+            logger.info("worker answers again", extra={"worker": life.worker})
+            life.silent_since_ms = None
+            self._on_change()
+        for end in lists.ends:
+            if end.place > life.noted:
+                life.noted = end.place
+                self._take_end(life, end)
+        running = set(lists.running)
+        for run in list(life.runs.values()):
+            self._compare(life, run, run.name in running, asked_ms)
+        self.fill()
+
+    def _compare(self, life: WorkerLife, run: Run, listed: bool, asked_ms: float) -> None:
+        """Settle a run whose fate is open by a list that was asked for at a time."""
+        if run.phase is RunPhase.UNSURE and asked_ms > run.unsure_ms:
+            if listed:
+                run.begin(run.unsure_ms)
+            if run.stopping or not listed:
+                if not run.stopping:
+                    self._stop(life, run)
+            elif not run.reported:
+                self._on_begin(run)
+        if listed or not run.stopped_ms or asked_ms < run.stopped_ms + STOP_SETTLE_MS:
+            return
+        self._finish(life, run, run.stop_reason if run.begun else RunEnd.NOT_STARTED)
+
+    def _take_end(self, life: WorkerLife, end: WorkerEnd) -> None:
+        run = life.runs.get(end.name.task)
+        if run is None or run.name != end.name:
+            self._metrics.incr("side.stray_end")
+            return
+        if not run.begun:
+            run.begin(self._clock.monotonic_ms())
+        stopped = end.end in (RunEnd.STOPPED, RunEnd.LOST)
+        self._finish(life, run, run.stop_reason if stopped and run.stopping else end.end)
+
+    def _finish(self, life: WorkerLife, run: Run, end: RunEnd) -> None:
+        """Let go of a run that has surely ended."""
+        if run.phase is RunPhase.ENDED:
+            return
+        now_ms = self._clock.monotonic_ms()
+        if end is RunEnd.DONE:
+            life.soundness.note_done(now_ms - run.began_ms, run.expected_ms)
+        elif end is RunEnd.FAILED and life.soundness.note_failed(run.name.job, now_ms):
+            self._metrics.incr("side.worker_on_trial")
+            logger.info(
+                "worker on trial", extra={"worker": life.worker, "reason": "runs of many jobs fail"}
+            )
+        run.phase = RunPhase.ENDED
+        life.book.release(run.name.task)
+        life.runs.pop(run.name.task, None)
+        self._report(run, end)
+        self._on_change()
+
+    def _refuse(self, run: Run) -> None:
+        run.phase = RunPhase.ENDED
+        self._report(run, RunEnd.NOT_STARTED)
+
+    def _report(self, run: Run, end: RunEnd) -> None:
+        if run.reported:
+            return
+        run.reported = True
+        self._metrics.incr(f"side.run_ended.{end.value}")
+        self._on_end(run, end)
+
+    def _note_silence(self, life: WorkerLife) -> None:
+        if life.silent_since_ms is None:
+            life.silent_since_ms = self._clock.monotonic_ms()
+            self._metrics.incr("side.worker_silent")
+            logger.info("worker silent", extra={"worker": life.worker, "runs": len(life.runs)})
+            self.fill()
+            self._on_change()
+        self._work.set()
--- /dev/null
+++ b/src/currantbarrow/direct/entry.py
@@ -0,0 +1,329 @@
+"""Be an entry of direct dispatch: wire its parts together."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from currantbarrow.direct.admission import Refusal
+from currantbarrow.direct.desk import TICK_MS, JobDesk
+from currantbarrow.direct.fleet import SideFleet
+from currantbarrow.direct.hosts import ConfigurationSource, HostDirectory
+from currantbarrow.direct.job import OpenJob
+from currantbarrow.direct.model import JobSpec, WorkQueue
+from currantbarrow.direct.peers import EntryPeers
+from currantbarrow.direct.routing import Configuration
+from currantbarrow.direct.standings import StandingBook
+from currantbarrow.exceptions import ConfigurationError
+from currantbarrow.observe import logger
+from currantbarrow.protocol import Hello, Role
+from currantbarrow.protocol.direct import HostRow, ShareHosts, Standing
+from currantbarrow.types import Clock, Link, Metrics, Network
+
+__all__ = ["DirectEntry", "DirectEntryOptions"]
+
+# A job that was seen at another entry gets attempts above all that were made there.
+MOVED_ATTEMPTS = 50
+EXPIRE_MS = 1000.0
+RELEASE_LOOK_MS = 5.0
+# How long a job's runs may take to stop when another entry asks for it.
+RELEASE_WAIT_MS = 700.0
+DRAIN_LOOK_MS = 50.0
+
+Parser = Callable[[bytes], Configuration]
+
+
+class DirectEntryOptions(msgspec.Struct, frozen=True):
+    """Set what an entry needs to know of itself."""
+
+    name: str
+    incarnation: str
+    link_address: str
+    data_centre: str
+    # Addresses of entries that may be there already.
+    seeds: tuple[str, ...]
+    # From the order to stop, new jobs are still taken for so long, as callers learn of it late.
+    drain_accept_ms: float
+    # When to be gone after the order to stop.
+    drain_limit_ms: float
+
+
+class DirectEntry:
+    """Take jobs, keep the configuration, and know the other processes."""
+
+    def __init__(
+        self,
+        options: DirectEntryOptions,
+        *,
+        clock: Clock,
+        network: Network,
+        rng: random.Random,
+        metrics: Metrics,
+        directory: HostDirectory,
+        source: ConfigurationSource,
+        parse: Parser,
+    ) -> None:
+        self.options = options
+        self.configured: Configuration | None = None
+        self.draining = False
+        self.book = StandingBook(clock)
+        self.desk = JobDesk(clock=clock, metrics=metrics, rng=rng, book=self.book)
+        self._clock = clock
+        self._network = network
+        self._metrics = metrics
+        self._directory = directory
+        self._source = source
+        self._parse = parse
+        self._hosts: dict[str, HostRow] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._drain_began_ms = 0.0
+        self._hello = Hello(
+            Role.ENTRY, options.name, options.incarnation, data_centre=options.data_centre
+        )
+        self.fleet = SideFleet(
+            self._hello,
+            clock=clock,
+            network=network,
+            rng=rng,
+            metrics=metrics,
+            listener=self.desk,
+        )
+        self.desk.fleet = self.fleet
+        self.peers = EntryPeers(
+            self._hello,
+            options.link_address,
+            self.book,
+            self,
+            clock=clock,
+            network=network,
+            rng=rng,
+            metrics=metrics,
+        )
+
+    async def start(self) -> None:
+        """Listen for links, make this entry known, and look for the others."""
+        await self._network.listen(self.options.link_address, self._hello, self._serve)
+        for seed in self.options.seeds:
+            if seed != self.options.link_address:
+                self.peers.add(seed)
+        self._tasks = [
+            asyncio.create_task(work)
+            for work in (
+                self._directory.publish(self._own_row()),
+                self._directory.follow(self._add_host, self._remove_host),
+                self._source.follow(self.take_configuration),
+                self.fleet.run(),
+                self.peers.run(),
+                self._tick(),
+                self._expire(),
+            )
+        ]
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return not self.draining and self.configured is not None and bool(self.fleet.handles())
+
+    async def drain(self) -> None:
+        """Go on serving until callers have learnt of it and the last answers are out."""
+        self.draining = True
+        self._drain_began_ms = self._clock.monotonic_ms()
+        logger.info("draining", extra={"jobs": len(self.desk.jobs)})
+        await self._directory.withdraw(self._own_row())
+        while not self._has_drained():
+            await self._clock.sleep_ms(DRAIN_LOOK_MS)
+        logger.info("drained", extra={"jobs": len(self.desk.jobs)})
+
+    async def stop(self) -> None:
+        """End at once."""
+        for task in self._tasks:
+            task.cancel()
+        self.fleet.stop()
+        self.peers.stop()
+        await self._network.stop()
+
+    # Jobs.
+
+    async def submit(
+        self, spec: JobSpec, queue: WorkQueue, patience_ms: float
+    ) -> OpenJob | Refusal | Standing:
+        """Take a job in, join it, or return the refusal or how it ended before."""
+        job = self.desk.jobs.get(spec.job_id)
+        if job is not None:
+            self._metrics.incr("entry.job_joined")
+            return job
+        ended = self.book.ended(spec.job_id)
+        if ended in (Standing.COMPLETED, Standing.FAILED):
+            self._metrics.incr("entry.job_repeated")
+            return ended
+        if self.draining and not self._takes_while_draining():
+            return Refusal("draining", 1, 0.0)
+        attempts = 0
+        address = self.book.taken_by(spec.job_id)
+        if address:
+            standing = await self._take_over(spec.job_id, address)
+            if standing in (Standing.COMPLETED, Standing.FAILED):
+                return standing
+            attempts = MOVED_ATTEMPTS
+            # It may have come again meanwhile.
+            job = self.desk.jobs.get(spec.job_id)
+            if job is not None:
+                return job
+        self.peers.note_taken(spec.job_id)
+        return self.desk.submit(spec, queue, patience_ms, attempts)
+
+    async def cancel(self, job_id: str) -> bool:
+        """Cancel a job here or elsewhere; tell whether it was known."""
+        job = self.desk.jobs.get(job_id)
+        if job is not None:
+            self.desk.cancel(job, "cancelled by its caller")
+            return True
+        if self.book.ended(job_id) is not Standing.UNKNOWN:
+            return True
+        return await self.peers.stop_job(job_id)
+
+    def state_of(self, job_id: str) -> Standing:
+        """Return a job's standing here."""
+        return Standing.OPEN if job_id in self.desk.jobs else self.book.ended(job_id)
+
+    async def _take_over(self, job_id: str, address: str) -> Standing:
+        """Have another entry let go of a job that its caller has sent again, to here."""
+        self._metrics.incr("entry.job_sent_again")
+        standing = await self.peers.ask(address, job_id)
+        logger.info(
+            "job sent again",
+            extra={"job": job_id, "address": address, "standing": standing and standing.value},
+        )
+        if standing in (Standing.COMPLETED, Standing.FAILED):
+            return standing
+        if standing is None or standing is Standing.OPEN:
+            # Where that entry can't be asked, the side processes end what it ordered.
+            cleared = await self.fleet.clear(job_id)
+            logger.info("job cleared", extra={"job": job_id, "everywhere": cleared})
+        return Standing.UNKNOWN
+
+    # What peers ask.
+
+    def configuration(self) -> tuple[int, bytes]:
+        """Return the version and the document of the newest configuration."""
+        if self.configured is None:
+            return 0, b""
+        return self.configured.version, self.configured.document
+
+    def hosts(self) -> list[HostRow]:
+        """Return the processes that are known."""
+        return [self._own_row(), *self._hosts.values()]
+
+    def take_configuration(self, document: bytes) -> None:
+        """Put a configuration in force, unless it is older than the present one."""
+        try:
+            configured = self._parse(document)
+        except ConfigurationError as error:
+            self._metrics.incr("entry.configuration_unreadable")
+            logger.warning("configuration unreadable", extra={"error": str(error)})
+            return
+        before = self.configured.version if self.configured is not None else 0
+        if configured.version <= before:
+            return
+        self.configured = configured
+        self._metrics.gauge("entry.configuration_version", configured.version)
+        logger.info(
+            "configuration in force", extra={"version": configured.version, "before": before}
+        )
+
+    def take_hosts(self, rows: list[HostRow]) -> None:
+        """Take in the processes that a peer knows."""
+        for row in rows:
+            if row.address not in self._hosts:
+                self._add_host(row)
+
+    async def standing(self, job: str, release: bool) -> Standing:
+        """Return a job's standing; with release, let go of it first if it is open."""
+        open_job = self.desk.jobs.get(job)
+        if open_job is None:
+            return self.book.ended(job)
+        if not release:
+            return Standing.OPEN
+        self.desk.move(open_job)
+        until_ms = self._clock.monotonic_ms() + RELEASE_WAIT_MS
+        while open_job.ordered_tasks():
+            if self._clock.monotonic_ms() > until_ms:
+                return Standing.OPEN
+            await self._clock.sleep_ms(RELEASE_LOOK_MS)
+        return Standing.UNKNOWN
+
+    def stop_job(self, job: str) -> Standing:
+        """Cancel a job, and return what its standing was."""
+        standing = self.state_of(job)
+        if job in self.desk.jobs:
+            self.desk.cancel(self.desk.jobs[job], "cancelled through another entry")
+        return standing
+
+    # Other processes.
+
+    def _own_row(self) -> HostRow:
+        options = self.options
+        return HostRow(
+            Role.ENTRY.value, options.link_address, options.incarnation, options.data_centre
+        )
+
+    async def _serve(self, link: Link) -> None:
+        if link.peer.role is Role.ENTRY:
+            await self.peers.serve(link)
+            return
+        # A side process that can't reach the directory introduces itself.
+        message = await link.receive()
+        if isinstance(message, ShareHosts):
+            self.take_hosts(message.hosts)
+
+    def _add_host(self, row: HostRow) -> None:
+        if row.address == self.options.link_address:
+            return
+        if row.address not in self._hosts:
+            logger.info("host known", extra={"role": row.role, "address": row.address})
+        self._hosts[row.address] = row
+        if row.role == Role.SIDE.value:
+            self.fleet.add(row.address)
+        elif row.role == Role.ENTRY.value:
+            self.peers.add(row.address)
+        entries = sum(each.role == Role.ENTRY.value for each in self._hosts.values())
+        self.desk.set_entries(entries + 1)
+
+    def _remove_host(self, address: str) -> None:
+        row = self._hosts.pop(address, None)
+        if row is None:
+            return
+        logger.info("host gone", extra={"role": row.role, "address": address})
+        if row.role == Role.SIDE.value:
+            self.fleet.remove(address)
+        else:
+            self.peers.remove(address)
+        entries = sum(each.role == Role.ENTRY.value for each in self._hosts.values())
+        self.desk.set_entries(entries + 1)
+
+    # Time.
+
+    async def _tick(self) -> None:
+        while True:
+            await self._clock.sleep_ms(TICK_MS)
+            self.desk.tick()
+
+    async def _expire(self) -> None:
+        while True:
+            await self._clock.sleep_ms(EXPIRE_MS)
+            self.book.expire()
+            self._metrics.gauge("entry.open_jobs", len(self.desk.jobs))
+
+    def _drained_for_ms(self) -> float:
+        return self._clock.monotonic_ms() - self._drain_began_ms
+
+    def _takes_while_draining(self) -> bool:
+        return self._drained_for_ms() < self.options.drain_accept_ms
+
+    def _has_drained(self) -> bool:
+        waited_ms = self._drained_for_ms()
+        if waited_ms > self.options.drain_limit_ms:
+            return True
+        return not self.desk.jobs and waited_ms > self.options.drain_accept_ms
--- /dev/null
+++ b/src/currantbarrow/direct/fleet.py
@@ -0,0 +1,311 @@
+"""Keep an entry's links to side processes, and what they report."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from currantbarrow.direct.job import JobTask, OpenJob
+from currantbarrow.direct.links import LinkKeeper
+from currantbarrow.direct.model import Room
+from currantbarrow.direct.placement import WorkerOffer
+from currantbarrow.direct.session import SideWatch
+from currantbarrow.exceptions import LinkError
+from currantbarrow.observe import logger
+from currantbarrow.protocol import Caller, Hello, Message, Reply
+from currantbarrow.protocol.direct import (
+    ClearedJob,
+    ClearJob,
+    DropTasks,
+    EndRow,
+    RunningRow,
+    RunTasks,
+    SessionPing,
+    SideReport,
+    TaskOrder,
+)
+from currantbarrow.types import Clock, Link, Metrics, Network
+
+__all__ = ["FleetListener", "SideFleet", "SideHandle"]
+
+# A stamp that is newer by this much is shown at once; side processes report at least as often.
+SHOW_MS = 120.0
+LOOK_MS = 50.0
+# How long to wait for side processes to end another entry's runs; a lease and a stop.
+CLEAR_WAIT_MS = 1000.0
+
+
+class FleetListener(Protocol):
+    """Take in what happens on the side processes."""
+
+    def run_began(self, handle: SideHandle, row: RunningRow) -> None:
+        """Take in that a worker has begun a run."""
+
+    def run_ended(self, handle: SideHandle, row: EndRow) -> None:
+        """Take in the end of a run."""
+
+    def runs_lost(self, handle: SideHandle) -> None:
+        """Take in that nothing ordered over a link goes on, or will."""
+
+    def room_changed(self) -> None:
+        """Use room that there may be now."""
+
+
+class SideHandle:
+    """Hold one link to a side process, and what was ordered over it."""
+
+    __slots__ = (
+        "address",
+        "caller",
+        "link",
+        "lost",
+        "near",
+        "ordered",
+        "pending",
+        "report",
+        "sequence",
+        "shown_ms",
+        "watch",
+    )
+
+    def __init__(self, address: str, link: Link, near: bool, now_ms: float) -> None:
+        self.address = address
+        self.link = link
+        self.near = near
+        self.caller = Caller(link)
+        self.watch = SideWatch(now_ms)
+        self.report: SideReport | None = None
+        self.sequence = 0
+        # The stamp that the side process was last shown.
+        self.shown_ms = 0.0
+        self.lost = False
+        # Room of orders that the newest report does not take into account yet.
+        self.pending: list[tuple[int, Room]] = []
+        # The tasks that were ordered over this link and have not ended.
+        self.ordered: dict[tuple[str, int, int], tuple[OpenJob, JobTask]] = {}
+
+    @property
+    def worker(self) -> str:
+        """Return the worker's name, or nothing before it is known."""
+        return self.report.state.worker if self.report is not None else ""
+
+    def free(self) -> Room:
+        """Return the room that the worker has, as far as this entry knows."""
+        if self.report is None or not self.report.state.accepting:
+            return Room()
+        state = self.report.state
+        # What waits there takes the room before anything new does.
+        free = Room(
+            state.free_cpu_millis - state.waiting_cpu_millis,
+            state.free_memory_mb,
+            state.free_gpus,
+        )
+        for _, room in self.pending:
+            free = free.minus(room)
+        return free
+
+    def offer(self) -> WorkerOffer | None:
+        """Return what the worker has to offer, if it takes runs."""
+        if self.report is None or not self.report.state.accepting:
+            return None
+        state = self.report.state
+        if state.on_trial and (self.pending or state.waiting_tasks):
+            return None
+        slowness = 1.0 if state.on_trial else state.slowness
+        return WorkerOffer(
+            state.worker, self.free(), slowness, self.near, state.on_trial, frozenset(state.labels)
+        )
+
+    def send(self, job: OpenJob, orders: list[TaskOrder]) -> None:
+        """Order runs; raise LinkError when they surely were not."""
+        message = RunTasks(
+            self.watch.stamp_ms, self.sequence + 1, job.spec.job_id, job.spec.payload, orders
+        )
+        self.link.post(message)
+        self.shown_ms = self.watch.stamp_ms
+        self.sequence += 1
+        for order in orders:
+            room = Room(order.cpu_millis, order.memory_mb, order.gpus)
+            self.pending.append((self.sequence, room))
+
+
+class SideFleet:
+    """Know the side processes that this entry has links to."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        *,
+        clock: Clock,
+        network: Network,
+        rng: random.Random,
+        metrics: Metrics,
+        listener: FleetListener,
+    ) -> None:
+        self._hello = hello
+        self._clock = clock
+        self._metrics = metrics
+        self._listener = listener
+        self._keeper = LinkKeeper(
+            hello, self._serve, network=network, clock=clock, rng=rng, metrics=metrics
+        )
+        self._handles: dict[str, SideHandle] = {}
+        # Links that ended with orders on them, with the time when those have surely ended.
+        self._clearing: list[tuple[SideHandle, float]] = []
+
+    @property
+    def add(self) -> Callable[[str], None]:
+        """Keep a link to the side process at an address."""
+        return self._keeper.add
+
+    @property
+    def remove(self) -> Callable[[str], None]:
+        """Let go of the side process at an address."""
+        return self._keeper.remove
+
+    def handles(self) -> list[SideHandle]:
+        """Return the links that are open and answered."""
+        now_ms = self._clock.monotonic_ms()
+        return [
+            handle
+            for handle in self._handles.values()
+            if handle.report is not None and not handle.lost and not handle.watch.is_lost(now_ms)
+        ]
+
+    def cores(self, service: str) -> float:
+        """Return the cores of a service's workers that take runs."""
+        return sum(
+            handle.report.state.capacity_cpu_millis / 1000
+            for handle in self.handles()
+            if handle.report is not None
+            and handle.report.state.service == service
+            and handle.report.state.accepting
+            and not handle.report.state.on_trial
+        )
+
+    def largest(self, service: str) -> Room | None:
+        """Return the room of the largest worker of a service, or None when none is known."""
+        rooms = [
+            Room(state.capacity_cpu_millis, state.capacity_memory_mb, state.capacity_gpus)
+            for state in (handle.report.state for handle in self.handles() if handle.report)
+            if state.service == service
+        ]
+        return max(rooms, key=lambda room: room.cpu_millis) if rooms else None
+
+    def drop(self, job: OpenJob) -> None:
+        """Withdraw a job's runs everywhere."""
+        for handle in {task.side for task in job.ordered_tasks() if task.side is not None}:
+            if handle.lost:
+                continue
+            try:
+                handle.link.post(DropTasks(handle.watch.stamp_ms, job.spec.job_id))
+            except LinkError:
+                # The side process ends them by itself once the link is gone.
+                self._metrics.incr("entry.drop_unsent")
+
+    async def clear(self, job: str) -> bool:
+        """Have other entries' runs of a job ended; tell whether all linked sides have done so."""
+        replies = await asyncio.gather(
+            *(
+                handle.caller.call(
+                    lambda call_id: ClearJob(call_id, job), ClearedJob, CLEAR_WAIT_MS
+                )
+                for handle in self.handles()
+            ),
+            return_exceptions=True,
+        )
+        return not any(isinstance(reply, BaseException) for reply in replies)
+
+    async def run(self) -> None:
+        """Give up on links that are silent, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(LOOK_MS)
+            now_ms = self._clock.monotonic_ms()
+            for handle in list(self._handles.values()):
+                if handle.watch.is_lost(now_ms):
+                    self._lose(handle, "silent")
+            for entry in [entry for entry in self._clearing if now_ms >= entry[1]]:
+                self._clearing.remove(entry)
+                self._listener.runs_lost(entry[0])
+
+    def stop(self) -> None:
+        """Close all links."""
+        self._keeper.stop()
+
+    async def _serve(self, address: str, link: Link) -> None:
+        near = link.peer.data_centre == self._hello.data_centre
+        handle = SideHandle(address, link, near, self._clock.monotonic_ms())
+        self._handles[address] = handle
+        try:
+            while True:
+                self._handle(handle, await link.receive())
+        except LinkError as error:
+            self._lose(handle, str(error))
+        finally:
+            self._lose(handle, "link ended")
+            handle.caller.close()
+
+    def _handle(self, handle: SideHandle, message: Message) -> None:
+        match message:
+            case SideReport():
+                self._take_report(handle, message)
+            case Reply():
+                handle.caller.settle(message)
+            case _:
+                self._metrics.incr("entry.unexpected_message")
+
+    def _take_report(self, handle: SideHandle, report: SideReport) -> None:
+        if handle.lost:
+            return
+        first = handle.report is None or not handle.report.state.worker
+        handle.report = report
+        handle.watch.reported(report.stamp_ms, self._clock.monotonic_ms())
+        handle.pending = [each for each in handle.pending if each[0] > report.seen]
+        if first and report.state.worker:
+            self._note_up(handle)
+        for began in report.began:
+            self._listener.run_began(handle, began)
+        for ended in report.ends:
+            self._listener.run_ended(handle, ended)
+        if handle.watch.stamp_ms - handle.shown_ms >= SHOW_MS:
+            self._show(handle)
+        self._listener.room_changed()
+
+    def _show(self, handle: SideHandle) -> None:
+        """Renew the lease of this entry's orders there."""
+        handle.shown_ms = handle.watch.stamp_ms
+        try:
+            handle.link.post(SessionPing(handle.watch.stamp_ms))
+        except LinkError:
+            # The link's reader notices its end.
+            self._metrics.incr("entry.ping_unsent")
+
+    def _note_up(self, handle: SideHandle) -> None:
+        logger.info("side linked", extra={"address": handle.address, "worker": handle.worker})
+        self._metrics.incr("entry.side_up")
+        # Its first report with a worker tells that all earlier orders there have ended.
+        for entry in [each for each in self._clearing if each[0].address == handle.address]:
+            self._clearing.remove(entry)
+            self._listener.runs_lost(entry[0])
+
+    def _lose(self, handle: SideHandle, reason: str) -> None:
+        if handle.lost:
+            return
+        handle.lost = True
+        handle.link.abort()
+        if self._handles.get(handle.address) is handle:
+            del self._handles[handle.address]
+        logger.info(
+            "side lost",
+            extra={
+                "address": handle.address,
+                "worker": handle.worker,
+                "reason": reason,
+                "runs": len(handle.ordered),
+            },
+        )
+        self._metrics.incr("entry.side_down")
+        cleared_ms = self._clock.monotonic_ms() + SideWatch.cleared_after_ms()
+        self._clearing.append((handle, cleared_ms))
--- /dev/null
+++ b/src/currantbarrow/direct/job.py
@@ -0,0 +1,139 @@
+"""Follow a job from its acceptance to its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from currantbarrow.direct.model import JobSpec, JobState, StepSpec, WorkQueue
+from currantbarrow.direct.urgency import JobTimes
+
+if TYPE_CHECKING:
+    from currantbarrow.direct.fleet import SideHandle
+
+__all__ = ["JobTask", "OpenJob", "longest_chain_ms"]
+
+
+def longest_chain_ms(steps: tuple[StepSpec, ...], expected_ms: list[float]) -> float:
+    """Return how long a job takes when no task of it has to wait for room."""
+    ends_ms: list[float] = []
+    for step, own_ms in zip(steps, expected_ms, strict=True):
+        ends_ms.append(own_ms + max((ends_ms[place] for place in step.after), default=0.0))
+    return max(ends_ms, default=0.0)
+
+
+class JobTask:
+    """Follow one task through its runs."""
+
+    __slots__ = ("attempts", "avoid", "done", "failures", "index", "not_before_ms", "side", "step")
+
+    def __init__(self, step: int, index: int, attempts: int) -> None:
+        self.step = step
+        self.index = index
+        self.attempts = attempts
+        self.failures = 0
+        self.done = False
+        # The link over which its present run was ordered.
+        self.side: SideHandle | None = None
+        # Workers on which it failed.
+        self.avoid: frozenset[str] = frozenset()
+        self.not_before_ms = 0.0
+
+    @property
+    def waits(self) -> bool:
+        """Tell whether the task is neither done nor ordered."""
+        return not self.done and self.side is None
+
+
+class OpenJob:
+    """Hold a job that has no answer yet."""
+
+    __slots__ = (
+        "_left",
+        "begun",
+        "ended",
+        "expected_ms",
+        "queue",
+        "reason",
+        "retry_after_s",
+        "spec",
+        "state",
+        "tasks",
+        "times",
+        "unordered",
+        "waiters",
+    )
+
+    def __init__(
+        self,
+        spec: JobSpec,
+        queue: WorkQueue,
+        times: JobTimes,
+        expected_ms: list[float],
+        attempts: int,
+    ) -> None:
+        self.spec = spec
+        self.queue = queue
+        self.times = times
+        # What a task of each step is expected to run for.
+        self.expected_ms = expected_ms
+        self.state = JobState.OPEN
+        self.ended = asyncio.Event()
+        # A worker may have begun one of its tasks.
+        self.begun = False
+        self.reason = ""
+        self.retry_after_s = 0
+        self.waiters = 0
+        self.tasks = {
+            (place, index): JobTask(place, index, attempts)
+            for place, step in enumerate(spec.steps)
+            for index in range(step.count)
+        }
+        self._left = [step.count for step in spec.steps]
+        # Tasks that wait, whether or not their turn has come.
+        self.unordered = len(self.tasks)
+
+    def ready_tasks(self, now_ms: float) -> list[JobTask]:
+        """Return the tasks that wait and whose turn has come."""
+        if not self.unordered:
+            return []
+        return [
+            task
+            for task in self.tasks.values()
+            if task.waits and now_ms >= task.not_before_ms and self._is_due(task.step)
+        ]
+
+    def finish_task(self, task: JobTask) -> None:
+        """Note that a task is done."""
+        task.done = True
+        task.side = None
+        self._left[task.step] -= 1
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether all tasks are done."""
+        return not any(self._left)
+
+    def ordered_tasks(self) -> list[JobTask]:
+        """Return the tasks that were ordered and have not ended."""
+        return [task for task in self.tasks.values() if task.side is not None]
+
+    def waiting_core_ms(self) -> float:
+        """Return the work of all tasks that wait."""
+        if not self.unordered:
+            return 0.0
+        return sum(
+            self.spec.steps[task.step].room.cpu_millis / 1000 * self.expected_ms[task.step]
+            for task in self.tasks.values()
+            if task.waits
+        )
+
+    def end(self, state: JobState, reason: str = "", retry_after_s: int = 0) -> None:
+        """Set the answer."""
+        self.state = state
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+        self.ended.set()
+
+    def _is_due(self, step: int) -> bool:
+        return not any(self._left[place] for place in self.spec.steps[step].after)
--- /dev/null
+++ b/src/currantbarrow/direct/links.py
@@ -0,0 +1,73 @@
+"""Keep links open to the addresses of other processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable
+
+from currantbarrow.background import BackgroundTasks
+from currantbarrow.exceptions import LinkError
+from currantbarrow.protocol import Hello
+from currantbarrow.types import Clock, Link, Metrics, Network
+
+__all__ = ["LinkKeeper"]
+
+# A process that restarts is back within seconds, and is to be found soon after.
+RECONNECT_FIRST_MS = 50.0
+RECONNECT_LIMIT_MS = 600.0
+
+
+class LinkKeeper:
+    """Dial addresses, serve each link until it ends, and dial again."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        serve: Callable[[str, Link], Awaitable[None]],
+        *,
+        network: Network,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._hello = hello
+        self._serve = serve
+        self._network = network
+        self._clock = clock
+        self._rng = rng
+        self._background = BackgroundTasks(metrics)
+        self._dialing: dict[str, asyncio.Task[None]] = {}
+
+    def add(self, address: str) -> None:
+        """Keep a link to an address from now on."""
+        if address not in self._dialing:
+            self._dialing[address] = self._background.spawn(self._keep(address))
+
+    def remove(self, address: str) -> None:
+        """Let go of an address."""
+        task = self._dialing.pop(address, None)
+        if task is not None:
+            task.cancel()
+
+    def stop(self) -> None:
+        """Let go of all addresses."""
+        self._background.cancel_all()
+
+    async def _keep(self, address: str) -> None:
+        delay_ms = RECONNECT_FIRST_MS
+        while True:
+            try:
+                link = await self._network.connect(address, self._hello)
+            except LinkError:
+                await self._clock.sleep_ms(self._rng.uniform(0.5, 1.0) * delay_ms)
+                delay_ms = min(delay_ms * 2, RECONNECT_LIMIT_MS)
+                continue
+            delay_ms = RECONNECT_FIRST_MS
+            try:
+                with contextlib.suppress(LinkError):
+                    await self._serve(address, link)
+            finally:
+                link.abort()
+            await self._clock.sleep_ms(self._rng.uniform(0.5, 1.0) * delay_ms)
--- /dev/null
+++ b/src/currantbarrow/direct/peers.py
@@ -0,0 +1,238 @@
+"""Tell the other entries which jobs were taken here, and hear what they know."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from currantbarrow.direct.links import LinkKeeper
+from currantbarrow.direct.session import LEASE_MS, PING_MS
+from currantbarrow.direct.standings import StandingBook
+from currantbarrow.exceptions import LinkError, LinkTimeout
+from currantbarrow.observe import logger
+from currantbarrow.protocol import Caller, Hello, Reply
+from currantbarrow.protocol.direct import (
+    EntryPing,
+    HostRow,
+    JobStanding,
+    PeerPing,
+    ShareConfiguration,
+    ShareHosts,
+    ShowStanding,
+    Standing,
+    StopJob,
+)
+from currantbarrow.types import Clock, Link, Metrics, Network
+
+__all__ = ["EntryPeers", "PeerListener"]
+
+# A peer that was asked to let go of a job has to wait for its runs to stop.
+STANDING_WAIT_MS = 900.0
+
+
+class PeerListener(Protocol):
+    """Answer what peers ask, and take in what they tell."""
+
+    def configuration(self) -> tuple[int, bytes]:
+        """Return the version and the document of the newest configuration."""
+
+    def hosts(self) -> list[HostRow]:
+        """Return the processes that are known."""
+
+    def take_configuration(self, document: bytes) -> None:
+        """Take in a configuration that a peer has."""
+
+    def take_hosts(self, rows: list[HostRow]) -> None:
+        """Take in the processes that a peer knows."""
+
+    async def standing(self, job: str, release: bool) -> Standing:
+        """Return a job's standing; with release, let go of it first if it is open."""
+
+    def stop_job(self, job: str) -> Standing:
+        """Cancel a job, and return what its standing was."""
+
+
+class _PeerHandle:
+    """Hold the link that this entry opened to a peer."""
+
+    __slots__ = ("caller", "link", "taken")
+
+    def __init__(self, link: Link, taken: list[str]) -> None:
+        self.link = link
+        self.caller = Caller(link)
+        # Jobs that the peer was not told of yet.
+        self.taken = taken
+
+
+class EntryPeers:
+    """Keep links to the other entries."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        address: str,
+        book: StandingBook,
+        listener: PeerListener,
+        *,
+        clock: Clock,
+        network: Network,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        # Where this entry takes links, by which the peers know it.
+        self._address = address
+        self._book = book
+        self._listener = listener
+        self._clock = clock
+        self._metrics = metrics
+        self._keeper = LinkKeeper(
+            hello, self._serve_own, network=network, clock=clock, rng=rng, metrics=metrics
+        )
+        self._peers: dict[str, _PeerHandle] = {}
+        self._answers: set[asyncio.Task[None]] = set()
+
+    @property
+    def add(self) -> Callable[[str], None]:
+        """Keep a link to the entry at an address."""
+        return self._keeper.add
+
+    @property
+    def remove(self) -> Callable[[str], None]:
+        """Let go of the entry at an address."""
+        return self._keeper.remove
+
+    def count(self) -> int:
+        """Return how many peers are linked."""
+        return len(self._peers)
+
+    def note_taken(self, job: str) -> None:
+        """Have the peers told that a job was taken here."""
+        for peer in self._peers.values():
+            peer.taken.append(job)
+
+    async def ask(self, address: str, job: str) -> Standing | None:
+        """Return a job's standing at a peer that lets go of it, or None when it can't be told."""
+        peer = self._peers.get(address)
+        if peer is None:
+            return None
+        try:
+            reply = await peer.caller.call(
+                lambda call_id: ShowStanding(call_id, job, True), JobStanding, STANDING_WAIT_MS
+            )
+        except LinkError as error:
+            logger.info(
+                "peer did not tell a job's standing",
+                extra={"job": job, "address": address, "error": str(error)},
+            )
+            return None
+        return reply.standing
+
+    async def stop_job(self, job: str) -> bool:
+        """Have a job cancelled at every peer; tell whether one of them had it."""
+        replies = await asyncio.gather(
+            *(
+                peer.caller.call(
+                    lambda call_id: StopJob(call_id, job), JobStanding, STANDING_WAIT_MS
+                )
+                for peer in self._peers.values()
+            ),
+            return_exceptions=True,
+        )
+        known = [reply for reply in replies if isinstance(reply, JobStanding)]
+        return any(reply.standing is not Standing.UNKNOWN for reply in known)
+
+    async def run(self) -> None:
+        """Tell the peers what is new, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(PING_MS)
+            version, _ = self._listener.configuration()
+            for peer in list(self._peers.values()):
+                taken, peer.taken = peer.taken, []
+                try:
+                    peer.link.post(EntryPing(version, taken, self._address))
+                except LinkError:
+                    # The link's reader notices its end; a new link tells recent jobs again.
+                    self._metrics.incr("entry.ping_unsent")
+
+    def stop(self) -> None:
+        """Close all links."""
+        self._keeper.stop()
+        for task in self._answers:
+            task.cancel()
+
+    async def serve(self, link: Link) -> None:
+        """Answer on a link that a peer opened."""
+        version, document = self._listener.configuration()
+        link.post(ShareHosts(self._listener.hosts()))
+        if version:
+            link.post(ShareConfiguration(version, document))
+        while True:
+            message = await link.receive()
+            match message:
+                case EntryPing():
+                    self._book.note_peer(message.address, message.taken)
+                    version = self._share_newer(link, message.configuration, version)
+                    link.post(PeerPing())
+                case ShowStanding():
+                    self._answer(self._show(link, message))
+                case StopJob():
+                    link.post(JobStanding(message.call_id, self._listener.stop_job(message.job)))
+                case ShareHosts():
+                    self._listener.take_hosts(message.hosts)
+                case _:
+                    self._metrics.incr("entry.unexpected_message")
+
+    def _share_newer(self, link: Link, theirs: int, shared: int) -> int:
+        """Hand over a configuration that the peer lacks, once for each version."""
+        version, document = self._listener.configuration()
+        if version > max(theirs, shared):
+            link.post(ShareConfiguration(version, document))
+            return version
+        return shared
+
+    def _answer(self, answering: asyncio.Task[None]) -> None:
+        self._answers.add(answering)
+        answering.add_done_callback(self._answers.discard)
+
+    def _show(self, link: Link, call: ShowStanding) -> asyncio.Task[None]:
+        async def show() -> None:
+            standing = await self._listener.standing(call.job, call.release)
+            if not link.closed:
+                link.post(JobStanding(call.call_id, standing))
+
+        return asyncio.create_task(show())
+
+    async def _serve_own(self, address: str, link: Link) -> None:
+        peer = _PeerHandle(link, self._book.recent())
+        self._peers[address] = peer
+        logger.info("peer linked", extra={"address": address, "peer": link.peer.name})
+        try:
+            while True:
+                await self._receive(peer)
+        except LinkError as error:
+            logger.info("peer lost", extra={"address": address, "error": str(error)})
+            raise
+        finally:
+            peer.caller.close()
+            if self._peers.get(address) is peer:
+                del self._peers[address]
+
+    async def _receive(self, peer: _PeerHandle) -> None:
+        try:
+            async with asyncio.timeout(LEASE_MS / 1000):
+                message = await peer.link.receive()
+        except TimeoutError as error:
+            raise LinkTimeout(f"nothing came from {peer.link.peer.name}") from error
+        match message:
+            case ShareConfiguration():
+                self._listener.take_configuration(message.document)
+            case ShareHosts():
+                self._listener.take_hosts(message.hosts)
+            case PeerPing():
+                pass
+            case Reply():
+                peer.caller.settle(message)
+            case _:
+                self._metrics.incr("entry.unexpected_message")
--- /dev/null
+++ b/src/currantbarrow/direct/session.py
@@ -0,0 +1,66 @@
+"""Bound how long an entry's orders hold at a side process that no longer hears it."""
+
+from __future__ import annotations
+
+__all__ = ["EntryLease", "SideWatch"]
+
+# An entry shows itself this often; four times in a lease, so that one late message harms nothing.
+PING_MS = 200.0
+# After this long without proof that an entry hears a side process, its orders end there. Below
+# the 1.3 s after which a caller tries again elsewhere, less the time that stopping runs takes.
+LEASE_MS = 800.0
+# A side process that died can't have renewed its worker's leases for longer than this.
+WORKER_LEASE_MS = 1000.0
+# A worker's clock may run 2 % slow, and stopping takes up to 50 ms.
+WORKER_SLACK_MS = 120.0
+
+
+class EntryLease:
+    """Tell on a side process's clock whether an entry's orders still hold.
+
+    The side process stamps its reports and the entry returns the stamp of the newest that it
+    heard. An entry gives up on a side process a lease after the last report that it heard, so
+    orders that hold for a lease from that report's stamp have ended by then.
+    """
+
+    __slots__ = ("_heard_ms",)
+
+    def __init__(self, now_ms: float) -> None:
+        self._heard_ms = now_ms
+
+    def heard(self, stamp_ms: float) -> None:
+        """Take the stamp that the entry returned."""
+        self._heard_ms = max(self._heard_ms, stamp_ms)
+
+    def holds(self, now_ms: float) -> bool:
+        """Tell whether orders may be begun and kept running."""
+        return now_ms - self._heard_ms < LEASE_MS
+
+    def age_ms(self, now_ms: float) -> float:
+        """Return how old the newest proof is."""
+        return now_ms - self._heard_ms
+
+
+class SideWatch:
+    """Tell on an entry's clock whether a side process still answers to it."""
+
+    __slots__ = ("heard_ms", "stamp_ms")
+
+    def __init__(self, now_ms: float) -> None:
+        # When the newest report came, on this entry's clock, and its stamp on the sender's.
+        self.heard_ms = now_ms
+        self.stamp_ms = 0.0
+
+    def reported(self, stamp_ms: float, now_ms: float) -> None:
+        """Take a report's stamp."""
+        self.heard_ms = now_ms
+        self.stamp_ms = max(self.stamp_ms, stamp_ms)
+
+    def is_lost(self, now_ms: float) -> bool:
+        """Tell whether to give up on the link."""
+        return now_ms - self.heard_ms >= LEASE_MS
+
+    @staticmethod
+    def cleared_after_ms() -> float:
+        """Return how long after giving up all runs there have surely ended."""
+        return WORKER_LEASE_MS + WORKER_SLACK_MS
--- /dev/null
+++ b/src/currantbarrow/direct/side.py
@@ -0,0 +1,310 @@
+"""Serve entries from the side of a worker: take their orders, report ends and room."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from currantbarrow.background import BackgroundTasks
+from currantbarrow.direct.driver import WorkerDriver
+from currantbarrow.direct.runs import Run
+from currantbarrow.direct.session import PING_MS, EntryLease
+from currantbarrow.direct.worker import Announcement, WorkerControl
+from currantbarrow.exceptions import LinkError
+from currantbarrow.observe import logger
+from currantbarrow.protocol import Hello, Message, Role
+from currantbarrow.protocol.direct import (
+    ClearedJob,
+    ClearJob,
+    DropTasks,
+    EndRow,
+    RunEnd,
+    RunningRow,
+    RunTasks,
+    SessionPing,
+    SideReport,
+)
+from currantbarrow.types import Clock, Link, Metrics, Network
+
+__all__ = ["DirectSide", "DirectSideOptions", "SideSession"]
+
+TICK_MS = 50.0
+# Ends are told at once, but those that come together go together.
+END_DELAY_MS = 2.0
+# Room that others took or gave back is told less often, the more entries there are to tell.
+ROOM_DELAY_MS = 10.0
+# Longer than any order can be on its way to a job that moved to another entry.
+CLEARED_KEPT_MS = 10_000.0
+
+
+class DirectSideOptions(msgspec.Struct, frozen=True):
+    """Set what a side process needs to know of itself."""
+
+    name: str
+    incarnation: str
+    link_address: str
+    data_centre: str
+    # The longest lease that a worker grants.
+    worker_lease_ms: float
+    # How long runs may take to end once this process was told to stop.
+    drain_ms: float
+
+
+class SideSession:
+    """Hold one entry's link with its orders."""
+
+    __slots__ = ("began", "ends", "flush", "flush_at_ms", "lease", "link", "reported_ms", "seen")
+
+    def __init__(self, link: Link, now_ms: float) -> None:
+        self.link = link
+        self.lease = EntryLease(now_ms)
+        self.seen = 0
+        self.ends: list[EndRow] = []
+        self.began: list[RunningRow] = []
+        self.reported_ms = 0.0
+        self.flush: asyncio.TimerHandle | None = None
+        self.flush_at_ms = 0.0
+
+
+class DirectSide:
+    """Be the process beside a worker."""
+
+    def __init__(
+        self,
+        options: DirectSideOptions,
+        control: WorkerControl,
+        *,
+        clock: Clock,
+        network: Network,
+        metrics: Metrics,
+    ) -> None:
+        self.options = options
+        self.address = ""
+        self._clock = clock
+        self._network = network
+        self._metrics = metrics
+        self._background = BackgroundTasks(metrics)
+        self._sessions: list[SideSession] = []
+        # Jobs that moved to another entry, with the link of that entry and the time of the move.
+        self._cleared: dict[str, tuple[Link, float]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self.driver = WorkerDriver(
+            control,
+            clock=clock,
+            metrics=metrics,
+            lease_ms=options.worker_lease_ms,
+            on_begin=self._note_begin,
+            on_end=self._note_end,
+            on_change=self._note_change,
+        )
+
+    async def start(self) -> None:
+        """Listen for entries."""
+        hello = Hello(
+            Role.SIDE,
+            self.options.name,
+            self.options.incarnation,
+            data_centre=self.options.data_centre,
+        )
+        self.address = await self._network.listen(self.options.link_address, hello, self._serve)
+        self._tasks = [
+            asyncio.create_task(self.driver.run()),
+            asyncio.create_task(self._tick()),
+        ]
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take what the worker says of itself."""
+        self.driver.announce(announcement)
+
+    async def drain(self) -> None:
+        """Take no more orders, and wait for the runs to end."""
+        self.driver.closing = True
+        self.driver.fill()
+        self._note_change()
+        until_ms = self._clock.monotonic_ms() + self.options.drain_ms
+        while self.driver.runs() and self._clock.monotonic_ms() < until_ms:
+            await self._clock.sleep_ms(TICK_MS)
+        # The last ends have to be on their way before the links close.
+        await self._clock.sleep_ms(ROOM_DELAY_MS)
+
+    async def stop(self) -> None:
+        """End at once."""
+        for task in self._tasks:
+            task.cancel()
+        self.driver.stop()
+        self._background.cancel_all()
+        await self._network.stop()
+
+    async def _serve(self, link: Link) -> None:
+        await self._end_older(link.peer.incarnation)
+        session = SideSession(link, self._clock.monotonic_ms())
+        self._sessions.append(session)
+        logger.info("entry linked", extra={"entry": link.peer.name})
+        try:
+            self._report(session)
+            while True:
+                self._handle(session, await link.receive())
+        except LinkError as error:
+            logger.info("entry link ended", extra={"entry": link.peer.name, "error": str(error)})
+        finally:
+            self._drop(session)
+
+    async def _end_older(self, incarnation: str) -> None:
+        """Wait until nothing is left of an entry's earlier orders.
+
+        The first report on a new link thereby proves to the entry that they have ended.
+        """
+        for session in list(self._sessions):
+            if session.link.peer.incarnation == incarnation:
+                self._drop(session)
+        while any(
+            run.session.link.peer.incarnation == incarnation and not run.reported
+            for run in self.driver.runs()
+        ):
+            await self._clock.sleep_ms(END_DELAY_MS)
+
+    def _handle(self, session: SideSession, message: Message) -> None:
+        match message:
+            case SessionPing():
+                session.lease.heard(message.heard_ms)
+            case RunTasks():
+                self._take_orders(session, message)
+            case DropTasks():
+                session.lease.heard(message.heard_ms)
+                self._withdraw(session, message.job)
+            case ClearJob():
+                self._background.spawn(self._clear(session, message))
+            case _:
+                self._metrics.incr("side.unexpected_message")
+
+    def _take_orders(self, session: SideSession, orders: RunTasks) -> None:
+        now_ms = self._clock.monotonic_ms()
+        session.lease.heard(orders.heard_ms)
+        session.seen = max(session.seen, orders.sequence)
+        cleared = self._cleared.get(orders.job)
+        moved = cleared is not None and cleared[0] is not session.link
+        for order in orders.tasks:
+            run = Run(session, orders.job, orders.payload, order, now_ms)
+            if moved or not session.lease.holds(now_ms):
+                self._metrics.incr("side.stale_order")
+                logger.info(
+                    "order refused",
+                    extra={
+                        "job": orders.job,
+                        "task": order.index,
+                        "reason": "job moved" if moved else "link lease over",
+                        "age_ms": round(session.lease.age_ms(now_ms)),
+                    },
+                )
+                session.ends.append(run.end_row(RunEnd.NOT_STARTED, now_ms))
+                self._flush_soon(session, END_DELAY_MS)
+            else:
+                self.driver.order(run)
+
+    def _withdraw(self, session: SideSession, job: str) -> None:
+        for run in self.driver.runs():
+            if run.session is session and run.name.job == job:
+                self.driver.withdraw(run)
+
+    async def _clear(self, session: SideSession, call: ClearJob) -> None:
+        now_ms = self._clock.monotonic_ms()
+        self._cleared[call.job] = (session.link, now_ms)
+        others = [
+            run
+            for run in self.driver.runs()
+            if run.name.job == call.job and run.session is not session
+        ]
+        for run in others:
+            self.driver.withdraw(run)
+        while not all(run.reported for run in others):
+            await self._clock.sleep_ms(END_DELAY_MS)
+        if not session.link.closed:
+            session.link.post(ClearedJob(call.call_id))
+
+    async def _tick(self) -> None:
+        while True:
+            await self._clock.sleep_ms(TICK_MS)
+            now_ms = self._clock.monotonic_ms()
+            for session in list(self._sessions):
+                if not session.lease.holds(now_ms):
+                    logger.info(
+                        "entry silent",
+                        extra={
+                            "entry": session.link.peer.name,
+                            "age_ms": round(session.lease.age_ms(now_ms)),
+                        },
+                    )
+                    self._metrics.incr("side.entry_silent")
+                    session.link.abort()
+                    self._drop(session)
+                elif now_ms - session.reported_ms >= PING_MS - TICK_MS:
+                    self._report(session)
+            self.driver.tick()
+            self.driver.fill()
+            for job, (_, cleared_ms) in list(self._cleared.items()):
+                if now_ms - cleared_ms > CLEARED_KEPT_MS:
+                    del self._cleared[job]
+
+    def _drop(self, session: SideSession) -> None:
+        """End what an entry ordered that is gone or no longer hears this process."""
+        if session not in self._sessions:
+            return
+        self._sessions.remove(session)
+        if session.flush is not None:
+            session.flush.cancel()
+        for run in self.driver.runs():
+            if run.session is session:
+                self.driver.withdraw(run)
+
+    def _note_begin(self, run: Run) -> None:
+        run.session.began.append(run.running_row())
+
+    def _note_end(self, run: Run, end: RunEnd) -> None:
+        now_ms = self._clock.monotonic_ms()
+        logger.info(
+            "run ended",
+            extra={
+                "job": run.name.job,
+                "task": run.name.index,
+                "run": run.name.number,
+                "end": end.value,
+                "waited_ms": round((run.began_ms or now_ms) - run.ordered_ms),
+                "ran_ms": round(now_ms - run.began_ms) if run.begun else 0,
+                "expected_ms": round(run.expected_ms),
+            },
+        )
+        run.session.ends.append(run.end_row(end, now_ms))
+        self._flush_soon(run.session, END_DELAY_MS)
+
+    def _note_change(self) -> None:
+        delay_ms = ROOM_DELAY_MS * max(1, len(self._sessions))
+        for session in self._sessions:
+            self._flush_soon(session, delay_ms)
+
+    def _flush_soon(self, session: SideSession, delay_ms: float) -> None:
+        if session not in self._sessions:
+            return
+        due_ms = self._clock.monotonic_ms() + delay_ms
+        if session.flush is not None:
+            if session.flush_at_ms <= due_ms:
+                return
+            session.flush.cancel()
+        loop = asyncio.get_running_loop()
+        session.flush_at_ms = due_ms
+        session.flush = loop.call_later(delay_ms / 1000, self._report, session)
+
+    def _report(self, session: SideSession) -> None:
+        if session.flush is not None:
+            session.flush.cancel()
+            session.flush = None
+        now_ms = self._clock.monotonic_ms()
+        report = SideReport(now_ms, session.seen, self.driver.state(), session.ends, session.began)
+        try:
+            session.link.post(report)
+        except LinkError:
+            # The link's reader ends the session; its ends are told by the next first report.
+            self._metrics.incr("side.owner_unreachable")
+            return
+        session.reported_ms = now_ms
+        session.ends, session.began = [], []
--- a/src/currantbarrow/exceptions.py
+++ b/src/currantbarrow/exceptions.py
@@ -30,6 +30,9 @@
     "UpstreamLost",
     "ValueTooComplex",
     "WaitEnded",
+    "WorkerReplaced",
+    "WorkerSilent",
+    "WorkerUnreached",
 ]
 
 
@@ -205,6 +208,24 @@
     code = "upstream_lost"
 
 
+class WorkerSilent(UpstreamError):
+    """Report an order to a worker that got no answer, so that it may still be carried out."""
+
+    code = "worker_silent"
+
+
+class WorkerUnreached(UpstreamError):
+    """Report an order that surely did not reach its worker."""
+
+    code = "worker_unreached"
+
+
+class WorkerReplaced(UpstreamError):
+    """Report an order that another life of the worker turned away."""
+
+    code = "worker_replaced"
+
+
 class JobInvalid(CurrantbarrowError):
     """Report a submission with a mistake, naming the field at fault."""
 
--- a/src/currantbarrow/observe/clock.py
+++ b/src/currantbarrow/observe/clock.py
@@ -20,7 +20,8 @@
 
     def monotonic_ms(self) -> float:
         """Return a time in milliseconds that never goes back."""
-        return time.monotonic() * 1000
+        # The monotonic clock stands still while a host is suspended; leases must not.
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
     def wall_ms(self) -> int:
         """Return the time since the epoch in milliseconds."""
--- /dev/null
+++ b/src/currantbarrow/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the product and the users' platform; nothing here decides."""
--- /dev/null
+++ b/src/currantbarrow/platform/announcements.py
@@ -0,0 +1,68 @@
+"""Take the announcements of the worker on this host."""
+
+from __future__ import annotations
+
+import msgspec
+from aiohttp import web
+
+from currantbarrow.direct.driver import WorkerDriver
+from currantbarrow.direct.model import Room
+from currantbarrow.direct.worker import Announcement
+from currantbarrow.observe import logger
+from currantbarrow.types import Metrics
+
+__all__ = ["create_announcements_app"]
+
+READY = "ready"
+DRAINING = "draining"
+
+
+class _Capacity(msgspec.Struct):
+    # In thousandths of a core.
+    cpu: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+
+
+class _Beat(msgspec.Struct):
+    service: str
+    state: str
+    capacity: _Capacity
+    sequence: int = 0
+    labels: list[str] = []
+
+
+def create_announcements_app(driver: WorkerDriver, metrics: Metrics) -> web.Application:
+    """Return the application that the worker calls."""
+
+    async def announce(request: web.Request) -> web.Response:
+        worker = request.match_info["worker"]
+        try:
+            beat = msgspec.json.decode(await request.read(), type=_Beat)
+        except msgspec.MsgspecError as error:
+            metrics.incr("side.announcement_unreadable")
+            logger.warning("announcement unreadable", extra={"worker": worker, "error": str(error)})
+            return web.Response(status=400)
+        if beat.state not in (READY, DRAINING):
+            metrics.incr("side.announcement_unreadable")
+            return web.Response(status=400)
+        driver.announce(
+            Announcement(
+                worker,
+                beat.service,
+                Room(beat.capacity.cpu, beat.capacity.mem_mb, beat.capacity.gpus),
+                frozenset(beat.labels),
+                beat.state == DRAINING,
+                beat.sequence,
+            )
+        )
+        return web.json_response({})
+
+    async def leave(request: web.Request) -> web.Response:
+        driver.leave(request.match_info["worker"])
+        return web.json_response({})
+
+    app = web.Application()
+    app.router.add_put("/currantbarrow/instances/{worker}", announce)
+    app.router.add_delete("/currantbarrow/instances/{worker}", leave)
+    return app
--- /dev/null
+++ b/src/currantbarrow/platform/callers.py
@@ -0,0 +1,173 @@
+"""Answer callers of the platform over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from currantbarrow.direct.admission import Refusal
+from currantbarrow.direct.entry import DirectEntry
+from currantbarrow.direct.job import OpenJob
+from currantbarrow.direct.model import JobState, WorkQueue
+from currantbarrow.exceptions import JobInvalid
+from currantbarrow.observe import logger
+from currantbarrow.platform.jobs import read_job
+from currantbarrow.protocol.direct import Standing
+from currantbarrow.types import Metrics
+
+__all__ = ["create_callers_app", "create_readiness_app"]
+
+PATIENCE_HEADER = "X-Deadline-Ms"
+# While there is no configuration, callers are asked to come back after this long.
+UNCONFIGURED_RETRY_S = 1
+UNSUPPORTED_RETRY_S = 30
+READY_PATH = "/currantbarrow/readiness"
+STATE_OF_STANDING = {
+    Standing.OPEN: "running",
+    Standing.COMPLETED: "completed",
+    Standing.FAILED: "failed",
+    Standing.CANCELLED: "cancelled",
+}
+
+
+class _StateBody(msgspec.Struct):
+    state: str
+
+
+class _CountBody(msgspec.Struct):
+    pending: int
+
+
+class _ErrorBody(msgspec.Struct):
+    code: str
+    detail: str = ""
+
+
+class CallersApi:
+    """Translate callers' requests into calls of the entry, and its answers back."""
+
+    def __init__(self, entry: DirectEntry, metrics: Metrics) -> None:
+        self._entry = entry
+        self._metrics = metrics
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answer one request."""
+        response = await self._answer(request)
+        if self._entry.draining:
+            # Its next request should go to another entry.
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        configured = self._entry.configured
+        if configured is None:
+            return _refuse("no configuration yet", UNCONFIGURED_RETRY_S)
+        queue = configured.find(request.host.partition(":")[0], request.path)
+        if queue is None:
+            self._metrics.incr("entry.unknown_queue")
+            return _reply(404, _ErrorBody("unknown_queue"))
+        job_id = request.path[len(queue.path_prefix) :]
+        if request.method == "POST":
+            return await self._submit(request, queue, job_id)
+        if request.method == "GET":
+            return self._show(queue, job_id)
+        if request.method == "DELETE":
+            known = await self._entry.cancel(job_id)
+            return _reply(200 if known else 410, _StateBody("cancelled"))
+        return _reply(405, _ErrorBody("method_not_allowed"))
+
+    def _show(self, queue: WorkQueue, job_id: str) -> web.Response:
+        if not job_id:
+            return _reply(200, _CountBody(self._entry.desk.pending(queue.name)))
+        state = STATE_OF_STANDING.get(self._entry.state_of(job_id))
+        if state is None:
+            return _reply(410, _ErrorBody("job_unknown"))
+        return _reply(200, _StateBody(state))
+
+    async def _submit(self, request: web.Request, queue: WorkQueue, job_id: str) -> web.Response:
+        try:
+            spec = read_job(job_id, await request.read())
+        except JobInvalid as error:
+            return self._refuse_invalid(job_id, queue, error)
+        if queue.needs_advice:
+            return self._refuse_invalid(
+                job_id, queue, JobInvalid("not served: advice", code="unsupported")
+            )
+        outcome = await self._entry.submit(spec, queue, _read_patience(request))
+        if isinstance(outcome, Refusal):
+            return _refuse(outcome.reason, outcome.retry_after_s)
+        if isinstance(outcome, OpenJob):
+            return await self._wait(outcome)
+        return _reply(200, _StateBody(STATE_OF_STANDING[outcome]))
+
+    def _refuse_invalid(self, job_id: str, queue: WorkQueue, error: JobInvalid) -> web.Response:
+        self._metrics.incr(f"entry.job_refused.{error.code}")
+        logger.info(
+            "job refused",
+            extra={"job": job_id, "queue": queue.name, "reason": error.code, "error": str(error)},
+        )
+        if error.code == "unsupported":
+            return _refuse(str(error), UNSUPPORTED_RETRY_S)
+        return _reply(400, _ErrorBody(error.code, str(error)))
+
+    async def _wait(self, job: OpenJob) -> web.Response:
+        job.waiters += 1
+        try:
+            await job.ended.wait()
+        except asyncio.CancelledError:
+            if job.waiters == 1:
+                self._entry.desk.cancel(job, "its caller left")
+            raise
+        finally:
+            job.waiters -= 1
+        match job.state:
+            case JobState.COMPLETED:
+                return _reply(200, _StateBody("completed"))
+            case JobState.FAILED:
+                return _reply(200, _StateBody("failed"))
+            case JobState.CANCELLED:
+                return _reply(200, _StateBody("cancelled"))
+            case JobState.REFUSED:
+                return _refuse(job.reason, job.retry_after_s)
+            case _:
+                # The caller has sent it again elsewhere and gets its answer there.
+                return _reply(502, _ErrorBody("job_moved"))
+
+
+def create_callers_app(entry: DirectEntry, metrics: Metrics) -> web.Application:
+    """Return the application that callers reach."""
+    app = web.Application(client_max_size=1024 * 1024)
+    app.router.add_route("*", "/{path:.*}", CallersApi(entry, metrics).handle)
+    return app
+
+
+def create_readiness_app(entry: DirectEntry) -> web.Application:
+    """Return the application that the platform's balancer asks."""
+
+    async def ready(request: web.Request) -> web.Response:
+        return web.Response(status=200 if entry.is_ready() else 503)
+
+    app = web.Application()
+    app.router.add_get(READY_PATH, ready)
+    return app
+
+
+def _read_patience(request: web.Request) -> float:
+    try:
+        return max(0.0, float(request.headers.get(PATIENCE_HEADER, 0)))
+    except ValueError:
+        return 0.0
+
+
+def _reply(status: int, body: msgspec.Struct) -> web.Response:
+    return web.Response(
+        status=status, body=msgspec.json.encode(body), content_type="application/json"
+    )
+
+
+def _refuse(reason: str, retry_after_s: int) -> web.Response:
+    response = _reply(503, _ErrorBody("not_run", reason))
+    response.headers["Retry-After"] = str(retry_after_s)
+    return response
--- /dev/null
+++ b/src/currantbarrow/platform/configuration.py
@@ -0,0 +1,69 @@
+"""Read the configuration that operators publish."""
+
+from __future__ import annotations
+
+import msgspec
+
+from currantbarrow.direct.model import WorkQueue
+from currantbarrow.direct.routing import Configuration
+from currantbarrow.exceptions import ConfigurationError
+
+__all__ = ["parse_configuration"]
+
+DEFAULT_MAX_BODY_BYTES = 262_144
+
+
+class _Route(msgspec.Struct):
+    """Is a queue: what the page calls a route."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str = ""
+    timeout_ms: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    # Not a limit on the answer: what is added to the stretched work.
+    target_latency_ms: float = 0.0
+    advice: msgspec.Raw | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+
+
+class _Limits(msgspec.Struct):
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def parse_configuration(document: bytes) -> Configuration:
+    """Return a configuration; raise ConfigurationError."""
+    try:
+        plain = msgspec.json.decode(document, type=_Document)
+    except msgspec.MsgspecError as error:
+        raise ConfigurationError(str(error)) from error
+    queues = [
+        WorkQueue(
+            route.name,
+            route.host,
+            route.path_prefix,
+            route.service,
+            route.priority,
+            route.target_latency_ms,
+            route.stretch,
+            max(1, route.max_attempts),
+            route.timeout_ms,
+            route.advice is not None,
+        )
+        for route in plain.routes
+    ]
+    services = frozenset(service.name for service in plain.services)
+    return Configuration(plain.version, queues, services, plain.limits.max_body_bytes, document)
--- /dev/null
+++ b/src/currantbarrow/platform/http.py
@@ -0,0 +1,105 @@
+"""Make HTTP calls to one server of the platform, and leave connections that fell silent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from currantbarrow.exceptions import LinkClosed, LinkError, LinkTimeout
+
+__all__ = ["Answer", "CallUnsent", "HttpCaller"]
+
+# A server is a millisecond or two away; connecting is tried again after a lost packet.
+CONNECT_TIMEOUT_S = 1.0
+# Connections are costly to the platform, so idle ones are kept for long.
+KEEP_ALIVE_S = 120.0
+
+
+class CallUnsent(LinkError):
+    """Report a call that surely did not reach its server."""
+
+    code = "call_unsent"
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Hold the answer to a call."""
+
+    status: int
+    body: bytes
+
+
+class HttpCaller:
+    """Call one server, over connections that are kept open."""
+
+    __slots__ = ("_base", "_connections", "_session")
+
+    def __init__(self, address: str, connections: int) -> None:
+        self._base = f"http://{address}"
+        self._connections = connections
+        self._session: aiohttp.ClientSession | None = None
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_ms: float,
+        body: bytes = b"",
+        query: dict[str, Any] | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Return the answer; raise CallUnsent, LinkTimeout or LinkClosed."""
+        session = self._session or self._open()
+        try:
+            async with session.request(
+                method,
+                self._base + path,
+                data=body or None,
+                params=query,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_ms / 1000, sock_connect=CONNECT_TIMEOUT_S
+                ),
+            ) as response:
+                return Answer(response.status, await response.read())
+        except aiohttp.ClientConnectorError as error:
+            raise CallUnsent(f"{path}: {error}") from error
+        except (TimeoutError, aiohttp.ServerTimeoutError) as error:
+            # Other idle connections may have fallen silent together with this one.
+            self._leave(session)
+            raise LinkTimeout(f"{path}: no answer in {timeout_ms:.0f} ms") from error
+        except aiohttp.ClientError as error:
+            raise LinkClosed(f"{path}: {error}") from error
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _open(self) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(
+            limit=self._connections, keepalive_timeout=KEEP_ALIVE_S, force_close=False
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+        return self._session
+
+    def _leave(self, session: aiohttp.ClientSession) -> None:
+        """Use new connections from now on; calls under way end on the old ones."""
+        if self._session is not session:
+            return
+        self._session = None
+        connector = session.connector
+        if isinstance(connector, aiohttp.TCPConnector):
+            asyncio.get_running_loop().call_later(CONNECT_TIMEOUT_S, _close, session)
+
+
+def _close(session: aiohttp.ClientSession) -> None:
+    if session.connector is not None:
+        session.connector.close()
--- /dev/null
+++ b/src/currantbarrow/platform/store.py
@@ -0,0 +1,192 @@
+"""Call the platform's store, a service of topics that are logs."""
+
+from __future__ import annotations
+
+import base64
+import struct
+from collections.abc import Iterator
+from typing import TypeVar
+
+import msgspec
+
+from currantbarrow.exceptions import (
+    AppendUnknown,
+    LinkError,
+    LogUnavailable,
+    RecordsExpired,
+)
+from currantbarrow.platform.http import Answer, CallUnsent, HttpCaller
+
+__all__ = ["KeyedRecord", "KeyedRecords", "StoreClient", "StoredRecord"]
+
+# All that is written and followed here lies in a topic's only partition.
+PARTITION = "0"
+APPEND_PATH = "/currantbarrow/log-append"
+READ_PATH = "/currantbarrow/log-read"
+NEWEST_PATH = "/currantbarrow/log-newest"
+# The store answers in 4 ms; while it is slow, 60 times as late.
+TIMEOUT_MS = 1500.0
+CONNECTIONS = 4
+LENGTH = struct.Struct(">I")
+OFFSETS = struct.Struct(">QQ")
+
+ReplyT = TypeVar("ReplyT")
+
+
+class StoredRecord(msgspec.Struct, frozen=True):
+    """Hold one record with its place."""
+
+    offset: int
+    data: bytes
+
+
+class KeyedRecord(msgspec.Struct, frozen=True):
+    """Hold one record of a topic that keeps the newest of each key; no value drops the key."""
+
+    key: str
+    value: bytes
+
+
+class KeyedRecords(msgspec.Struct, frozen=True):
+    """Hold records, and the offset from which to read on."""
+
+    records: list[KeyedRecord]
+    end: int
+
+
+class _AppendReply(msgspec.Struct):
+    # The offset of the first record that was appended.
+    offset: int = 0
+
+
+class _ExpiredReply(msgspec.Struct):
+    # The first offset that is still there.
+    first: int = 0
+
+
+class _NewestItem(msgspec.Struct):
+    key: str
+    # In base64.
+    value: str = ""
+
+
+class _NewestReply(msgspec.Struct):
+    items: list[_NewestItem] = []
+    has_more: bool = False
+    end: int = 0
+
+
+class StoreClient:
+    """Be the product's log service on the platform's store."""
+
+    __slots__ = ("_http",)
+
+    def __init__(self, address: str) -> None:
+        self._http = HttpCaller(address, CONNECTIONS)
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append a record and return its offset; raise LogUnavailable or AppendUnknown."""
+        try:
+            answer = await self._http.call(
+                "POST",
+                APPEND_PATH,
+                query={"topic": stream, "part": PARTITION},
+                body=LENGTH.pack(len(data)) + data,
+                timeout_ms=TIMEOUT_MS,
+                headers={"Content-Type": "application/octet-stream"},
+            )
+        except CallUnsent as error:
+            raise LogUnavailable(str(error)) from error
+        except LinkError as error:
+            raise AppendUnknown(str(error)) from error
+        self._check(answer, APPEND_PATH)
+        return _decode(answer.body, _AppendReply).offset
+
+    async def append_keyed(self, topic: str, record: KeyedRecord) -> int:
+        """Append a keyed record; raise LogUnavailable or AppendUnknown."""
+        key = record.key.encode()
+        return await self.append(topic, bytes([len(key)]) + key + record.value)
+
+    async def read(self, stream: str, offset: int, wait_ms: int) -> list[StoredRecord]:
+        """Return records from an offset on; raise LogUnavailable or RecordsExpired."""
+        query = {"topic": stream, "part": PARTITION, "from": str(offset), "wait_ms": str(wait_ms)}
+        try:
+            answer = await self._http.call(
+                "GET", READ_PATH, query=query, timeout_ms=TIMEOUT_MS + wait_ms
+            )
+        except LinkError as error:
+            raise LogUnavailable(str(error)) from error
+        if answer.status == 410:
+            raise RecordsExpired(_decode(answer.body, _ExpiredReply).first)
+        self._check(answer, READ_PATH)
+        try:
+            return list(_split_records(offset, answer.body))
+        except struct.error as error:
+            raise LogUnavailable(f"{READ_PATH}: unreadable records") from error
+
+    async def read_keyed(self, topic: str, offset: int, wait_ms: int) -> KeyedRecords:
+        """Return keyed records from an offset on; raise LogUnavailable or RecordsExpired."""
+        records = await self.read(topic, offset, wait_ms)
+        end = records[-1].offset + 1 if records else offset
+        keyed = []
+        for record in records:
+            length = record.data[0] if record.data else 0
+            key = record.data[1 : 1 + length].decode(errors="replace")
+            keyed.append(KeyedRecord(key, record.data[1 + length :]))
+        return KeyedRecords(keyed, end)
+
+    async def newest(self, topic: str) -> KeyedRecords:
+        """Return the newest record of each key; raise LogUnavailable."""
+        records: list[KeyedRecord] = []
+        query = {"topic": topic, "part": PARTITION}
+        while True:
+            try:
+                answer = await self._http.call(
+                    "GET", NEWEST_PATH, query=query, timeout_ms=TIMEOUT_MS
+                )
+            except LinkError as error:
+                raise LogUnavailable(str(error)) from error
+            if answer.status == 404:
+                return KeyedRecords([], 0)
+            self._check(answer, NEWEST_PATH)
+            reply = _decode(answer.body, _NewestReply)
+            for item in reply.items:
+                records.append(KeyedRecord(item.key, _decode_base64(item.value)))
+            if not reply.has_more or not reply.items:
+                return KeyedRecords(records, reply.end)
+            query["after"] = reply.items[-1].key
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
+
+    @staticmethod
+    def _check(answer: Answer, path: str) -> None:
+        if answer.status != 200:
+            raise LogUnavailable(f"{path}: status {answer.status}")
+
+
+def _decode(body: bytes, reply: type[ReplyT]) -> ReplyT:
+    try:
+        return msgspec.json.decode(body, type=reply)
+    except msgspec.MsgspecError as error:
+        raise LogUnavailable(f"unreadable answer: {error}") from error
+
+
+def _decode_base64(text: str) -> bytes:
+    try:
+        return base64.b64decode(text)
+    except ValueError:
+        # Other writers may leave anything; what can't be read is no value.
+        return b""
+
+
+def _split_records(offset: int, body: bytes) -> Iterator[StoredRecord]:
+    OFFSETS.unpack_from(body)
+    place = OFFSETS.size
+    while place < len(body):
+        (length,) = LENGTH.unpack_from(body, place)
+        place += LENGTH.size
+        yield StoredRecord(offset, body[place : place + length])
+        place += length
+        offset += 1
--- /dev/null
+++ b/src/currantbarrow/platform/worker.py
@@ -0,0 +1,192 @@
+"""Speak to the worker on this host."""
+
+from __future__ import annotations
+
+import msgspec
+
+from currantbarrow.direct.worker import (
+    RunName,
+    RunSpec,
+    StartAnswer,
+    StartVerdict,
+    WorkerEnd,
+    WorkerLists,
+)
+from currantbarrow.exceptions import LinkError, WorkerReplaced, WorkerSilent, WorkerUnreached
+from currantbarrow.platform.http import Answer, CallUnsent, HttpCaller
+from currantbarrow.protocol.direct import RunEnd
+
+__all__ = ["HttpWorkerControl"]
+
+START_PATH = "/currantbarrow/run-start"
+STOP_PATH = "/currantbarrow/run-stop"
+LOOK_PATH = "/currantbarrow/hold"
+LIFE_HEADER = "X-Expected-Instance"
+# The worker answers in some milliseconds; a lost packet is sent again after 200 ms.
+TIMEOUT_MS = 350.0
+CONNECTIONS = 24
+# Jobs without repeats have only this occurrence.
+OCCURRENCE = 0
+MISDIRECTED = 421
+VERDICT_OF_REASON = {
+    "fence": StartVerdict.FENCED,
+    "old": StartVerdict.OUTDATED,
+    "late": StartVerdict.LATE,
+    "room": StartVerdict.NO_ROOM,
+}
+END_OF_HOW = {
+    "done": RunEnd.DONE,
+    "failed": RunEnd.FAILED,
+    "stopped": RunEnd.STOPPED,
+    "lapsed": RunEnd.LOST,
+    "broken": RunEnd.LOST,
+    "alone": RunEnd.LOST,
+}
+
+
+class _StartBody(msgspec.Struct):
+    task: str
+    run: int
+    spec: str
+    until_ms: int
+    fencing_token: int
+
+
+class _StopBody(msgspec.Struct):
+    task: str
+    run: int
+    fencing_token: int
+
+
+class _LookBody(msgspec.Struct, omit_defaults=True):
+    fencing_token: int
+    # Ends up to this place are forgotten by the worker.
+    observed: int | None = None
+    until_ms: int | None = None
+    wait_ms: int | None = None
+
+
+class _ClockReply(msgspec.Struct):
+    clock_ms: float | None = None
+    reason: str = ""
+
+
+class _LookReply(msgspec.Struct):
+    clock_ms: float
+    # Rows of task, run, checkpoint and percent at work.
+    running: list[list[msgspec.Raw]] = []
+    # Rows of place, task, run, how it ended and checkpoint.
+    finished: list[list[msgspec.Raw]] = []
+
+
+class HttpWorkerControl:
+    """Give orders to the worker on this host."""
+
+    __slots__ = ("_http",)
+
+    def __init__(self, address: str) -> None:
+        self._http = HttpCaller(address, CONNECTIONS)
+
+    async def start(
+        self, worker: str, run: RunSpec, lease_until_ms: float, token: int
+    ) -> StartAnswer:
+        """Begin a run."""
+        body = _StartBody(
+            _task_name(run.name), run.name.number, run.payload, int(lease_until_ms), token
+        )
+        answer = await self._post(worker, START_PATH, body)
+        reply = _read_clock(answer)
+        if answer.status == 200:
+            verdict = StartVerdict.STARTED
+        elif answer.status == 409:
+            verdict = VERDICT_OF_REASON.get(reply.reason, StartVerdict.INVALID)
+        elif answer.status in (429, 503):
+            verdict = StartVerdict.UNWELL
+        else:
+            verdict = StartVerdict.INVALID
+        return StartAnswer(verdict, reply.clock_ms)
+
+    async def stop(self, worker: str, run: RunName, token: int) -> bool:
+        """Stop a run; False when fenced."""
+        body = _StopBody(_task_name(run), run.number, token)
+        answer = await self._post(worker, STOP_PATH, body)
+        if answer.status == 409:
+            return False
+        if answer.status != 200:
+            raise WorkerSilent(f"{STOP_PATH}: status {answer.status}")
+        return True
+
+    async def look(
+        self,
+        worker: str,
+        token: int,
+        *,
+        noted: int,
+        lease_until_ms: float | None,
+        wait_ms: float,
+    ) -> WorkerLists | None:
+        """Return the worker's lists; None when fenced."""
+        until_ms = None if lease_until_ms is None else int(lease_until_ms)
+        body = _LookBody(token, noted, until_ms, int(wait_ms) or None)
+        answer = await self._post(worker, LOOK_PATH, body, wait_ms)
+        if answer.status == 409:
+            return None
+        if answer.status != 200:
+            raise WorkerSilent(f"{LOOK_PATH}: status {answer.status}")
+        try:
+            return _read_lists(msgspec.json.decode(answer.body, type=_LookReply))
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise WorkerSilent(f"{LOOK_PATH}: unreadable answer: {error}") from error
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
+
+    async def _post(
+        self, worker: str, path: str, body: msgspec.Struct, wait_ms: float = 0.0
+    ) -> Answer:
+        try:
+            answer = await self._http.call(
+                "POST",
+                path,
+                body=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json", LIFE_HEADER: worker},
+                timeout_ms=TIMEOUT_MS + wait_ms,
+            )
+        except CallUnsent as error:
+            raise WorkerUnreached(str(error)) from error
+        except LinkError as error:
+            raise WorkerSilent(str(error)) from error
+        if answer.status == MISDIRECTED:
+            raise WorkerReplaced(f"{worker} is not there any more")
+        return answer
+
+
+def _task_name(name: RunName) -> str:
+    return f"{name.job}.{OCCURRENCE}.{name.step}.{name.index}"
+
+
+def _run_name(task: str, number: int) -> RunName:
+    job, _, step, index = task.split(".")
+    return RunName(job, int(step), int(index), number)
+
+
+def _read_clock(answer: Answer) -> _ClockReply:
+    try:
+        return msgspec.json.decode(answer.body, type=_ClockReply)
+    except msgspec.MsgspecError:
+        # Answers that name no clock are told by their status alone.
+        return _ClockReply()
+
+
+def _read_lists(reply: _LookReply) -> WorkerLists:
+    running = []
+    for row in reply.running:
+        task, number = (msgspec.json.decode(item) for item in row[:2])
+        running.append(_run_name(task, number))
+    ends = []
+    for row in reply.finished:
+        place, task, number, how = (msgspec.json.decode(item) for item in row[:4])
+        end = END_OF_HOW.get(how, RunEnd.LOST)
+        ends.append(WorkerEnd(place, _run_name(task, number), end))
+    return WorkerLists(reply.clock_ms, running, ends)
--- a/src/currantbarrow/protocol/codec.py
+++ b/src/currantbarrow/protocol/codec.py
@@ -11,14 +11,14 @@
 import msgspec
 
 from currantbarrow.exceptions import BadFrame
-from currantbarrow.protocol import messages
+from currantbarrow.protocol import direct, messages
 
 __all__ = ["CONCRETE_MESSAGES", "decode_frame", "encode_frame"]
 
 # Only concrete messages travel; the three bases exist to type calls and replies.
 CONCRETE_MESSAGES: list[type[messages.Message]] = [
     item
-    for item in vars(messages).values()
+    for item in {**vars(messages), **vars(direct)}.values()
     if isinstance(item, type)
     and issubclass(item, messages.Message)
     and item not in (messages.Message, messages.Call, messages.Reply)
--- a/src/currantbarrow/protocol/websocket.py
+++ b/src/currantbarrow/protocol/websocket.py
@@ -94,6 +94,12 @@
         with contextlib.suppress(TimeoutError, ConnectionClosed):
             await asyncio.wait_for(self._socket.close(), CLOSE_TIMEOUT_S)
 
+    def abort(self) -> None:
+        """End the link at once, and drop what is queued."""
+        # What a cut holds up would otherwise arrive once it has healed, as if sent then.
+        self._end()
+        self._socket.transport.abort()
+
     async def _read_frame(self) -> list[Message]:
         try:
             data = await self._socket.recv(decode=False)
--- a/src/currantbarrow/standins/memory_network.py
+++ b/src/currantbarrow/standins/memory_network.py
@@ -64,6 +64,14 @@
             if self._other is not None:
                 self._fabric.carry_end(self, self._other)
 
+    def abort(self) -> None:
+        """End the link at once."""
+        if not self._closed:
+            self._inbound.clear()
+            self.end()
+            if self._other is not None:
+                self._fabric.carry_end(self, self._other)
+
     def join(self, other: _MemoryLink) -> None:
         """Make two ends one link."""
         self._other, other._other = other, self
--- a/src/currantbarrow/types.py
+++ b/src/currantbarrow/types.py
@@ -55,6 +55,9 @@
     async def close(self) -> None:
         """Close the link at this end."""
 
+    def abort(self) -> None:
+        """End the link at once, and drop what is queued."""
+
 
 LinkHandler = Callable[[Link], Awaitable[None]]
 
