--- a/src/currantbarrow/direct/desk.py
+++ b/src/currantbarrow/direct/desk.py
@@ -20,8 +20,12 @@
 __all__ = ["JobDesk"]
 
 TICK_MS = 25.0
-# A task that a side process turned away waits for newer reports before it is ordered again.
+# A task that side processes turned away several times pauses before it is ordered again.
 TURNED_AWAY_MS = 20.0
+TURNED_AWAY_OFTEN = 3
+# While all workers are full, an order may wait this long for room to be given back, which saves
+# the way there and back; a worker gives some back every 40 ms.
+WAIT_FOR_ROOM_MS = 60.0
 # While nothing is known of the fleet, callers are asked to come back after this long.
 UNKNOWN_RETRY_S = 1
 STANDING_OF_STATE = {
@@ -160,7 +164,11 @@
                 for handle, each in pairs
                 if each.worker == worker
             )
-            self._order(self._waiting[job_id], handle, tasks, now_ms)
+            job = self._waiting[job_id]
+            room = job.spec.steps[tasks[0].step].room
+            others = [each for _, each in offers[job.queue.service] if each.worker != worker]
+            scarce = not any(each.free.holds(room) for each in others)
+            self._order(job, handle, tasks, now_ms, scarce)
         self._forget_ordered()
 
     def _offers(self) -> dict[str, list[tuple[SideHandle, WorkerOffer]]]:
@@ -172,8 +180,16 @@
                 offers.setdefault(handle.report.state.service, []).append((handle, offer))
         return offers
 
-    def _order(self, job: OpenJob, handle: SideHandle, tasks: list[JobTask], now_ms: float) -> None:
+    def _order(
+        self,
+        job: OpenJob,
+        handle: SideHandle,
+        tasks: list[JobTask],
+        now_ms: float,
+        scarce: bool,
+    ) -> None:
         start_within_ms = job.times.latest_start_ms - now_ms
+        wait_ms = WAIT_FOR_ROOM_MS if scarce else 0.0
         orders = []
         for task in tasks:
             room = job.spec.steps[task.step].room
@@ -188,6 +204,7 @@
                     room.gpus,
                     job.expected_ms[task.step],
                     start_within_ms,
+                    wait_ms,
                 )
             )
         try:
@@ -235,7 +252,12 @@
         self._metrics.incr(f"entry.run_undone.{end.value}")
         self._waiting[job.spec.job_id] = job
         if end is RunEnd.NOT_STARTED:
-            task.not_before_ms = now_ms + TURNED_AWAY_MS
+            # The report that came with it shows what room there is; a pause keeps a worker that
+            # shows room and gives none from being asked without end.
+            task.attempts -= 1
+            task.turned_away += 1
+            if task.turned_away % TURNED_AWAY_OFTEN == 0:
+                task.not_before_ms = now_ms + TURNED_AWAY_MS
         elif end is RunEnd.FAILED:
             task.failures += 1
             task.avoid |= {handle.worker}
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -155,23 +155,28 @@
         if life is None or not life.ready:
             return
         now_ms = self._clock.monotonic_ms()
+        full = False
         for run in life.waiting():
-            if not self._accepts(life):
+            if not self._may_begin(life, run, now_ms):
                 self._finish(life, run, RunEnd.NOT_STARTED)
-                continue
-            if not run.session.lease.holds(now_ms):
-                # The entry may have given up on this process by now.
-                self._finish(life, run, RunEnd.NOT_STARTED)
-                continue
-            begun = len(life.runs) - life.count(RunPhase.WAITING)
-            if not life.soundness.may_begin(now_ms, begun):
-                self._finish(life, run, RunEnd.NOT_STARTED)
-                continue
-            if not life.book.book(run.name.task, run.room):
-                break
-            run.phase = RunPhase.STARTING
-            life.number_for(run)
-            self._background.spawn(self._start(life, run))
+            elif not full and life.book.book(run.name.task, run.room):
+                run.phase = RunPhase.STARTING
+                life.number_for(run)
+                self._background.spawn(self._start(life, run))
+            else:
+                # What is less urgent must not go first, or large tasks would wait for long.
+                full = True
+                if now_ms >= run.give_up_ms:
+                    self._finish(life, run, RunEnd.NOT_STARTED)
+
+    def _may_begin(self, life: WorkerLife, run: Run, now_ms: float) -> bool:
+        begun = len(life.runs) - life.count(RunPhase.WAITING)
+        # An entry whose lease is over may have given up on this process.
+        return (
+            self._accepts(life)
+            and run.session.lease.holds(now_ms)
+            and life.soundness.may_begin(now_ms, begun)
+        )
 
     def tick(self) -> None:
         """Look for runs that take too long, and for leases that have lapsed."""
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -17,7 +17,7 @@
 from currantbarrow.direct.peers import EntryPeers
 from currantbarrow.direct.routing import Configuration
 from currantbarrow.direct.standings import StandingBook
-from currantbarrow.exceptions import ConfigurationError
+from currantbarrow.exceptions import ConfigurationError, LinkError
 from currantbarrow.observe import logger
 from currantbarrow.protocol import Hello, Role
 from currantbarrow.protocol.direct import HostRow, ShareHosts, Standing
@@ -270,13 +270,16 @@
         )
 
     async def _serve(self, link: Link) -> None:
-        if link.peer.role is Role.ENTRY:
-            await self.peers.serve(link)
-            return
-        # A side process that can't reach the directory introduces itself.
-        message = await link.receive()
-        if isinstance(message, ShareHosts):
-            self.take_hosts(message.hosts)
+        try:
+            if link.peer.role is Role.ENTRY:
+                await self.peers.serve(link)
+                return
+            # A side process that can't reach the directory introduces itself.
+            message = await link.receive()
+            if isinstance(message, ShareHosts):
+                self.take_hosts(message.hosts)
+        except LinkError as error:
+            logger.info("link ended", extra={"peer": link.peer.name, "error": str(error)})
 
     def _add_host(self, row: HostRow) -> None:
         if row.address == self.options.link_address:
--- a/src/currantbarrow/direct/job.py
+++ b/src/currantbarrow/direct/job.py
@@ -25,13 +25,25 @@
 class JobTask:
     """Follow one task through its runs."""
 
-    __slots__ = ("attempts", "avoid", "done", "failures", "index", "not_before_ms", "side", "step")
+    __slots__ = (
+        "attempts",
+        "avoid",
+        "done",
+        "failures",
+        "index",
+        "not_before_ms",
+        "side",
+        "step",
+        "turned_away",
+    )
 
     def __init__(self, step: int, index: int, attempts: int) -> None:
         self.step = step
         self.index = index
         self.attempts = attempts
         self.failures = 0
+        # How often a side process had no room for it.
+        self.turned_away = 0
         self.done = False
         # The link over which its present run was ordered.
         self.side: SideHandle | None = None
--- a/src/currantbarrow/direct/runs.py
+++ b/src/currantbarrow/direct/runs.py
@@ -34,6 +34,7 @@
         "began_ms",
         "due_ms",
         "expected_ms",
+        "give_up_ms",
         "name",
         "ordered_ms",
         "payload",
@@ -58,6 +59,7 @@
         self.expected_ms = order.expected_ms
         self.ordered_ms = now_ms
         self.due_ms = now_ms + order.start_within_ms
+        self.give_up_ms = now_ms + order.wait_ms
         self.phase = RunPhase.WAITING
         self.began_ms = 0.0
         self.unsure_ms = 0.0
--- a/src/currantbarrow/direct/soundness.py
+++ b/src/currantbarrow/direct/soundness.py
@@ -22,7 +22,7 @@
 # Common workers differ by 1.25 and single runs by 1.5; beyond this a worker is out of order.
 TOO_SLOW = 2.2
 # Runs that go on for this many times what was expected show a worker that stands still.
-OVERDUE = 2.5
+OVERDUE = 3.0
 OVERDUE_SLACK_MS = 150.0
 
 
--- a/src/currantbarrow/observe/__init__.py
+++ b/src/currantbarrow/observe/__init__.py
@@ -1,11 +1,12 @@
 """Show what a process does: clocks, metrics, log lines and the time line."""
 
 from currantbarrow.observe.clock import HybridClock, create_clock
-from currantbarrow.observe.log import DEBUG_TOPICS, configure_logging, logger
+from currantbarrow.observe.log import DEBUG_TOPICS, BoundedHandler, configure_logging, logger
 from currantbarrow.observe.metrics import MetricsBook, flush_to_statsd
 from currantbarrow.observe.timeline import Event, EventRing, read_since_ms
 
 __all__ = [
+    "BoundedHandler",
     "DEBUG_TOPICS",
     "Event",
     "EventRing",
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -76,6 +76,8 @@
     expected_ms: float
     # From the receipt of the order until the run has to begin for its job to be on time.
     start_within_ms: float
+    # How long the order may wait for room; at 0 it is turned away when there is none.
+    wait_ms: float = 0.0
 
 
 class SessionPing(Message, frozen=True):
