Doubt starts after 30 ms, and look again after 200 ms

Cause: a lost order still cost 60 ms of doubt and up to 400 ms of a lost look in calm times. Change: 30 ms and 200 + 60 ms; answers take up to 5 ms.

--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -26,7 +26,7 @@
 __all__ = ["WorkerDriver"]
 
 # A start that got no answer in this time is looked for on the worker's lists; answers take 5 ms.
-START_DOUBT_MS = 60.0
+START_DOUBT_MS = 30.0
 # Runs whose fate is open are looked for this often.
 OPEN_LOOK_MS = 10.0
 SILENT_LOOK_MS = 100.0
--- a/src/currantbarrow/direct/orders.py
+++ b/src/currantbarrow/direct/orders.py
@@ -24,14 +24,14 @@
 
 __all__ = ["OrderGiver"]
 
-# A look waits this long for an end; leases of a second are renewed three times in their length.
-LOOK_WAIT_MS = 300.0
-LOOK_PATIENCE_MS = 100.0
+# A look waits this long for an end; leases of a second are renewed four times in their length.
+LOOK_WAIT_MS = 200.0
+LOOK_PATIENCE_MS = 60.0
 # While orders get lost, a look that got lost must not hide ends for long.
 LOSSY_LOOK_WAIT_MS = 30.0
-LOSSY_LOOK_PATIENCE_MS = 70.0
+LOSSY_LOOK_PATIENCE_MS = 40.0
 # Answers take up to 5 ms, and some more while this host is slow.
-STOP_PATIENCE_MS = 80.0
+STOP_PATIENCE_MS = 50.0
 START_PATIENCE_MS = 350.0
 # An order is given again at most this often after answers that tell what to change in it.
 START_TRIES = 4
