Start sooner after a loss of power, and know the worker at once

Change: a program imports what its role needs, without certificates and yaml, from compiled files; a side process keeps its worker's announcement in the store and begins with it, if that life of the worker still answers.

--- a/src/currantbarrow/direct/hosts.py
+++ b/src/currantbarrow/direct/hosts.py
@@ -5,9 +5,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from currantbarrow.direct.worker import Announcement
 from currantbarrow.protocol.direct import HostRow
 
-__all__ = ["ConfigurationSource", "HostDirectory"]
+__all__ = ["AnnouncementMemory", "ConfigurationSource", "HostDirectory"]
 
 
 class HostDirectory(Protocol):
@@ -25,6 +26,20 @@
         """Report processes as they come and go, until cancelled."""
 
 
+class AnnouncementMemory(Protocol):
+    """Keep a worker's last announcement beyond the life of its side process.
+
+    A worker announces itself every second or two; a side process that comes back is of use
+    sooner when it knows what its worker said last.
+    """
+
+    async def save(self, announcement: Announcement) -> None:
+        """Keep an announcement, if that can be done; never raises."""
+
+    async def recall(self) -> Announcement | None:
+        """Return the announcement that was kept, if there is one and it can be had."""
+
+
 class ConfigurationSource(Protocol):
     """Publish the queues that operators have set up."""
 
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -8,6 +8,7 @@
 
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.driver import WorkerDriver
+from currantbarrow.direct.hosts import AnnouncementMemory
 from currantbarrow.direct.runs import Run
 from currantbarrow.direct.session import PING_MS, EntryLease
 from currantbarrow.direct.worker import Announcement, WorkerControl
@@ -34,6 +35,8 @@
 END_DELAY_MS = 2.0
 # Room that others took or gave back is told less often, the more entries there are to tell.
 ROOM_DELAY_MS = 10.0
+# A worker takes an announcement for lost after a second.
+SAVE_LIMIT_MS = 700.0
 # Longer than any order can be on its way to a job that moved to another entry.
 CLEARED_KEPT_MS = 10_000.0
 
@@ -78,8 +81,12 @@
         clock: Clock,
         network: Network,
         metrics: Metrics,
+        memory: AnnouncementMemory,
     ) -> None:
         self.options = options
+        self._memory = memory
+        # The worker and whether it leaves, as last kept.
+        self._saved: tuple[str, bool] | None = None
         self.address = ""
         self._clock = clock
         self._network = network
@@ -109,13 +116,30 @@
         )
         self.address = await self._network.listen(self.options.link_address, hello, self._serve)
         self._tasks = [
+            asyncio.create_task(self._recall()),
             asyncio.create_task(self.driver.run()),
             asyncio.create_task(self._tick()),
         ]
 
-    def announce(self, announcement: Announcement) -> None:
-        """Take what the worker says of itself."""
+    async def announce(self, announcement: Announcement) -> None:
+        """Take what the worker says of itself; return when what is new of it is kept."""
         self.driver.announce(announcement)
+        news = (announcement.worker, announcement.leaving)
+        if news == self._saved:
+            return
+        self._saved = news
+        # A process that follows this one must not take a leaving worker for one that stays.
+        try:
+            async with asyncio.timeout(SAVE_LIMIT_MS / 1000):
+                await self._memory.save(announcement)
+        except TimeoutError:
+            logger.warning("announcement not kept", extra={"worker": announcement.worker})
+
+    async def _recall(self) -> None:
+        announcement = await self._memory.recall()
+        if announcement is not None and self.driver.life is None and not self._saved:
+            logger.info("announcement recalled", extra={"worker": announcement.worker})
+            self.driver.announce(announcement)
 
     async def drain(self) -> None:
         """Take no more orders, and wait for the runs to end."""
--- a/src/currantbarrow/direct/worker.py
+++ b/src/currantbarrow/direct/worker.py
@@ -97,8 +97,9 @@
 class WorkerControl(Protocol):
     """Give orders to one life of a worker.
 
-    Patience is how long to wait for an answer in all. Calls raise WorkerSilent when there was no answer, so that the order may still be carried
-    out; WorkerUnreached when it surely was not; WorkerReplaced when another life answered.
+    Patience is how long to wait for an answer in all. Calls raise WorkerSilent when there was no
+    answer, so that the order may still be carried out; WorkerUnreached when it surely was not;
+    WorkerReplaced when another life answered.
     """
 
     async def start(
--- a/src/currantbarrow/platform/announcements.py
+++ b/src/currantbarrow/platform/announcements.py
@@ -5,8 +5,8 @@
 import msgspec
 from aiohttp import web
 
-from currantbarrow.direct.driver import WorkerDriver
 from currantbarrow.direct.model import Room
+from currantbarrow.direct.side import DirectSide
 from currantbarrow.direct.worker import Announcement
 from currantbarrow.observe import logger
 from currantbarrow.types import Metrics
@@ -32,7 +32,7 @@
     labels: list[str] = []
 
 
-def create_announcements_app(driver: WorkerDriver, metrics: Metrics) -> web.Application:
+def create_announcements_app(side: DirectSide, metrics: Metrics) -> web.Application:
     """Return the application that the worker calls."""
 
     async def announce(request: web.Request) -> web.Response:
@@ -46,7 +46,7 @@
         if beat.state not in (READY, DRAINING):
             metrics.incr("side.announcement_unreadable")
             return web.Response(status=400)
-        driver.announce(
+        await side.announce(
             Announcement(
                 worker,
                 beat.service,
@@ -59,7 +59,7 @@
         return web.json_response({})
 
     async def leave(request: web.Request) -> web.Response:
-        driver.leave(request.match_info["worker"])
+        side.driver.leave(request.match_info["worker"])
         return web.json_response({})
 
     app = web.Application()
--- /dev/null
+++ b/src/currantbarrow/platform/entry_program.py
@@ -0,0 +1,63 @@
+"""Run an entry on the platform."""
+
+from __future__ import annotations
+
+import random
+
+from currantbarrow.direct.entry import DirectEntry, DirectEntryOptions
+from currantbarrow.observe import HybridClock, create_clock, logger
+from currantbarrow.observe.exposition import ExposedMetrics, create_metrics_app
+from currantbarrow.platform.callers import create_callers_app, create_readiness_app
+from currantbarrow.platform.configuration import parse_configuration
+from currantbarrow.platform.serving import DRAIN_RESERVE_MS, serve_app, wait_for_stop
+from currantbarrow.platform.settings import ProcessSettings
+from currantbarrow.platform.store import StoreClient
+from currantbarrow.platform.topics import StoreDirectory, create_configuration_source
+from currantbarrow.protocol.websocket import create_network
+
+__all__ = ["run_entry"]
+
+# The balancer learns within two of its questions, a second apart, that an entry is not ready.
+DRAIN_ACCEPT_MS = 2800.0
+
+
+async def run_entry(settings: ProcessSettings, incarnation: str) -> None:
+    """Serve callers until told to stop."""
+    clock = create_clock()
+    metrics = ExposedMetrics()
+    rng = random.Random()
+    store = StoreClient(settings.store_address)
+    options = DirectEntryOptions(
+        settings.name,
+        incarnation,
+        settings.link_address,
+        settings.data_centre,
+        settings.seed_link_addresses,
+        DRAIN_ACCEPT_MS,
+        settings.grace_ms - DRAIN_RESERVE_MS,
+    )
+    entry = DirectEntry(
+        options,
+        clock=clock,
+        network=create_network("", HybridClock(clock), metrics),
+        rng=rng,
+        metrics=metrics,
+        directory=StoreDirectory(store, clock, rng, metrics),
+        source=create_configuration_source(store, clock, rng, metrics),
+        parse=parse_configuration,
+    )
+    runners = [
+        await serve_app(create_metrics_app(metrics), settings.metrics_address, "metrics"),
+        await serve_app(create_readiness_app(entry), settings.readiness_address, "readiness"),
+        await serve_app(
+            create_callers_app(entry, metrics), settings.callers_address, "callers", cancel=True
+        ),
+    ]
+    await entry.start()
+    logger.info("started", extra={"incarnation": options.incarnation})
+    await wait_for_stop()
+    await entry.drain()
+    for runner in reversed(runners):
+        await runner.cleanup()
+    await entry.stop()
+    await store.close()
--- /dev/null
+++ b/src/currantbarrow/platform/side_program.py
@@ -0,0 +1,68 @@
+"""Run the process beside a worker of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from currantbarrow.direct.side import DirectSide, DirectSideOptions
+from currantbarrow.observe import HybridClock, create_clock, logger
+from currantbarrow.observe.exposition import ExposedMetrics, create_metrics_app
+from currantbarrow.platform.announcements import create_announcements_app
+from currantbarrow.platform.serving import DRAIN_RESERVE_MS, serve_app, wait_for_stop
+from currantbarrow.platform.settings import ProcessSettings
+from currantbarrow.platform.store import StoreClient
+from currantbarrow.platform.topics import StoreAnnouncements, StoreDirectory
+from currantbarrow.platform.worker import HttpWorkerControl
+from currantbarrow.protocol.direct import HostRow
+from currantbarrow.protocol.websocket import create_network
+
+__all__ = ["run_side"]
+
+
+async def run_side(settings: ProcessSettings, incarnation: str) -> None:
+    """Serve entries until told to stop."""
+    clock = create_clock()
+    metrics = ExposedMetrics()
+    rng = random.Random()
+    store = StoreClient(settings.store_address)
+    control = HttpWorkerControl(settings.worker_address)
+    options = DirectSideOptions(
+        settings.name,
+        incarnation,
+        settings.link_address,
+        settings.data_centre,
+        settings.worker_lease_ms,
+        settings.grace_ms - DRAIN_RESERVE_MS,
+    )
+    side = DirectSide(
+        options,
+        control,
+        clock=clock,
+        network=create_network("", HybridClock(clock), metrics),
+        metrics=metrics,
+        memory=StoreAnnouncements(settings.name, store, metrics),
+    )
+    runners = [
+        await serve_app(create_metrics_app(metrics), settings.metrics_address, "metrics"),
+        await serve_app(
+            create_announcements_app(side, metrics),
+            settings.announcement_address,
+            "announcements",
+        ),
+    ]
+    await side.start()
+    directory = StoreDirectory(store, clock, rng, metrics)
+    row = HostRow("side", settings.link_address, options.incarnation, settings.data_centre)
+    publishing = asyncio.create_task(directory.publish(row))
+    logger.info("started", extra={"incarnation": options.incarnation})
+    await wait_for_stop()
+    logger.info("draining")
+    await side.drain()
+    publishing.cancel()
+    for runner in runners:
+        await runner.cleanup()
+    await side.stop()
+    await control.close()
+    await store.close()
+    logger.info("drained")
--- a/src/currantbarrow/platform/topics.py
+++ b/src/currantbarrow/platform/topics.py
@@ -7,15 +7,17 @@
 
 import msgspec
 
+from currantbarrow.direct.worker import Announcement
 from currantbarrow.exceptions import LogServiceError, RecordsExpired
 from currantbarrow.observe import logger
 from currantbarrow.platform.store import KeyedRecord, StoreClient
 from currantbarrow.protocol.direct import HostRow
 from currantbarrow.types import Clock, Metrics
 
-__all__ = ["StoreDirectory", "TopicFollower", "create_configuration_source"]
+__all__ = ["StoreAnnouncements", "StoreDirectory", "TopicFollower", "create_configuration_source"]
 
 HOSTS_TOPIC = "keyed.hosts"
+WORKERS_TOPIC = "keyed.workers"
 OPERATOR_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 # A read waits this long for news; shorter than the time within which a change has to be known.
@@ -143,6 +145,48 @@
         on_row(row)
 
 
+class _KeptAnnouncement(msgspec.Struct, frozen=True):
+    announcement: Announcement
+
+
+class StoreAnnouncements:
+    """Keep a worker's last announcement in a topic of the store."""
+
+    __slots__ = ("_key", "_metrics", "_store")
+
+    def __init__(self, key: str, store: StoreClient, metrics: Metrics) -> None:
+        self._key = key
+        self._store = store
+        self._metrics = metrics
+
+    async def save(self, announcement: Announcement) -> None:
+        """Keep an announcement, if that can be done."""
+        value = msgspec.json.encode(_KeptAnnouncement(announcement))
+        try:
+            await self._store.append_keyed(WORKERS_TOPIC, KeyedRecord(self._key, value))
+        except LogServiceError as error:
+            self._metrics.incr("store.call_failed")
+            logger.info("announcement not kept", extra={"error": str(error)})
+
+    async def recall(self) -> Announcement | None:
+        """Return the announcement that was kept, if there is one and it can be had."""
+        try:
+            newest = await self._store.newest(WORKERS_TOPIC)
+        except LogServiceError as error:
+            self._metrics.incr("store.call_failed")
+            logger.info("announcement not recalled", extra={"error": str(error)})
+            return None
+        values = [record.value for record in newest.records if record.key == self._key]
+        if not values or not values[-1]:
+            return None
+        try:
+            return msgspec.json.decode(values[-1], type=_KeptAnnouncement).announcement
+        except msgspec.MsgspecError as error:
+            self._metrics.incr("store.record_unreadable")
+            logger.warning("announcement unreadable", extra={"error": str(error)})
+            return None
+
+
 class _ConfigurationSource:
     """Report what operators publish."""
 
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -14,6 +14,7 @@
 from currantbarrow.direct.model import JobSpec, JobState, Room, StepSpec, WorkQueue
 from currantbarrow.direct.routing import Configuration
 from currantbarrow.direct.side import DirectSide, DirectSideOptions
+from currantbarrow.direct.worker import Announcement
 from currantbarrow.observe import MetricsBook
 from currantbarrow.protocol import Hello
 from currantbarrow.protocol.direct import HostRow, Standing
@@ -74,6 +75,21 @@
         await asyncio.Event().wait()
 
 
+class MemoryAnnouncements:
+    """Keep a worker's last announcement in memory."""
+
+    def __init__(self) -> None:
+        self._kept: Announcement | None = None
+
+    async def save(self, announcement: Announcement) -> None:
+        """Keep an announcement."""
+        self._kept = announcement
+
+    async def recall(self) -> Announcement | None:
+        """Return the announcement that was kept."""
+        return self._kept
+
+
 class MemoryConfigurations:
     """Publish configurations by version to those that can hear."""
 
@@ -133,6 +149,7 @@
         self.entries: dict[str, DirectEntry] = {}
         self.sides: dict[str, DirectSide] = {}
         self.workers: dict[str, MemoryWorker] = {}
+        self.memories: dict[str, MemoryAnnouncements] = {}
         self._lives = 0
         self._announcing: dict[str, asyncio.Task[None]] = {}
         self._publishing: set[asyncio.Task[None]] = set()
@@ -179,6 +196,7 @@
             clock=self.clock,
             network=MemoryNetwork(self.fabric),
             metrics=self.metrics,
+            memory=self.memories.setdefault(name, MemoryAnnouncements()),
         )
         self.sides[name] = side
         await side.start()
@@ -224,8 +242,8 @@
 
     async def _announce(self, name: str, side: DirectSide) -> None:
         while True:
-            side.announce(self.workers[name].announcement())
             await asyncio.sleep(ANNOUNCE_MS / 1000)
+            await side.announce(self.workers[name].announcement())
 
     def _delay_ms(self, sender: Hello, receiver: Hello) -> float:
         return self.plan.delay_ms
--- a/src/currantbarrow/standins/direct_worker.py
+++ b/src/currantbarrow/standins/direct_worker.py
@@ -184,7 +184,8 @@
         until_ms = self._now_ms() + wait_ms
         while not self._ends and self._now_ms() < until_ms:
             await asyncio.sleep(CHECK_MS / 1000)
-        await self._answer(worker, patience_ms)
+        if worker != self.worker:
+            raise WorkerReplaced(worker)
         return WorkerLists(
             self._now_ms(), [run.name for run in self._runs.values()], list(self._ends)
         )
