--- /dev/null
+++ b/src/currantbarrow/cli/logs.py
@@ -0,0 +1,94 @@
+"""Merge the log lines of several processes into one account of a job."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from cleo.helpers import argument, option
+
+from currantbarrow.cli.command import LocalCommand
+from currantbarrow.cli.errors import EXIT_OK
+from currantbarrow.cli.tables import format_table
+from currantbarrow.exceptions import OperatorError
+
+__all__ = ["LogLine", "LogsCommand", "read_lines"]
+
+# Shown in columns of their own, or of no use to a reader.
+COLUMNS = ("asctime", "process", "message", "job", "levelname", "name")
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """Hold one line of one process."""
+
+    asctime: str
+    process: str
+    message: str
+    job: str
+    details: dict[str, Any]
+
+    def describe(self) -> str:
+        """Return what the line tells beside its message."""
+        shown = [f"{name}={value}" for name, value in self.details.items() if value != ""]
+        return " ".join(shown)
+
+
+def read_lines(path: Path) -> Iterator[LogLine]:
+    """Yield the lines of a file; what stands before the JSON of a line is passed over."""
+    try:
+        text = path.read_text(errors="replace")
+    except OSError as error:
+        raise OperatorError(f"{path}: {error.strerror}", code="argument_invalid") from error
+    for line in text.splitlines():
+        try:
+            plain = msgspec.json.decode(line[max(0, line.find("{")) :], type=dict[str, Any])
+        except msgspec.MsgspecError:
+            # Other output stands between the lines.
+            continue
+        yield LogLine(
+            str(plain.get("asctime", "")),
+            str(plain.get("process", "")),
+            str(plain.get("message", "")),
+            str(plain.get("job", "")),
+            {name: value for name, value in plain.items() if name not in COLUMNS},
+        )
+
+
+class LogsCommand(LocalCommand):
+    """Show what all processes wrote of a job, in the order of time."""
+
+    name = "logs"
+    description = "Merge log files of several processes into one account of a job."
+    arguments = [argument("files", "The log files.", multiple=True)]
+    options = [
+        option("job", None, "Only lines of this job.", flag=False),
+        option("process", None, "Only lines of processes whose names begin so.", flag=False),
+        option("states", None, "Only lines that belong to no job: what processes believe."),
+        option("json", None, "Print JSON instead of a table."),
+    ]
+
+    def carry_out(self) -> int:
+        """Show the lines."""
+        lines = [line for name in self.argument("files") for line in read_lines(Path(name))]
+        wanted = sorted(
+            (line for line in lines if self._is_wanted(line)), key=lambda line: line.asctime
+        )
+        if self.option("json"):
+            self.show_json(wanted)
+        else:
+            rows = [
+                [line.asctime.rpartition(" ")[2], line.process, line.message, line.describe()]
+                for line in wanted
+            ]
+            self.show(format_table(["time", "process", "message", "details"], rows))
+        return EXIT_OK
+
+    def _is_wanted(self, line: LogLine) -> bool:
+        job, process = self.option("job"), self.option("process")
+        return (
+            (not job or line.job == job)
+            and (not process or line.process.startswith(process))
+            and not (self.option("states") and line.job)
+        )
--- a/src/currantbarrow/cli/main.py
+++ b/src/currantbarrow/cli/main.py
@@ -14,6 +14,7 @@
 from currantbarrow.cli.errors import describe_fault, exit_code_of, write_error
 from currantbarrow.cli.jobs import JOB_COMMANDS
 from currantbarrow.cli.load import LoadCommand
+from currantbarrow.cli.logs import LogsCommand
 from currantbarrow.cli.members import MembersCommand, StatusCommand
 from currantbarrow.cli.settings import SettingsCheckCommand
 from currantbarrow.cli.timeline import TimelineCommand
@@ -24,6 +25,7 @@
     MembersCommand,
     StatusCommand,
     TimelineCommand,
+    LogsCommand,
     SettingsCheckCommand,
     DemoCommand,
     LoadCommand,
--- a/src/currantbarrow/direct/desk.py
+++ b/src/currantbarrow/direct/desk.py
@@ -307,7 +307,7 @@
             if refusal is None and job.times.is_useless(now_ms):
                 refusal = Refusal("overload", UNKNOWN_RETRY_S, 0.0)
             if refusal is not None:
-                self._metrics.incr("entry.job_refused.late")
+                self._metrics.incr("entry.job_given_up")
                 self._end(job, JobState.REFUSED, "its time passed", refusal.retry_after_s)
         self.pump()
 
--- a/src/currantbarrow/platform/settings.py
+++ b/src/currantbarrow/platform/settings.py
@@ -13,6 +13,8 @@
 
 SETTINGS_VARIABLE = "CURRANTBARROW_SETTINGS"
 MS_IN_S = 1000.0
+# As in the deploy file; the platform fetches metrics there while an incident is examined.
+METRICS_PORT = 9464
 
 
 class _Listeners(msgspec.Struct):
@@ -75,12 +77,12 @@
         raise SettingsError(f"{place or SETTINGS_VARIABLE}: {error.strerror}") from error
     except msgspec.MsgspecError as error:
         raise SettingsError(f"{place}: {error}") from error
-    link_port, metrics_port = plain.internal_port_range[0], plain.internal_port_range[1]
+    link_port = plain.internal_port_range[0]
     return ProcessSettings(
         plain.node_name,
         plain.zone,
         f"{plain.ip}:{link_port}",
-        f"{plain.ip}:{metrics_port}",
+        f"{plain.ip}:{METRICS_PORT}",
         plain.listen_addrs.frontend,
         plain.listen_addrs.readiness,
         plain.listen_addrs.control,
--- /dev/null
+++ b/tests/test_direct_decisions.py
@@ -0,0 +1,268 @@
+"""Check each decision of direct dispatch by itself, on the load pattern that it answers."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from currantbarrow.direct.admission import Backlog, admit
+from currantbarrow.direct.estimates import RunTimes
+from currantbarrow.direct.job import longest_chain_ms
+from currantbarrow.direct.model import Room, StepSpec, WorkQueue
+from currantbarrow.direct.placement import WorkerOffer, choose_worker
+from currantbarrow.direct.room import RoomBook
+from currantbarrow.direct.routing import Configuration
+from currantbarrow.direct.session import LEASE_MS, EntryLease, SideWatch
+from currantbarrow.direct.soundness import FAILED_JOBS_IN_A_ROW, Soundness
+from currantbarrow.direct.standings import KEPT_MS, StandingBook
+from currantbarrow.direct.urgency import JobTimes, create_times
+from currantbarrow.protocol.direct import Standing
+from currantbarrow.types import Clock
+
+
+class SetClock:
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+
+    def monotonic_ms(self) -> float:
+        return self.now_ms
+
+    def wall_ms(self) -> int:
+        return int(self.now_ms)
+
+    async def sleep_ms(self, delay_ms: float) -> None:
+        self.now_ms += delay_ms
+
+
+def offer(name: str, cpu: int = 8000, slowness: float = 1.0, near: bool = True) -> WorkerOffer:
+    return WorkerOffer(name, Room(cpu, 1000, 0), slowness, near, False, frozenset({"a"}))
+
+
+class TestUrgency:
+    def test_job_with_less_slack_goes_first(self) -> None:
+        short = create_times(0.0, 120.0, 1.6, 60.0, 0.0)
+        long = create_times(0.0, 1800.0, 1.6, 60.0, 0.0)
+        assert short.rank(10.0) < long.rank(10.0)
+
+    def test_long_job_goes_first_once_its_slack_is_spent(self) -> None:
+        long = create_times(0.0, 1800.0, 1.6, 60.0, 0.0)
+        short = create_times(1100.0, 120.0, 1.6, 60.0, 0.0)
+        assert long.rank(1100.0) < short.rank(1100.0)
+
+    def test_late_job_goes_behind_all_that_can_be_on_time(self) -> None:
+        late = create_times(0.0, 120.0, 1.6, 60.0, 0.0)
+        fresh = create_times(500.0, 1800.0, 1.6, 60.0, 0.0)
+        assert fresh.rank(500.0) < late.rank(500.0)
+
+    def test_job_of_no_more_use_goes_last(self) -> None:
+        useless = create_times(0.0, 120.0, 1.6, 60.0, 0.0)
+        late = create_times(400.0, 120.0, 1.6, 60.0, 0.0)
+        assert late.rank(700.0) < useless.rank(700.0)
+
+    def test_patience_bounds_the_use_of_an_answer(self) -> None:
+        assert create_times(0.0, 100.0, 1.6, 60.0, 300.0).useless_ms == 300.0
+
+
+class TestAdmission:
+    @pytest.mark.parametrize("slack_ms", [0.0, 130.0])
+    def test_idle_fleet_takes_everything(self, slack_ms: float) -> None:
+        assert admit(Backlog(0.0, 0.0, 100.0), slack_ms) is None
+
+    def test_job_is_refused_that_would_wait_longer_than_its_slack(self) -> None:
+        refusal = admit(Backlog(50_000.0, 400_000.0, 100.0), 130.0)
+        assert refusal is not None
+        assert refusal.wait_ms == 500.0
+        assert refusal.retry_after_s == 4
+
+    def test_job_with_more_slack_is_taken_at_the_same_load(self) -> None:
+        assert admit(Backlog(50_000.0, 400_000.0, 100.0), 1100.0) is None
+
+    def test_fleet_without_workers_takes_nothing(self) -> None:
+        refusal = admit(Backlog(0.0, 0.0, 0.0), 1000.0)
+        assert refusal is not None
+        assert refusal.reason == "no_worker"
+
+
+class TestPlacement:
+    def choose(self, *offers: WorkerOffer, avoid: str = "", label: str = "") -> str | None:
+        chosen = choose_worker(
+            Room(2000, 10, 0), label, frozenset({avoid}), list(offers), random.Random(1)
+        )
+        return chosen.worker if chosen is not None else None
+
+    def test_faster_worker_is_chosen_over_a_nearer_one(self) -> None:
+        assert self.choose(offer("slow", slowness=1.25), offer("fast", near=False)) == "fast"
+
+    def test_nearer_worker_is_chosen_among_alike(self) -> None:
+        assert self.choose(offer("far", near=False), offer("near", slowness=1.05)) == "near"
+
+    def test_worker_without_room_is_left_out(self) -> None:
+        assert self.choose(offer("full", cpu=1999), offer("free", slowness=1.8)) == "free"
+
+    def test_worker_out_of_order_gets_nothing(self) -> None:
+        assert self.choose(offer("stuck", slowness=6.0)) is None
+
+    def test_task_that_failed_goes_elsewhere_if_there_is_an_elsewhere(self) -> None:
+        assert self.choose(offer("a"), offer("b", slowness=1.5), avoid="a") == "b"
+        assert self.choose(offer("a"), avoid="a") == "a"
+
+    def test_label_that_no_worker_has_makes_a_task_wait(self) -> None:
+        assert self.choose(offer("a"), label="gpu") is None
+
+    def test_alike_workers_share_the_load_of_entries_that_know_the_same(self) -> None:
+        offers = [offer(f"w{place}") for place in range(5)]
+        chosen = set()
+        for seed in range(50):
+            best = choose_worker(Room(2000, 10, 0), "", frozenset(), offers, random.Random(seed))
+            assert best is not None
+            chosen.add(best.worker)
+        assert len(chosen) == 5
+
+
+class TestSoundness:
+    def test_one_job_that_fails_often_is_not_the_workers_fault(self) -> None:
+        soundness = Soundness()
+        assert not any(soundness.note_failed("job", 0.0) for _ in range(20))
+
+    def test_worker_that_fails_many_jobs_goes_on_trial(self) -> None:
+        soundness = Soundness()
+        verdicts = [soundness.note_failed(f"job-{n}", 0.0) for n in range(FAILED_JOBS_IN_A_ROW)]
+        assert verdicts == [False] * (FAILED_JOBS_IN_A_ROW - 1) + [True]
+        assert not soundness.may_begin(10.0, 0)
+
+    def test_success_clears_the_failures_before(self) -> None:
+        soundness = Soundness()
+        for number in range(10):
+            assert not soundness.note_failed(f"job-{number}", 0.0)
+            soundness.note_done(100.0, 100.0)
+
+    def test_worker_on_trial_gets_one_run_at_a_time_and_is_trusted_after_a_good_one(self) -> None:
+        soundness = Soundness()
+        assert soundness.note_overdue(0.0, [5.0, 6.0])
+        assert not soundness.may_begin(100.0, 0)
+        assert soundness.may_begin(500.0, 0)
+        assert not soundness.may_begin(500.0, 1)
+        soundness.note_done(100.0, 100.0)
+        assert soundness.may_begin(501.0, 5)
+
+    def test_slow_run_on_trial_keeps_the_worker_there(self) -> None:
+        soundness = Soundness()
+        soundness.note_overdue(0.0, [6.0, 6.0])
+        soundness.note_done(600.0, 100.0)
+        assert soundness.on_trial
+
+    def test_single_long_job_puts_no_worker_on_trial(self) -> None:
+        soundness = Soundness()
+        assert not soundness.note_overdue(0.0, [9.0, 1.0, 0.5])
+
+    def test_slowness_follows_the_runs(self) -> None:
+        soundness = Soundness()
+        for _ in range(60):
+            soundness.note_done(125.0, 100.0)
+        assert soundness.slowness == pytest.approx(1.25, rel=0.01)
+
+
+class TestRoom:
+    def test_room_is_never_overbooked(self) -> None:
+        book = RoomBook(Room(10_000, 100, 0))
+        assert book.book("a", Room(6000, 10, 0))
+        assert not book.book("b", Room(6000, 10, 0))
+        book.release("a")
+        assert book.book("b", Room(6000, 10, 0))
+
+    def test_each_measure_counts(self) -> None:
+        book = RoomBook(Room(10_000, 100, 1))
+        assert not book.book("a", Room(1000, 101, 0))
+        assert not book.book("a", Room(1000, 10, 2))
+
+    def test_release_counts_once(self) -> None:
+        book = RoomBook(Room(10_000, 100, 0))
+        book.book("a", Room(6000, 10, 0))
+        book.release("a")
+        book.release("a")
+        assert book.free == Room(10_000, 100, 0)
+
+
+class TestSession:
+    def test_orders_end_a_lease_after_the_last_report_that_was_heard(self) -> None:
+        lease = EntryLease(0.0)
+        lease.heard(500.0)
+        assert lease.holds(500.0 + LEASE_MS - 1)
+        assert not lease.holds(500.0 + LEASE_MS)
+
+    def test_older_proof_changes_nothing(self) -> None:
+        lease = EntryLease(0.0)
+        lease.heard(500.0)
+        lease.heard(100.0)
+        assert lease.age_ms(600.0) == 100.0
+
+    def test_orders_have_ended_when_the_entry_gives_up(self) -> None:
+        # The report is stamped before it is heard, whatever the clocks show.
+        stamped_ms, heard_ms = 1000.0, 1030.0
+        lease = EntryLease(0.0)
+        lease.heard(stamped_ms)
+        watch = SideWatch(0.0)
+        watch.reported(stamped_ms, heard_ms)
+        assert watch.is_lost(heard_ms + LEASE_MS)
+        assert not lease.holds(heard_ms + LEASE_MS)
+
+
+class TestRunTimes:
+    def test_declared_time_serves_while_nothing_is_known(self) -> None:
+        assert RunTimes().expected_ms("q", 100.0) == pytest.approx(100.0)
+
+    def test_what_callers_declare_is_corrected(self) -> None:
+        times = RunTimes()
+        for _ in range(400):
+            times.note("q", 100.0, 200.0)
+        assert times.expected_ms("q", 100.0) == pytest.approx(200.0, rel=0.01)
+
+
+class TestRouting:
+    def test_longest_prefix_of_the_host_is_found(self) -> None:
+        queues = [
+            WorkQueue(prefix, "h", prefix, "s", 0, 60.0, 1.6, 3, 0.0) for prefix in ("/a/", "/a/b/")
+        ]
+        configured = Configuration(1, queues, frozenset({"s"}), 1000, b"")
+        found = configured.find("H", "/a/b/x")
+        assert found is not None
+        assert found.name == "/a/b/"
+        assert configured.find("h", "/c/") is None
+        assert configured.find("other", "/a/x") is None
+
+
+class TestStandings:
+    def test_standings_are_forgotten_after_a_while(self) -> None:
+        clock = SetClock()
+        checked: Clock = clock
+        book = StandingBook(checked)
+        book.end("job", Standing.COMPLETED)
+        book.note_peer("there", ["other"])
+        assert book.ended("job") is Standing.COMPLETED
+        assert book.taken_by("other") == "there"
+        clock.now_ms = KEPT_MS + 1
+        book.expire()
+        assert book.ended("job") is Standing.UNKNOWN
+        assert book.taken_by("other") == ""
+
+    def test_job_that_is_taken_anew_has_no_old_standing(self) -> None:
+        book = StandingBook(SetClock())
+        book.end("job", Standing.REFUSED)
+        book.take("job")
+        assert book.ended("job") is Standing.UNKNOWN
+
+
+def test_longest_chain_follows_the_steps() -> None:
+    room = Room(1000, 1, 0)
+    steps = (
+        StepSpec(1, room, 100.0),
+        StepSpec(1, room, 300.0),
+        StepSpec(1, room, 50.0, after=(0, 1)),
+    )
+    assert longest_chain_ms(steps, [100.0, 300.0, 50.0]) == 350.0
+
+
+def test_times_hold_the_objective() -> None:
+    times = create_times(0.0, 100.0, 1.6, 60.0, 0.0)
+    assert times == JobTimes(0.0, 100.0, 220.0, 660.0)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,409 @@
+"""Check what the adapter reads and writes, without the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import re
+import struct
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import msgspec
+import pytest
+from aiohttp import web
+
+from currantbarrow.direct.model import Room
+from currantbarrow.direct.worker import Announcement, RunName, RunSpec, StartVerdict
+from currantbarrow.exceptions import (
+    AppendUnknown,
+    ConfigurationError,
+    JobInvalid,
+    LogUnavailable,
+    RecordsExpired,
+    SettingsError,
+    WorkerReplaced,
+    WorkerSilent,
+    WorkerUnreached,
+)
+from currantbarrow.observe import MetricsBook
+from currantbarrow.platform.configuration import parse_configuration
+from currantbarrow.platform.jobs import read_job
+from currantbarrow.platform.settings import load_process_settings
+from currantbarrow.platform.store import KeyedRecord, StoreClient
+from currantbarrow.platform.topics import StoreAnnouncements
+from currantbarrow.platform.worker import HttpWorkerControl
+from currantbarrow.protocol.direct import RunEnd
+
+SOURCE = Path(__file__).parent.parent / "src" / "currantbarrow"
+JOB = "0123456789abcdef"
+Handler = Callable[[web.Request], Awaitable[web.Response]]
+# Words of the platform's interface that mean nothing elsewhere in the product.
+PLATFORM_WORDS = (
+    r"run-start",
+    r"run-stop",
+    r"log-append",
+    r"log-newest",
+    r"log-read",
+    r"heartbeat_addr",
+    r"best_effort",
+    r"fencing_token",
+    r"X-Expected-Instance",
+    r"X-Deadline-Ms",
+    r"listen_addrs",
+    r"internal_port_range",
+    r"mem_mb",
+    r"/currantbarrow/",
+)
+
+
+def serve(handler: Handler, client: Callable[[str], Awaitable[None]]) -> None:
+    """Run a client against a server on loopback that answers everything by one handler."""
+
+    async def run() -> None:
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", handler)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = runner.addresses[0][:2]
+        await client(f"{host}:{port}")
+        await runner.cleanup()
+
+    asyncio.run(run())
+
+
+class TestBoundary:
+    @pytest.mark.parametrize("word", PLATFORM_WORDS)
+    def test_platform_words_stay_in_their_folder(self, word: str) -> None:
+        for path in SOURCE.rglob("*.py"):
+            if path.relative_to(SOURCE).parts[0] != "platform":
+                assert not re.search(word, path.read_text()), path
+
+    def test_nothing_else_imports_the_adapter(self) -> None:
+        for path in SOURCE.rglob("*.py"):
+            if path.relative_to(SOURCE).parts[0] != "platform":
+                assert "currantbarrow.platform" not in path.read_text(), path
+
+
+class TestSettings:
+    def test_settings_are_read(self, tmp_path: Path) -> None:
+        path = tmp_path / "boot.json"
+        path.write_bytes(
+            msgspec.json.encode(
+                {
+                    "node_name": "side-1",
+                    "ip": "10.0.0.1",
+                    "zone": "one",
+                    "listen_addrs": {"control": "10.0.0.1:8166"},
+                    "internal_port_range": [7720, 7735],
+                    "seeds": ["10.0.0.9:8166"],
+                    "platform": {"address": "10.0.0.7:1"},
+                    "app": "10.0.0.1:8165",
+                    "bounds": {"max_hold_ms": 900, "grace_s": 5},
+                    "unknown": {"field": 1},
+                }
+            )
+        )
+        settings = load_process_settings(str(path))
+        assert settings.link_address == "10.0.0.1:7720"
+        assert settings.seed_link_addresses == ("10.0.0.9:7720",)
+        assert settings.worker_lease_ms == 900
+        assert settings.grace_ms == 5000
+
+    @pytest.mark.parametrize("text", ["", "{}", "[1]", '{"node_name": 3}'])
+    def test_unreadable_settings_are_an_error(self, tmp_path: Path, text: str) -> None:
+        path = tmp_path / "boot.json"
+        path.write_text(text)
+        with pytest.raises(SettingsError):
+            load_process_settings(str(path))
+
+    def test_missing_settings_are_an_error(self, tmp_path: Path) -> None:
+        with pytest.raises(SettingsError):
+            load_process_settings(str(tmp_path / "none.json"))
+
+
+class TestConfiguration:
+    def test_routes_become_queues(self) -> None:
+        document = msgspec.json.encode(
+            {
+                "version": 7,
+                "routes": [
+                    {
+                        "name": "r",
+                        "host": "h.example",
+                        "path_prefix": "/p/",
+                        "service": "s",
+                        "target_latency_ms": 60,
+                        "stretch": 1.6,
+                        "max_attempts": 2,
+                        "priority": 1,
+                        "type": "unsafe",
+                    },
+                    {"name": "idle", "host": "h.example", "path_prefix": "/q/"},
+                ],
+                "services": [{"name": "s", "tls": False}],
+            }
+        )
+        configured = parse_configuration(document)
+        queue = configured.find("h.example", "/p/x")
+        assert configured.version == 7
+        assert queue is not None
+        assert (queue.target_ms, queue.stretch, queue.max_attempts) == (60, 1.6, 2)
+
+    @pytest.mark.parametrize("document", [b"", b"\xff\x00", b"[]", b'{"version": "x"}', b"{}"])
+    def test_unreadable_document_is_an_error(self, document: bytes) -> None:
+        with pytest.raises(ConfigurationError):
+            parse_configuration(document)
+
+
+class TestJobs:
+    def make(self, **fields: object) -> bytes:
+        body = {"spec": "s", "phases": [{"count": 2, "cpu": 500}], "best_effort": True, **fields}
+        return msgspec.json.encode(body)
+
+    def test_job_is_read(self) -> None:
+        spec = read_job(JOB, self.make())
+        assert spec.steps[0].count == 2
+        assert spec.steps[0].room == Room(500, 0, 0)
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"no json",
+            b"[]",
+            b"{}",
+            b'{"spec": 1, "phases": []}',
+            b'{"spec": "s", "phases": [{"count": "x"}]}',
+        ],
+    )
+    def test_unreadable_body_is_an_error(self, body: bytes) -> None:
+        with pytest.raises(JobInvalid):
+            read_job(JOB, body)
+
+    @pytest.mark.parametrize("job", ["", "xyz", "0123456789ABCDEF", "0" * 15, "0" * 17])
+    def test_bad_id_is_an_error(self, job: str) -> None:
+        with pytest.raises(JobInvalid) as raised:
+            read_job(job, self.make())
+        assert raised.value.field == "id"
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"best_effort": False},
+            {"long_running": True},
+            {"repeats": 2},
+            {"phases": [{"count": 2, "gang": True}]},
+            {"phases": [{"count": 2, "fills": True}]},
+            {"phases": [{"count": 2, "anti_affinity": 1}]},
+        ],
+    )
+    def test_what_is_not_built_is_told_apart(self, fields: dict[str, object]) -> None:
+        with pytest.raises(JobInvalid) as raised:
+            read_job(JOB, self.make(**fields))
+        assert raised.value.code == "unsupported"
+
+    def test_step_after_itself_is_an_error(self) -> None:
+        with pytest.raises(JobInvalid):
+            read_job(JOB, self.make(phases=[{"count": 1, "after": [0]}]))
+
+    def test_longest_payload_is_taken_and_a_longer_one_is_not(self) -> None:
+        assert read_job(JOB, self.make(spec="x" * 4000)).payload == "x" * 4000
+        with pytest.raises(JobInvalid):
+            read_job(JOB, self.make(spec="x" * 4001))
+
+
+class TestWorkerControl:
+    @staticmethod
+    def answer(status: int, body: object) -> Handler:
+        async def handler(request: web.Request) -> web.Response:
+            return web.Response(status=status, body=msgspec.json.encode(body))
+
+        return handler
+
+    @pytest.mark.parametrize(
+        ("status", "body", "verdict"),
+        [
+            (200, {"clock_ms": 5}, StartVerdict.STARTED),
+            (409, {"clock_ms": 5, "reason": "fence"}, StartVerdict.FENCED),
+            (409, {"clock_ms": 5, "reason": "old"}, StartVerdict.OUTDATED),
+            (409, {"clock_ms": 5, "reason": "late"}, StartVerdict.LATE),
+            (409, {"clock_ms": 5, "reason": "room"}, StartVerdict.NO_ROOM),
+            (400, {}, StartVerdict.INVALID),
+            (503, {}, StartVerdict.UNWELL),
+        ],
+    )
+    def test_answers_to_a_start(self, status: int, body: object, verdict: StartVerdict) -> None:
+        async def client(address: str) -> None:
+            control = HttpWorkerControl(address)
+            run = RunSpec(RunName(JOB, 0, 3, 2), "spec")
+            answer = await control.start("i-1", run, 1000.0, 7, 1000.0)
+            assert answer.verdict is verdict
+            await control.close()
+
+        serve(self.answer(status, body), client)
+
+    def test_lists_are_read(self) -> None:
+        body = {
+            "clock_ms": 9,
+            "running": [[f"{JOB}.0.1.2", 3, "", 100]],
+            "finished": [[4, f"{JOB}.0.0.1", 1, "done", ""], [5, f"{JOB}.0.0.2", 1, "new", ""]],
+        }
+
+        async def client(address: str) -> None:
+            control = HttpWorkerControl(address)
+            lists = await control.look(
+                "i-1", 7, noted=3, lease_until_ms=100.0, wait_ms=10.0, patience_ms=1000.0
+            )
+            assert lists is not None
+            assert lists.running == [RunName(JOB, 1, 2, 3)]
+            assert [end.end for end in lists.ends] == [RunEnd.DONE, RunEnd.LOST]
+            await control.close()
+
+        serve(self.answer(200, body), client)
+
+    @pytest.mark.parametrize("body", [[], {"clock_ms": "x"}, {"clock_ms": 1, "running": [["a"]]}])
+    def test_unreadable_lists_are_no_answer(self, body: object) -> None:
+        async def client(address: str) -> None:
+            control = HttpWorkerControl(address)
+            with pytest.raises(WorkerSilent):
+                await control.look(
+                    "i-1", 7, noted=0, lease_until_ms=None, wait_ms=0.0, patience_ms=1000.0
+                )
+            await control.close()
+
+        serve(self.answer(200, body), client)
+
+    def test_answer_of_another_life_is_told_apart(self) -> None:
+        async def client(address: str) -> None:
+            control = HttpWorkerControl(address)
+            with pytest.raises(WorkerReplaced):
+                await control.stop("i-1", RunName(JOB, 0, 0, 1), 7, 1000.0)
+            await control.close()
+
+        serve(self.answer(421, {}), client)
+
+    def test_order_that_never_left_is_told_apart_from_one_without_an_answer(self) -> None:
+        async def silent(request: web.Request) -> web.Response:
+            await asyncio.sleep(0.5)
+            return web.Response()
+
+        async def client(address: str) -> None:
+            control = HttpWorkerControl(address)
+            with pytest.raises(WorkerSilent):
+                await control.stop("i-1", RunName(JOB, 0, 0, 1), 7, 50.0)
+            await control.close()
+            unreached = HttpWorkerControl("127.0.0.1:1")
+            with pytest.raises(WorkerUnreached):
+                await unreached.stop("i-1", RunName(JOB, 0, 0, 1), 7, 50.0)
+            await unreached.close()
+
+        serve(silent, client)
+
+
+class MemoryStore:
+    """Answer as the store does, from a list of records."""
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.first = 0
+        self.status = 200
+        self.silent = False
+
+    async def handle(self, request: web.Request) -> web.Response:
+        if self.silent:
+            await asyncio.sleep(2.0)
+        if self.status != 200:
+            return web.Response(status=self.status)
+        match request.path.rpartition("/")[2]:
+            case "log-append":
+                body = await request.read()
+                self.records.append(body[4:])
+                return web.json_response({"offset": len(self.records) - 1})
+            case "log-read":
+                return self._read(int(request.query["from"]))
+            case _:
+                return web.json_response(self._newest())
+
+    def _read(self, offset: int) -> web.Response:
+        if offset < self.first:
+            return web.json_response({"first": self.first}, status=410)
+        body = struct.pack(">QQ", len(self.records), self.first)
+        for record in self.records[offset:]:
+            body += struct.pack(">I", len(record)) + record
+        return web.Response(body=body)
+
+    def _newest(self) -> dict[str, object]:
+        items = {}
+        for record in self.records:
+            length = record[0]
+            items[record[1 : 1 + length].decode()] = base64.b64encode(record[1 + length :]).decode()
+        rows = [{"key": key, "value": value} for key, value in items.items()]
+        return {"items": rows, "has_more": False, "end": len(self.records)}
+
+
+class TestStore:
+    def test_keyed_records_come_back(self) -> None:
+        memory = MemoryStore()
+
+        async def client(address: str) -> None:
+            store = StoreClient(address)
+            await store.append_keyed("keyed.t", KeyedRecord("a", b"1"))
+            await store.append_keyed("keyed.t", KeyedRecord("a", b"2"))
+            newest = await store.newest("keyed.t")
+            assert newest.records == [KeyedRecord("a", b"2")]
+            assert newest.end == 2
+            news = await store.read_keyed("keyed.t", 1, 0)
+            assert news.records == [KeyedRecord("a", b"2")]
+            assert news.end == 2
+            await store.close()
+
+        serve(memory.handle, client)
+
+    def test_expired_records_are_told_apart(self) -> None:
+        memory = MemoryStore()
+        memory.first = 5
+
+        async def client(address: str) -> None:
+            store = StoreClient(address)
+            with pytest.raises(RecordsExpired) as raised:
+                await store.read("t", 1, 0)
+            assert raised.value.first_offset == 5
+            await store.close()
+
+        serve(memory.handle, client)
+
+    def test_refused_append_was_not_made_and_a_silent_one_may_have_been(self) -> None:
+        memory = MemoryStore()
+
+        async def client(address: str) -> None:
+            store = StoreClient(address)
+            memory.status = 503
+            with pytest.raises(LogUnavailable):
+                await store.append("t", b"x")
+            memory.status, memory.silent = 200, True
+            with pytest.raises(AppendUnknown):
+                await store.append("t", b"x")
+            await store.close()
+
+        serve(memory.handle, client)
+
+    def test_announcement_is_kept_for_the_next_life_of_a_side_process(self) -> None:
+        memory = MemoryStore()
+        announcement = Announcement("i-1", "s", Room(1000, 10, 0), frozenset({"a"}), False, 3)
+
+        async def client(address: str) -> None:
+            store = StoreClient(address)
+            kept = StoreAnnouncements("side-1", store, MetricsBook())
+            assert await kept.recall() is None
+            await kept.save(announcement)
+            assert await kept.recall() == announcement
+            memory.records.append(b"\x06side-1not json")
+            assert await kept.recall() is None
+            memory.status = 503
+            assert await kept.recall() is None
+            await store.close()
+
+        serve(memory.handle, client)
