--- a/src/currantbarrow/direct/desk.py
+++ b/src/currantbarrow/direct/desk.py
@@ -135,7 +135,7 @@
         offers = self._offers()
         blocked: set[str] = set()
         batches: dict[tuple[str, str], list[JobTask]] = {}
-        for job in sorted(self._waiting.values(), key=lambda job: job.times.rank(now_ms)):
+        for job in sorted(self._waiting.values(), key=lambda job: job.rank(now_ms)):
             service = job.queue.service
             if service in blocked:
                 continue
@@ -326,14 +326,14 @@
     def _backlog(self, job: OpenJob, now_ms: float) -> Backlog:
         """Work out what goes before a job; other entries are taken to wait for as much."""
         assert self.fleet is not None
-        rank = job.times.rank(now_ms)
+        rank = job.rank(now_ms)
         ahead = total = 0.0
         for other in self._waiting.values():
             if other is job or other.queue.service != job.queue.service:
                 continue
             core_ms = other.waiting_core_ms()
             total += core_ms
-            if other.times.rank(now_ms) < rank:
+            if other.rank(now_ms) < rank:
                 ahead += core_ms
         cores = self.fleet.cores(job.queue.service) / self._entries
         return Backlog(ahead, total + job.waiting_core_ms(), cores)
--- a/src/currantbarrow/direct/job.py
+++ b/src/currantbarrow/direct/job.py
@@ -105,6 +105,10 @@
         # Tasks that wait, whether or not their turn has come.
         self.unordered = len(self.tasks)
 
+    def rank(self, now_ms: float) -> tuple[int, float]:
+        """Return what to sort waiting jobs by; the smallest goes first."""
+        return self.times.rank(now_ms, self.begun)
+
     def ready_tasks(self, now_ms: float) -> list[JobTask]:
         """Return the tasks that wait and whose turn has come."""
         if not self.unordered:
--- a/src/currantbarrow/direct/urgency.py
+++ b/src/currantbarrow/direct/urgency.py
@@ -2,7 +2,8 @@
 
 Load pattern: bursts in which jobs of all queues wait, short ones with little slack beside long
 ones with much. Going by the latest time to begin lets a job that can wait do so. A job that is
-late already goes behind all that can still be on time, since it would make those late too.
+late already goes behind all that can still be on time, since it would make those late too, unless
+it has begun: large jobs begin in parts, and the rest would wait behind all that comes.
 """
 
 from __future__ import annotations
@@ -41,9 +42,10 @@
         """Tell whether the answer would come too late to be of use."""
         return now_ms > self.last_start_ms
 
-    def rank(self, now_ms: float) -> tuple[int, float]:
+    def rank(self, now_ms: float, begun: bool = False) -> tuple[int, float]:
         """Return what to sort by; the smallest goes first."""
-        if not self.is_late(now_ms):
+        # The work of a job that was begun is lost unless the rest of it is done as well.
+        if not self.is_late(now_ms) or (begun and not self.is_useless(now_ms)):
             return 0, self.latest_start_ms
         return (2 if self.is_useless(now_ms) else 1), self.last_start_ms
 
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -55,6 +55,12 @@
         fresh = create_times(500.0, 1800.0, 1.6, 60.0, 0.0)
         assert fresh.rank(500.0) < late.rank(500.0)
 
+    def test_late_job_that_was_begun_goes_first_while_it_is_of_use(self) -> None:
+        begun = create_times(0.0, 120.0, 1.6, 60.0, 0.0)
+        fresh = create_times(500.0, 120.0, 1.6, 60.0, 0.0)
+        assert begun.rank(500.0, begun=True) < fresh.rank(500.0)
+        assert begun.rank(700.0, begun=True) > fresh.rank(500.0)
+
     def test_job_of_no_more_use_goes_last(self) -> None:
         useless = create_times(0.0, 120.0, 1.6, 60.0, 0.0)
         late = create_times(400.0, 120.0, 1.6, 60.0, 0.0)
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -336,3 +336,30 @@
             assert all(worker.unnoted == 0 for worker in fleet.workers.values())
 
         run_fleet(scenario)
+
+
+class TestOverload:
+    def test_job_that_was_begun_in_parts_is_finished_before_what_came_later(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            # A job of 12 tasks meets a full fleet, and short jobs go on coming.
+            loop = asyncio.get_running_loop()
+            first = [
+                asyncio.create_task(
+                    fleet.submit("entry-0", fleet.job(f"{place:016x}", 4, 100.0 + 20 * place))
+                )
+                for place in range(7)
+            ]
+            await asyncio.sleep(0.01)
+            began_s = loop.time()
+            large = asyncio.create_task(fleet.submit("entry-0", fleet.job("f" * 16, 12, 150.0)))
+            later = []
+            for place in range(100, 160):
+                await asyncio.sleep(0.012)
+                job = fleet.job(f"{place:016x}", 4, 100.0)
+                later.append(asyncio.create_task(fleet.submit("entry-0", job)))
+            assert await large == "completed"
+            # Three times 1.6 times the work and 60 ms.
+            assert loop.time() - began_s < 0.9
+            await asyncio.gather(*first, *later)
+
+        run_fleet(scenario)
