Let go of jobs that were sent again while a process stood still

Cause: an entry that was frozen or cut off keeps jobs open that their callers have sent to another entry meanwhile; when it wakes it would order them again beside the other's runs. A stop that can't be confirmed kept a run alive by the leases of others. Change: pings name jobs with their age, the older holder lets go; after a standstill an entry orders nothing for 450 ms; a worker's leases are not renewed while a stop waits for over 250 ms; a cancel reaches runs whose entry can't be asked.

--- a/src/currantbarrow/direct/desk.py
+++ b/src/currantbarrow/direct/desk.py
@@ -26,6 +26,11 @@
 # While all workers are full, an order may wait this long for room to be given back, which saves
 # the way there and back; a worker gives some back every 40 ms.
 WAIT_FOR_ROOM_MS = 60.0
+# A process that stood still this long has missed what its peers told it: its callers may have
+# sent their jobs again elsewhere by now. Leases of its orders end after 800 ms.
+STALL_MS = 500.0
+# How long it then orders nothing: links are opened anew and peers tell what they took.
+HOLD_MS = 450.0
 # While nothing is known of the fleet, callers are asked to come back after this long.
 UNKNOWN_RETRY_S = 1
 STANDING_OF_STATE = {
@@ -51,6 +56,8 @@
         self._rng = rng
         self._book = book
         self._entries = 1
+        self._ticked_ms = clock.monotonic_ms()
+        self._hold_until_ms = 0.0
         # Jobs with tasks that wait; the others need no look.
         self._waiting: dict[str, OpenJob] = {}
 
@@ -132,6 +139,8 @@
         if not self._waiting or self.fleet is None:
             return
         now_ms = self._clock.monotonic_ms()
+        if now_ms < self._hold_until_ms or now_ms - self._ticked_ms > STALL_MS:
+            return
         offers = self._offers()
         blocked: set[str] = set()
         batches: dict[tuple[str, str], list[JobTask]] = {}
@@ -300,6 +309,14 @@
     def tick(self) -> None:
         """Send away jobs whose time has passed, and order tasks whose pause is over."""
         now_ms = self._clock.monotonic_ms()
+        stalled_ms = now_ms - self._ticked_ms
+        self._ticked_ms = now_ms
+        if stalled_ms > STALL_MS:
+            self._hold_until_ms = now_ms + HOLD_MS
+            self._metrics.incr("entry.stalled")
+            logger.warning(
+                "process stood still", extra={"for_ms": round(stalled_ms), "jobs": len(self.jobs)}
+            )
         for job in list(self._waiting.values()):
             if job.begun or not job.times.is_late(now_ms):
                 continue
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -130,6 +130,7 @@
             return
         run.stopping = True
         run.stop_reason = reason
+        run.stop_asked_ms = self._clock.monotonic_ms()
         self._background.spawn(self._stop(life, run))
 
     def runs(self) -> list[Run]:
@@ -347,7 +348,7 @@
         """Compare the worker's lists with the runs; tell whether it answered."""
         asked_ms = self._clock.monotonic_ms()
         try:
-            lists = await self._orders.look(life, at_once=at_once, renew=bool(life.runs))
+            lists = await self._orders.look(life, at_once=at_once, renew=life.may_renew(asked_ms))
         except WorkerReplaced:
             self._end_life(life, "another life answered")
             return True
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -20,7 +20,7 @@
 from currantbarrow.exceptions import ConfigurationError, LinkError
 from currantbarrow.observe import logger
 from currantbarrow.protocol import Hello, Role
-from currantbarrow.protocol.direct import HostRow, ShareHosts, Standing
+from currantbarrow.protocol.direct import HostRow, ShareHosts, Standing, TakenRow
 from currantbarrow.types import Clock, Link, Metrics, Network
 
 __all__ = ["DirectEntry", "DirectEntryOptions"]
@@ -28,6 +28,8 @@
 # A job that was seen at another entry gets attempts above all that were made there.
 MOVED_ATTEMPTS = 50
 EXPIRE_MS = 1000.0
+# Callers send a job again 1.3 s after a failure; half of it tells the two entries apart.
+SENT_AGAIN_MS = 650.0
 RELEASE_LOOK_MS = 5.0
 # How long a job's runs may take to stop when another entry asks for it.
 RELEASE_WAIT_MS = 700.0
@@ -171,7 +173,6 @@
             job = self.desk.jobs.get(spec.job_id)
             if job is not None:
                 return job
-        self.peers.note_taken(spec.job_id)
         return self.desk.submit(spec, queue, patience_ms, attempts)
 
     async def cancel(self, job_id: str) -> bool:
@@ -182,7 +183,11 @@
             return True
         if self.book.ended(job_id) is not Standing.UNKNOWN:
             return True
-        return await self.peers.stop_job(job_id)
+        known = await self.peers.stop_job(job_id)
+        if not known and self.book.taken_by(job_id):
+            # The entry that has it can't be asked, so its runs are ended where they run.
+            known = await self.fleet.clear(job_id)
+        return known
 
     def state_of(self, job_id: str) -> Standing:
         """Return a job's standing here."""
@@ -261,6 +266,16 @@
             self.desk.cancel(self.desk.jobs[job], "cancelled through another entry")
         return standing
 
+    def peer_took(self, address: str, rows: list[TakenRow]) -> None:
+        """Let go of jobs that their callers have sent again to a peer."""
+        self.book.note_peer(address, rows)
+        now_ms = self._clock.monotonic_ms()
+        for row in rows:
+            job = self.desk.jobs.get(row.job)
+            if job is not None and now_ms - job.times.received_ms > row.age_ms + SENT_AGAIN_MS:
+                logger.info("job taken by a peer", extra={"job": row.job, "address": address})
+                self.desk.move(job)
+
     # Other processes.
 
     def _own_row(self) -> HostRow:
--- a/src/currantbarrow/direct/life.py
+++ b/src/currantbarrow/direct/life.py
@@ -16,6 +16,8 @@
 # Single orders get lost while a worker is well, so only a row of them is silence.
 SILENT_CALLS = 3
 SILENT_MS = 250.0
+# Stops are confirmed in some milliseconds, and tried several times in this time.
+STOP_LIMIT_MS = 250.0
 # Once an order was lost, others are likely to be for some seconds.
 LOSSY_MS = 3000.0
 
@@ -106,6 +108,17 @@
         """Tell whether orders were lost lately."""
         return now_ms - self._lost_ms < LOSSY_MS
 
+    def may_renew(self, now_ms: float) -> bool:
+        """Tell whether to keep runs alive.
+
+        One lease holds for all runs. When a stop can't be had, letting the lease end is the only
+        way to be sure that the run does not go on beside another one elsewhere.
+        """
+        return bool(self.runs) and not any(
+            run.stopping and not run.stopped_ms and now_ms - run.stop_asked_ms > STOP_LIMIT_MS
+            for run in self.runs.values()
+        )
+
     def number_for(self, run: Run) -> RunName:
         """Give a run a number above all that its task had here."""
         task = run.name.task
--- a/src/currantbarrow/direct/peers.py
+++ b/src/currantbarrow/direct/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -23,6 +24,7 @@
     ShowStanding,
     Standing,
     StopJob,
+    TakenRow,
 )
 from currantbarrow.types import Clock, Link, Metrics, Network
 
@@ -53,17 +55,20 @@
     def stop_job(self, job: str) -> Standing:
         """Cancel a job, and return what its standing was."""
 
+    def peer_took(self, address: str, rows: list[TakenRow]) -> None:
+        """Take in which jobs a peer has taken."""
+
 
 class _PeerHandle:
     """Hold the link that this entry opened to a peer."""
 
-    __slots__ = ("caller", "link", "taken")
+    __slots__ = ("caller", "link", "told_ms")
 
-    def __init__(self, link: Link, taken: list[str]) -> None:
+    def __init__(self, link: Link) -> None:
         self.link = link
         self.caller = Caller(link)
-        # Jobs that the peer was not told of yet.
-        self.taken = taken
+        # Jobs that were taken before this time, the peer was told of.
+        self.told_ms = -math.inf
 
 
 class EntryPeers:
@@ -107,11 +112,6 @@
         """Return how many peers are linked."""
         return len(self._peers)
 
-    def note_taken(self, job: str) -> None:
-        """Have the peers told that a job was taken here."""
-        for peer in self._peers.values():
-            peer.taken.append(job)
-
     async def ask(self, address: str, job: str) -> Standing | None:
         """Return a job's standing at a peer that lets go of it, or None when it can't be told."""
         peer = self._peers.get(address)
@@ -149,7 +149,8 @@
             await self._clock.sleep_ms(PING_MS)
             version, _ = self._listener.configuration()
             for peer in list(self._peers.values()):
-                taken, peer.taken = peer.taken, []
+                taken = self._book.taken_since(peer.told_ms)
+                peer.told_ms = self._clock.monotonic_ms()
                 try:
                     peer.link.post(EntryPing(version, taken, self._address))
                 except LinkError:
@@ -172,7 +173,7 @@
             message = await link.receive()
             match message:
                 case EntryPing():
-                    self._book.note_peer(message.address, message.taken)
+                    self._listener.peer_took(message.address, message.taken)
                     version = self._share_newer(link, message.configuration, version)
                     link.post(PeerPing())
                 case ShowStanding():
@@ -205,7 +206,7 @@
         return asyncio.create_task(show())
 
     async def _serve_own(self, address: str, link: Link) -> None:
-        peer = _PeerHandle(link, self._book.recent())
+        peer = _PeerHandle(link)
         self._peers[address] = peer
         logger.info("peer linked", extra={"address": address, "peer": link.peer.name})
         try:
--- a/src/currantbarrow/direct/runs.py
+++ b/src/currantbarrow/direct/runs.py
@@ -42,6 +42,7 @@
         "reported",
         "room",
         "session",
+        "stop_asked_ms",
         "stop_reason",
         "stopped_ms",
         "stopping",
@@ -66,6 +67,7 @@
         # When the worker confirmed that it has stopped the run, or will never begin it.
         self.stopped_ms = 0.0
         self.stopping = False
+        self.stop_asked_ms = 0.0
         self.stop_reason = RunEnd.STOPPED
         self.reported = False
 
--- a/src/currantbarrow/direct/standings.py
+++ b/src/currantbarrow/direct/standings.py
@@ -4,7 +4,7 @@
 
 import collections
 
-from currantbarrow.protocol.direct import Standing
+from currantbarrow.protocol.direct import Standing, TakenRow
 from currantbarrow.types import Clock
 
 __all__ = ["StandingBook"]
@@ -43,21 +43,27 @@
         entry = self._ended.get(job)
         return entry[0] if entry is not None else Standing.UNKNOWN
 
-    def note_peer(self, address: str, jobs: list[str]) -> None:
+    def note_peer(self, address: str, rows: list[TakenRow]) -> None:
         """Note that another entry has taken jobs."""
         now_ms = self._clock.monotonic_ms()
-        for job in jobs:
-            self._peers[job] = (address, now_ms)
-            self._peers.move_to_end(job)
+        for row in rows:
+            self._peers[row.job] = (address, now_ms)
+            self._peers.move_to_end(row.job)
 
     def taken_by(self, job: str) -> str:
         """Return the address of another entry that has taken a job, or nothing."""
         entry = self._peers.get(job)
         return entry[0] if entry is not None else ""
 
-    def recent(self) -> list[str]:
-        """Return the jobs that were taken here recently."""
-        return [job for job, _ in self._taken]
+    def taken_since(self, since_ms: float) -> list[TakenRow]:
+        """Return the jobs that were taken here from a time on, as far back as is kept."""
+        now_ms = self._clock.monotonic_ms()
+        rows = []
+        for job, taken_ms in reversed(self._taken):
+            if taken_ms < since_ms:
+                break
+            rows.append(TakenRow(job, now_ms - taken_ms))
+        return rows
 
     def expire(self) -> None:
         """Forget what nobody will ask for."""
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -27,6 +27,7 @@
     "SideReport",
     "Standing",
     "StopJob",
+    "TakenRow",
     "TaskOrder",
     "WorkerState",
 ]
@@ -175,11 +176,18 @@
     data_centre: str
 
 
+class TakenRow(msgspec.Struct, array_like=True, frozen=True):
+    """Name a job that an entry has taken, and how long ago."""
+
+    job: str
+    age_ms: float
+
+
 class EntryPing(Message, frozen=True):
     """Tell a peer which jobs were taken in since the last ping, and the configuration's version."""
 
     configuration: int
-    taken: list[str]
+    taken: list[TakenRow]
     # Where the sender takes links.
     address: str
 
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -151,6 +151,7 @@
         self.workers: dict[str, MemoryWorker] = {}
         self.memories: dict[str, MemoryAnnouncements] = {}
         self._lives = 0
+        self._clocks: dict[str, LoopClock] = {}
         self._announcing: dict[str, asyncio.Task[None]] = {}
         self._publishing: set[asyncio.Task[None]] = set()
 
@@ -172,9 +173,10 @@
         options = DirectEntryOptions(
             name, f"{name}.{self._lives}", f"{name}:1", "one", (), 2800.0, 5500.0
         )
+        self._clocks[name] = LoopClock()
         self.entries[name] = DirectEntry(
             options,
-            clock=self.clock,
+            clock=self._clocks[name],
             network=MemoryNetwork(self.fabric),
             rng=self.rng,
             metrics=self.metrics,
@@ -214,6 +216,14 @@
         self._announcing.pop(name).cancel()
         await self.sides.pop(name).stop()
 
+    def pause_clock(self, name: str) -> None:
+        """Have an entry's own waits last until it is resumed."""
+        self._clocks[name].running.clear()
+
+    def resume_clock(self, name: str) -> None:
+        """Let an entry's own waits end."""
+        self._clocks[name].running.set()
+
     async def stop(self) -> None:
         """Stop everything."""
         for announcing in self._announcing.values():
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -17,7 +17,7 @@
 from currantbarrow.direct.soundness import FAILED_JOBS_IN_A_ROW, Soundness
 from currantbarrow.direct.standings import KEPT_MS, StandingBook
 from currantbarrow.direct.urgency import JobTimes, create_times
-from currantbarrow.protocol.direct import Standing
+from currantbarrow.protocol.direct import Standing, TakenRow
 from currantbarrow.types import Clock
 
 
@@ -244,7 +244,7 @@
         checked: Clock = clock
         book = StandingBook(checked)
         book.end("job", Standing.COMPLETED)
-        book.note_peer("there", ["other"])
+        book.note_peer("there", [TakenRow("other", 0.0)])
         assert book.ended("job") is Standing.COMPLETED
         assert book.taken_by("other") == "there"
         clock.now_ms = KEPT_MS + 1
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -363,3 +363,22 @@
             await asyncio.gather(*first, *later)
 
         run_fleet(scenario)
+
+
+class TestStandstill:
+    def test_entry_that_stood_still_lets_go_of_jobs_that_were_sent_again(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            spec = fleet.job("6" * 16, 3, 4000.0)
+            first = asyncio.create_task(fleet.submit("entry-0", spec))
+            await asyncio.sleep(0.3)
+            fleet.fabric.pause("entry-0")
+            fleet.pause_clock("entry-0")
+            await asyncio.sleep(RETRANSMIT_S)
+            again = asyncio.create_task(fleet.submit("entry-1", spec))
+            await asyncio.sleep(2.0)
+            fleet.fabric.resume("entry-0")
+            fleet.resume_clock("entry-0")
+            assert await again == "completed"
+            assert await first == "moved"
+
+        run_fleet(scenario)
