Make new side processes known to entries while the store is away

Cause: a side process that comes at a new address while the store is away was known to nobody. Change: it tells the entries that its settings name, until it is published. Measured: the new scenario fails before (no link within 3 s) and passes after.

--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -8,7 +8,8 @@
 
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.driver import WorkerDriver
-from currantbarrow.direct.hosts import AnnouncementMemory
+from currantbarrow.direct.hosts import AnnouncementMemory, HostDirectory
+from currantbarrow.direct.introduction import publish_or_introduce
 from currantbarrow.direct.runs import Run
 from currantbarrow.direct.session import PING_MS, EntryLease
 from currantbarrow.direct.worker import Announcement, WorkerControl
@@ -20,6 +21,7 @@
     ClearJob,
     DropTasks,
     EndRow,
+    HostRow,
     RunEnd,
     RunningRow,
     RunTasks,
@@ -48,6 +50,8 @@
     incarnation: str
     link_address: str
     data_centre: str
+    # Addresses of entries that may be there already.
+    seeds: tuple[str, ...]
     # The longest lease that a worker grants.
     worker_lease_ms: float
     # How long runs may take to end once this process was told to stop.
@@ -81,9 +85,11 @@
         clock: Clock,
         network: Network,
         metrics: Metrics,
+        directory: HostDirectory,
         memory: AnnouncementMemory,
     ) -> None:
         self.options = options
+        self._directory = directory
         self._memory = memory
         # The worker and whether it leaves, as last kept.
         self._saved: tuple[str, bool] | None = None
@@ -115,7 +121,22 @@
             data_centre=self.options.data_centre,
         )
         self.address = await self._network.listen(self.options.link_address, hello, self._serve)
+        row = HostRow(
+            Role.SIDE.value,
+            self.options.link_address,
+            self.options.incarnation,
+            self.options.data_centre,
+        )
+        publishing = publish_or_introduce(
+            row,
+            self.options.seeds,
+            hello,
+            directory=self._directory,
+            network=self._network,
+            clock=self._clock,
+        )
         self._tasks = [
+            asyncio.create_task(publishing),
             asyncio.create_task(self._recall()),
             asyncio.create_task(self.driver.run()),
             asyncio.create_task(self._tick()),
--- a/src/currantbarrow/platform/side_program.py
+++ b/src/currantbarrow/platform/side_program.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 
 from currantbarrow.direct.side import DirectSide, DirectSideOptions
@@ -14,7 +13,6 @@
 from currantbarrow.platform.store import StoreClient
 from currantbarrow.platform.topics import StoreAnnouncements, StoreDirectory
 from currantbarrow.platform.worker import HttpWorkerControl
-from currantbarrow.protocol.direct import HostRow
 from currantbarrow.protocol.websocket import create_network
 
 __all__ = ["run_side"]
@@ -32,6 +30,7 @@
         incarnation,
         settings.link_address,
         settings.data_centre,
+        settings.seed_link_addresses,
         settings.worker_lease_ms,
         settings.grace_ms - DRAIN_RESERVE_MS,
     )
@@ -41,6 +40,7 @@
         clock=clock,
         network=create_network("", HybridClock(clock), metrics),
         metrics=metrics,
+        directory=StoreDirectory(store, clock, rng, metrics),
         memory=StoreAnnouncements(settings.name, store, metrics),
     )
     runners = [
@@ -52,14 +52,10 @@
         ),
     ]
     await side.start()
-    directory = StoreDirectory(store, clock, rng, metrics)
-    row = HostRow("side", settings.link_address, options.incarnation, settings.data_centre)
-    publishing = asyncio.create_task(directory.publish(row))
     logger.info("started", extra={"incarnation": options.incarnation})
     await wait_for_stop()
     logger.info("draining")
     await side.drain()
-    publishing.cancel()
     for runner in runners:
         await runner.cleanup()
     await side.stop()
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -153,7 +153,6 @@
         self._lives = 0
         self._clocks: dict[str, LoopClock] = {}
         self._announcing: dict[str, asyncio.Task[None]] = {}
-        self._publishing: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Start everything and wait until all know one another."""
@@ -190,7 +189,13 @@
         """Start the side process of a worker."""
         self._lives += 1
         options = DirectSideOptions(
-            name, f"{name}.{self._lives}", f"{name}:1", "one", LEASE_MS, 5500.0
+            name,
+            f"{name}.{self._lives}",
+            f"{name}:1",
+            "one",
+            ("entry-0:1",),
+            LEASE_MS,
+            5500.0,
         )
         side = DirectSide(
             options,
@@ -198,13 +203,11 @@
             clock=self.clock,
             network=MemoryNetwork(self.fabric),
             metrics=self.metrics,
+            directory=self.directory,
             memory=self.memories.setdefault(name, MemoryAnnouncements()),
         )
         self.sides[name] = side
         await side.start()
-        row = HostRow("side", f"{name}:1", options.incarnation, "one")
-        publishing = asyncio.create_task(self.directory.publish(row))
-        self._publishing.add(publishing)
         self._announcing[name] = asyncio.create_task(self._announce(name, side))
 
     async def kill_entry(self, name: str) -> None:
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -275,6 +275,17 @@
 
         run_fleet(scenario)
 
+    def test_new_side_process_is_known_while_the_directory_is_away(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            await fleet.kill_side("side-1")
+            await fleet.directory.withdraw(fleet.directory.rows["side-1:1"])
+            fleet.directory.down = True
+            await fleet.start_side("side-1")
+            await asyncio.sleep(3.0)
+            assert any(h.address == "side-1:1" for h in fleet.entries["entry-0"].fleet.handles())
+
+        run_fleet(scenario)
+
     def test_side_process_that_is_cut_off_ends_the_orders_of_the_entry(self) -> None:
         async def scenario(fleet: DirectFleet) -> None:
             jobs = [
