--- a/src/currantbarrow/direct/admission.py
+++ b/src/currantbarrow/direct/admission.py
@@ -2,30 +2,48 @@
 
 Load pattern: a burst beyond what the fleet can carry. What is refused at once costs its caller
 nothing but the call, and tells when to come back; what waits in vain costs the wait as well.
+
+How long a job waits depends on how fast room is given back, not on how long those before it run:
+four long tasks take the next four places, and leave the fifth to whoever follows.
 """
 
 from __future__ import annotations
 
 import msgspec
 
-__all__ = ["Backlog", "Refusal", "admit"]
+__all__ = ["Backlog", "ReleaseRate", "Refusal", "admit"]
 
-# A wait is known only roughly, so a job is let in that seems to miss its time by this share.
-WAIT_MARGIN = 1.0
+# A job begins in parts while it waits, so only so much of its own room has to be waited for.
+OWN_SHARE = 0.5
 # A caller is asked to stay away for no less and no more than this.
 SHORTEST_RETRY_S = 1
 LONGEST_RETRY_S = 30
+# The weight of one more run in how long runs hold their room; some fifty make up the memory.
+LEARNING_RATE = 0.02
+# What runs are taken to last before any has ended.
+FIRST_RUN_MS = 500.0
 
 
 class Backlog(msgspec.Struct, frozen=True):
     """Describe what stands before a job."""
 
-    # Core-milliseconds of tasks that wait and go first.
-    ahead_core_ms: float
-    # Core-milliseconds of tasks that wait here in all.
+    # Cores of tasks that wait and go first.
+    ahead_cores: float
+    # Cores that the job itself needs.
+    own_cores: float
+    # Cores that are free now.
+    free_cores: float
+    # Core-milliseconds of all tasks that wait here.
     total_core_ms: float
     # Cores that this entry may count on.
     cores: float
+    # Cores a second that runs give back to this entry while the fleet is full.
+    released_per_s: float
+
+    def wait_ms(self) -> float:
+        """Return how long the job is expected to wait for room."""
+        lacking = self.ahead_cores + OWN_SHARE * self.own_cores - self.free_cores
+        return max(0.0, lacking) / self.released_per_s * 1000
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -36,12 +54,31 @@
     wait_ms: float
 
 
+class ReleaseRate:
+    """Learn how fast a full fleet gives room back."""
+
+    __slots__ = ("_core_ms", "_cores")
+
+    def __init__(self) -> None:
+        self._cores = 1.0
+        self._core_ms = FIRST_RUN_MS
+
+    def note(self, cores: float, ran_ms: float) -> None:
+        """Take in a run that has ended."""
+        self._cores += LEARNING_RATE * (cores - self._cores)
+        self._core_ms += LEARNING_RATE * (cores * ran_ms - self._core_ms)
+
+    def per_s(self, cores: float) -> float:
+        """Return how many of a number of busy cores are given back each second."""
+        return cores * self._cores / self._core_ms * 1000
+
+
 def admit(backlog: Backlog, slack_ms: float) -> Refusal | None:
     """Return a refusal when the wait is longer than a job's slack."""
     if backlog.cores <= 0:
         return Refusal("no_worker", SHORTEST_RETRY_S, 0.0)
-    wait_ms = backlog.ahead_core_ms / backlog.cores
-    if wait_ms <= max(0.0, slack_ms) * WAIT_MARGIN:
+    wait_ms = backlog.wait_ms()
+    if wait_ms <= max(0.0, slack_ms):
         return None
     drain_s = round(backlog.total_core_ms / backlog.cores / 1000)
     return Refusal("overload", min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, drain_s)), wait_ms)
--- a/src/currantbarrow/direct/desk.py
+++ b/src/currantbarrow/direct/desk.py
@@ -4,7 +4,7 @@
 
 import random
 
-from currantbarrow.direct.admission import Backlog, Refusal, admit
+from currantbarrow.direct.admission import Backlog, Refusal, ReleaseRate, admit
 from currantbarrow.direct.estimates import RunTimes
 from currantbarrow.direct.fleet import SideFleet, SideHandle
 from currantbarrow.direct.job import JobTask, OpenJob, longest_chain_ms
@@ -55,6 +55,7 @@
         self._metrics = metrics
         self._rng = rng
         self._book = book
+        self._released = ReleaseRate()
         self._entries = 1
         self._ticked_ms = clock.monotonic_ms()
         self._hold_until_ms = 0.0
@@ -280,6 +281,7 @@
         slowness = handle.report.state.slowness if handle.report is not None else 1.0
         declared_ms = job.spec.steps[task.step].estimate_ms
         self.run_times.note(job.queue.name, declared_ms, ran_ms / slowness)
+        self._released.note(job.spec.steps[task.step].room.cpu_millis / 1000, ran_ms)
         if job.complete:
             self._end(job, JobState.COMPLETED)
 
@@ -343,17 +345,25 @@
     def _backlog(self, job: OpenJob, now_ms: float) -> Backlog:
         """Work out what goes before a job; other entries are taken to wait for as much."""
         assert self.fleet is not None
+        service = job.queue.service
         rank = job.rank(now_ms)
-        ahead = total = 0.0
+        ahead_cores = 0.0
+        total_core_ms = job.waiting_core_ms()
         for other in self._waiting.values():
-            if other is job or other.queue.service != job.queue.service:
+            if other is job or other.queue.service != service:
                 continue
-            core_ms = other.waiting_core_ms()
-            total += core_ms
+            total_core_ms += other.waiting_core_ms()
             if other.rank(now_ms) < rank:
-                ahead += core_ms
-        cores = self.fleet.cores(job.queue.service) / self._entries
-        return Backlog(ahead, total + job.waiting_core_ms(), cores)
+                ahead_cores += other.waiting_cores()
+        cores = self.fleet.cores(service) / self._entries
+        return Backlog(
+            ahead_cores,
+            job.waiting_cores(),
+            self.fleet.free_cores(service),
+            total_core_ms,
+            cores,
+            self._released.per_s(cores),
+        )
 
     def _log_job(self, what: str, job: OpenJob, reason: str, **fields: object) -> None:
         logger.info(
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -185,6 +185,14 @@
             and not handle.report.state.on_trial
         )
 
+    def free_cores(self, service: str) -> float:
+        """Return the cores of a service's workers that are free, as far as is known here."""
+        return sum(
+            max(0.0, handle.free().cpu_millis / 1000)
+            for handle in self.handles()
+            if handle.report is not None and handle.report.state.service == service
+        )
+
     def largest(self, service: str) -> Room | None:
         """Return the room of the largest worker of a service, or None when none is known."""
         rooms = [
--- a/src/currantbarrow/direct/job.py
+++ b/src/currantbarrow/direct/job.py
@@ -144,6 +144,16 @@
             if task.waits
         )
 
+    def waiting_cores(self) -> float:
+        """Return the cores of all tasks that wait."""
+        if not self.unordered:
+            return 0.0
+        return sum(
+            self.spec.steps[task.step].room.cpu_millis / 1000
+            for task in self.tasks.values()
+            if task.waits
+        )
+
     def end(self, state: JobState, reason: str = "", retry_after_s: int = 0) -> None:
         """Set the answer."""
         self.state = state
