Refuse where the oldest job of a queue shows a longer wait; send late jobs away sooner

Change: a new job is expected to wait 1.5 times as long as the oldest of its queue has; a late job that has not begun is sent away after as long again as it could wait; turned down orders count against a worker as failures do.

--- a/src/currantbarrow/direct/admission.py
+++ b/src/currantbarrow/direct/admission.py
@@ -4,7 +4,8 @@
 nothing but the call, and tells when to come back; what waits in vain costs the wait as well.
 
 How long a job waits depends on how fast room is given back, not on how long those before it run:
-four long tasks take the next four places, and leave the fifth to whoever follows.
+four long tasks take the next four places, and leave the fifth to whoever follows. What comes later
+and is more urgent is not seen there; that it holds up a queue shows in the oldest job of the queue.
 """
 
 from __future__ import annotations
@@ -15,6 +16,9 @@
 
 # A job begins in parts while it waits, so only so much of its own room has to be waited for.
 OWN_SHARE = 0.5
+# Jobs of a queue begin in the order of their coming, so a new one waits for longer than the oldest
+# has until now; while a burst lasts, by about half.
+GROWTH = 1.5
 # A caller is asked to stay away for no less and no more than this.
 SHORTEST_RETRY_S = 1
 LONGEST_RETRY_S = 30
@@ -39,11 +43,18 @@
     cores: float
     # Cores a second that runs give back to this entry while the fleet is full.
     released_per_s: float
+    # How long the oldest job of the same queue has waited that has not begun.
+    oldest_ms: float = 0.0
 
     def wait_ms(self) -> float:
         """Return how long the job is expected to wait for room."""
         lacking = self.ahead_cores + OWN_SHARE * self.own_cores - self.free_cores
-        return max(0.0, lacking) / self.released_per_s * 1000
+        return max(max(0.0, lacking) / self.released_per_s * 1000, GROWTH * self.oldest_ms)
+
+    def retry_after_s(self) -> int:
+        """Return when what waits now will have been served."""
+        drain_s = round(self.total_core_ms / self.cores / 1000) if self.cores > 0 else 0
+        return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, drain_s))
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -80,5 +91,4 @@
     wait_ms = backlog.wait_ms()
     if wait_ms <= max(0.0, slack_ms):
         return None
-    drain_s = round(backlog.total_core_ms / backlog.cores / 1000)
-    return Refusal("overload", min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, drain_s)), wait_ms)
+    return Refusal("overload", backlog.retry_after_s(), wait_ms)
--- a/src/currantbarrow/direct/desk.py
+++ b/src/currantbarrow/direct/desk.py
@@ -320,14 +320,10 @@
                 "process stood still", extra={"for_ms": round(stalled_ms), "jobs": len(self.jobs)}
             )
         for job in list(self._waiting.values()):
-            if job.begun or not job.times.is_late(now_ms):
-                continue
-            refusal = admit(self._backlog(job, now_ms), job.times.last_start_ms - now_ms)
-            if refusal is None and job.times.is_useless(now_ms):
-                refusal = Refusal("overload", UNKNOWN_RETRY_S, 0.0)
-            if refusal is not None:
+            if not job.begun and job.times.has_waited_in_vain(now_ms):
+                backlog = self._backlog(job, now_ms)
                 self._metrics.incr("entry.job_given_up")
-                self._end(job, JobState.REFUSED, "its time passed", refusal.retry_after_s)
+                self._end(job, JobState.REFUSED, "its time passed", backlog.retry_after_s())
         self.pump()
 
     # Decisions at the door.
@@ -347,12 +343,14 @@
         assert self.fleet is not None
         service = job.queue.service
         rank = job.rank(now_ms)
-        ahead_cores = 0.0
+        ahead_cores = oldest_ms = 0.0
         total_core_ms = job.waiting_core_ms()
         for other in self._waiting.values():
             if other is job or other.queue.service != service:
                 continue
             total_core_ms += other.waiting_core_ms()
+            if other.queue.name == job.queue.name and not other.begun:
+                oldest_ms = max(oldest_ms, now_ms - other.times.received_ms)
             if other.rank(now_ms) < rank:
                 ahead_cores += other.waiting_cores()
         cores = self.fleet.cores(service) / self._entries
@@ -363,6 +361,7 @@
             total_core_ms,
             cores,
             self._released.per_s(cores),
+            oldest_ms,
         )
 
     def _log_job(self, what: str, job: OpenJob, reason: str, **fields: object) -> None:
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -303,6 +303,8 @@
                 "reason": answer.verdict.value,
             },
         )
+        if answer.verdict is StartVerdict.UNWELL:
+            self._note_failed(life, run)
         invalid = answer.verdict is StartVerdict.INVALID
         self._finish(life, run, RunEnd.FAILED if invalid else RunEnd.NOT_STARTED)
 
@@ -394,11 +396,8 @@
         now_ms = self._clock.monotonic_ms()
         if end is RunEnd.DONE:
             life.soundness.note_done(now_ms - run.began_ms, run.expected_ms)
-        elif end is RunEnd.FAILED and life.soundness.note_failed(run.name.job, now_ms):
-            self._metrics.incr("side.worker_on_trial")
-            logger.info(
-                "worker on trial", extra={"worker": life.worker, "reason": "runs of many jobs fail"}
-            )
+        elif end is RunEnd.FAILED:
+            self._note_failed(life, run)
         run.phase = RunPhase.ENDED
         life.book.release(run.name.task)
         life.runs.pop(run.name.task, None)
@@ -406,6 +405,13 @@
         self._report(run, end)
         self._on_change()
 
+    def _note_failed(self, life: WorkerLife, run: Run) -> None:
+        if life.soundness.note_failed(run.name.job, self._clock.monotonic_ms()):
+            self._metrics.incr("side.worker_on_trial")
+            logger.info(
+                "worker on trial", extra={"worker": life.worker, "reason": "runs of many jobs fail"}
+            )
+
     def _report(self, run: Run, end: RunEnd) -> None:
         if run.reported:
             return
--- a/src/currantbarrow/direct/urgency.py
+++ b/src/currantbarrow/direct/urgency.py
@@ -42,6 +42,14 @@
         """Tell whether the answer would come too late to be of use."""
         return now_ms > self.last_start_ms
 
+    def has_waited_in_vain(self, now_ms: float) -> bool:
+        """Tell whether a job that has not begun had better be sent away.
+
+        While it is late it only gets room that nobody else wants; as that did not come in as long
+        again as it could have waited, there is too much to do for it to come soon.
+        """
+        return now_ms > min(2 * self.latest_start_ms - self.received_ms, self.last_start_ms)
+
     def rank(self, now_ms: float, begun: bool = False) -> tuple[int, float]:
         """Return what to sort by; the smallest goes first."""
         # The work of a job that was begun is lost unless the rest of it is done as well.
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -66,6 +66,11 @@
         late = create_times(400.0, 120.0, 1.6, 60.0, 0.0)
         assert late.rank(700.0) < useless.rank(700.0)
 
+    def test_late_job_is_sent_away_after_as_long_again_as_it_could_wait(self) -> None:
+        times = create_times(0.0, 120.0, 1.6, 60.0, 0.0)
+        assert not times.has_waited_in_vain(260.0)
+        assert times.has_waited_in_vain(270.0)
+
     def test_patience_bounds_the_use_of_an_answer(self) -> None:
         assert create_times(0.0, 100.0, 1.6, 60.0, 300.0).useless_ms == 300.0
 
@@ -107,6 +112,13 @@
         assert refusal is not None
         assert refusal.retry_after_s == 20
 
+    def test_job_is_refused_whose_queue_is_held_up_by_what_is_more_urgent(self) -> None:
+        """Replay a queue whose jobs wait, while little stands before a new one."""
+        held_up = Backlog(5.0, 5.0, 0.0, 2500.0, 100.0, 200.0, oldest_ms=250.0)
+        refusal = admit(held_up, 300.0)
+        assert refusal is not None
+        assert refusal.wait_ms == 375.0
+
     def test_fleet_without_workers_takes_nothing(self) -> None:
         refusal = admit(Backlog(0.0, 0.0, 0.0, 0.0, 0.0, 0.0), 1000.0)
         assert refusal is not None
