--- a/src/currantbarrow/direct/admission.py
+++ b/src/currantbarrow/direct/admission.py
@@ -63,6 +63,7 @@
     reason: str
     retry_after_s: int
     wait_ms: float
+    backlog: Backlog | None = None
 
 
 class ReleaseRate:
@@ -91,4 +92,4 @@
     wait_ms = backlog.wait_ms()
     if wait_ms <= max(0.0, slack_ms):
         return None
-    return Refusal("overload", backlog.retry_after_s(), wait_ms)
+    return Refusal("overload", backlog.retry_after_s(), wait_ms, backlog)
--- a/src/currantbarrow/direct/desk.py
+++ b/src/currantbarrow/direct/desk.py
@@ -4,6 +4,8 @@
 
 import random
 
+import msgspec
+
 from currantbarrow.direct.admission import Backlog, Refusal, ReleaseRate, admit
 from currantbarrow.direct.estimates import RunTimes
 from currantbarrow.direct.fleet import SideFleet, SideHandle
@@ -82,7 +84,7 @@
         refusal = self._check(job, now_ms)
         if refusal is not None:
             self._metrics.incr(f"entry.job_refused.{refusal.reason}")
-            self._log_job("job refused", job, refusal.reason, wait_ms=round(refusal.wait_ms))
+            self._log_refusal(job, refusal, now_ms)
             return refusal
         self.jobs[spec.job_id] = job
         self._waiting[spec.job_id] = job
@@ -364,6 +366,23 @@
             oldest_ms,
         )
 
+    def _log_refusal(self, job: OpenJob, refusal: Refusal, now_ms: float) -> None:
+        fields: dict[str, int] = {}
+        if refusal.backlog is not None:
+            fields = {
+                name: round(value)
+                for name, value in msgspec.structs.asdict(refusal.backlog).items()
+            }
+        slack_ms = round(job.times.latest_start_ms - now_ms)
+        self._log_job(
+            "job refused",
+            job,
+            refusal.reason,
+            wait_ms=round(refusal.wait_ms),
+            slack_ms=slack_ms,
+            **fields,
+        )
+
     def _log_job(self, what: str, job: OpenJob, reason: str, **fields: object) -> None:
         logger.info(
             what,
