--- a/src/currantbarrow/direct/admission.py
+++ b/src/currantbarrow/direct/admission.py
@@ -43,7 +43,8 @@
     cores: float
     # Cores a second that runs give back to this entry while the fleet is full.
     released_per_s: float
-    # How long the oldest job of the same queue has waited that has not begun.
+    # How long the oldest job of the same queue has waited that goes first and has not begun. Late
+    # ones go last, so that they wait for long tells nothing.
     oldest_ms: float = 0.0
 
     def wait_ms(self) -> float:
--- a/src/currantbarrow/direct/desk.py
+++ b/src/currantbarrow/direct/desk.py
@@ -351,10 +351,11 @@
             if other is job or other.queue.service != service:
                 continue
             total_core_ms += other.waiting_core_ms()
+            if other.rank(now_ms) >= rank:
+                continue
+            ahead_cores += other.waiting_cores()
             if other.queue.name == job.queue.name and not other.begun:
                 oldest_ms = max(oldest_ms, now_ms - other.times.received_ms)
-            if other.rank(now_ms) < rank:
-                ahead_cores += other.waiting_cores()
         cores = self.fleet.cores(service) / self._entries
         return Backlog(
             ahead_cores,
