--- a/src/currantbarrow/platform/programs.py
+++ b/src/currantbarrow/platform/programs.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import gc
 import sys
-import uuid
 from collections.abc import Awaitable, Callable
 
 import uvloop
@@ -12,12 +10,11 @@
 from currantbarrow.exceptions import CurrantbarrowError
 from currantbarrow.observe import configure_logging
 from currantbarrow.platform.settings import ProcessSettings, load_process_settings
+from currantbarrow.process import new_incarnation, settle_collector
 
 __all__ = ["main"]
 
 Program = Callable[[ProcessSettings, str], Awaitable[None]]
-# The collector's defaults would visit the many long-lived objects all too often.
-GC_THRESHOLDS = (20_000, 50, 50)
 
 
 def _load_program(role: str) -> Program | None:
@@ -34,11 +31,8 @@
 
 
 async def _run(program: Program, settings: ProcessSettings) -> None:
-    # What is loaded by now lives as long as the process.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-    await program(settings, f"{settings.name}.{uuid.uuid4().hex[:12]}")
+    settle_collector()
+    await program(settings, new_incarnation(settings.name))
 
 
 def main() -> int:
--- a/src/currantbarrow/runtime.py
+++ b/src/currantbarrow/runtime.py
@@ -4,10 +4,8 @@
 
 import argparse
 import asyncio
-import gc
 import signal
 import sys
-import uuid
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import TypeVar
@@ -17,6 +15,7 @@
 
 from currantbarrow.exceptions import CurrantbarrowError, DrainCutShort
 from currantbarrow.observe import DEBUG_TOPICS, configure_logging, logger
+from currantbarrow.process import new_incarnation, settle_collector
 from currantbarrow.settings import load_settings
 
 __all__ = ["StopSignal", "new_incarnation", "run_daemon"]
@@ -25,9 +24,6 @@
 EXIT_ERROR = 1
 EXIT_SETTINGS = 2
 
-# A daemon keeps many long-lived objects, and the collector's defaults would visit all too often.
-GC_THRESHOLDS = (20_000, 50, 50)
-
 SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
 
 
@@ -62,11 +58,6 @@
         self.drain.set()
 
 
-def new_incarnation(name: str) -> str:
-    """Return a name for this life of a process."""
-    return f"{name}.{uuid.uuid4().hex[:12]}"
-
-
 def run_daemon(
     program: str,
     schema: type[SettingsT],
@@ -96,10 +87,7 @@
 
 
 async def _run(serve: Callable[[SettingsT], Awaitable[None]], settings: SettingsT) -> None:
-    # What is loaded by now lives as long as the process, so the collector need not visit it.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
+    settle_collector()
     await serve(settings)
 
 
