--- a/src/currantbarrow/direct/desk.py
+++ b/src/currantbarrow/direct/desk.py
@@ -16,7 +16,7 @@
 from currantbarrow.direct.urgency import create_times
 from currantbarrow.exceptions import LinkError
 from currantbarrow.observe import logger
-from currantbarrow.protocol.direct import EndRow, RunEnd, RunningRow, Standing, TaskOrder
+from currantbarrow.protocol.direct import EndRow, RunEnd, Standing, TaskOrder
 from currantbarrow.types import Clock, Metrics
 
 __all__ = ["JobDesk"]
@@ -112,10 +112,6 @@
 
     # Events of the fleet.
 
-    def run_began(self, handle: SideHandle, row: RunningRow) -> None:
-        """Take in that a worker has begun a run."""
-        self._metrics.incr("entry.run_began")
-
     def run_ended(self, handle: SideHandle, row: EndRow) -> None:
         """Take in the end of a run."""
         entry = handle.ordered.pop((row.job, row.step, row.index), None)
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -44,7 +44,6 @@
         clock: Clock,
         metrics: Metrics,
         lease_ms: float,
-        on_begin: Callable[[Run], None],
         on_end: Callable[[Run, RunEnd], None],
         on_change: Callable[[], None],
     ) -> None:
@@ -54,7 +53,6 @@
         self._clock = clock
         self._metrics = metrics
         self._lease_ms = lease_ms
-        self._on_begin = on_begin
         self._on_end = on_end
         self._on_change = on_change
         self._background = BackgroundTasks(metrics)
@@ -311,8 +309,6 @@
     def _begin(self, run: Run) -> None:
         run.begin(self._clock.monotonic_ms())
         self._metrics.incr("side.task_started")
-        if not run.reported:
-            self._on_begin(run)
 
     async def _stop(self, life: WorkerLife, run: Run) -> None:
         try:
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -20,7 +20,6 @@
     ClearJob,
     DropTasks,
     EndRow,
-    RunningRow,
     RunTasks,
     SessionPing,
     SideReport,
@@ -40,9 +39,6 @@
 class FleetListener(Protocol):
     """Take in what happens on the side processes."""
 
-    def run_began(self, handle: SideHandle, row: RunningRow) -> None:
-        """Take in that a worker has begun a run."""
-
     def run_ended(self, handle: SideHandle, row: EndRow) -> None:
         """Take in the end of a run."""
 
@@ -279,8 +275,6 @@
         handle.pending = [each for each in handle.pending if each[0] > report.seen]
         if first and report.state.worker:
             self._note_up(handle)
-        for began in report.began:
-            self._listener.run_began(handle, began)
         for ended in report.ends:
             self._listener.run_ended(handle, ended)
         if handle.watch.stamp_ms - handle.shown_ms >= SHOW_MS:
--- a/src/currantbarrow/direct/runs.py
+++ b/src/currantbarrow/direct/runs.py
@@ -7,7 +7,7 @@
 
 from currantbarrow.direct.model import Room
 from currantbarrow.direct.worker import RunName
-from currantbarrow.protocol.direct import EndRow, RunEnd, RunningRow, TaskOrder
+from currantbarrow.protocol.direct import EndRow, RunEnd, TaskOrder
 
 if TYPE_CHECKING:
     from currantbarrow.direct.side import SideSession
@@ -91,7 +91,3 @@
         ran_ms = now_ms - self.began_ms if self.begun else 0.0
         name = self.name
         return EndRow(name.job, name.step, name.index, self.attempt, end, ran_ms)
-
-    def running_row(self) -> RunningRow:
-        """Return what to tell the entry of the run's beginning."""
-        return RunningRow(self.name.job, self.name.step, self.name.index, self.attempt)
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -23,7 +23,6 @@
     EndRow,
     HostRow,
     RunEnd,
-    RunningRow,
     RunTasks,
     SessionPing,
     SideReport,
@@ -61,14 +60,13 @@
 class SideSession:
     """Hold one entry's link with its orders."""
 
-    __slots__ = ("began", "ends", "flush", "flush_at_ms", "lease", "link", "reported_ms", "seen")
+    __slots__ = ("ends", "flush", "flush_at_ms", "lease", "link", "reported_ms", "seen")
 
     def __init__(self, link: Link, now_ms: float) -> None:
         self.link = link
         self.lease = EntryLease(now_ms)
         self.seen = 0
         self.ends: list[EndRow] = []
-        self.began: list[RunningRow] = []
         self.reported_ms = 0.0
         self.flush: asyncio.TimerHandle | None = None
         self.flush_at_ms = 0.0
@@ -107,7 +105,6 @@
             clock=clock,
             metrics=metrics,
             lease_ms=options.worker_lease_ms,
-            on_begin=self._note_begin,
             on_end=self._note_end,
             on_change=self._note_change,
         )
@@ -302,9 +299,6 @@
             if run.session is session:
                 self.driver.withdraw(run)
 
-    def _note_begin(self, run: Run) -> None:
-        run.session.began.append(run.running_row())
-
     def _note_end(self, run: Run, end: RunEnd) -> None:
         now_ms = self._clock.monotonic_ms()
         logger.info(
@@ -344,7 +338,7 @@
             session.flush.cancel()
             session.flush = None
         now_ms = self._clock.monotonic_ms()
-        report = SideReport(now_ms, session.seen, self.driver.state(), session.ends, session.began)
+        report = SideReport(now_ms, session.seen, self.driver.state(), session.ends)
         try:
             session.link.post(report)
         except LinkError:
@@ -352,4 +346,4 @@
             self._metrics.incr("side.owner_unreachable")
             return
         session.reported_ms = now_ms
-        session.ends, session.began = [], []
+        session.ends = []
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -19,7 +19,6 @@
     "PeerPing",
     "RunEnd",
     "RunTasks",
-    "RunningRow",
     "SessionPing",
     "ShareConfiguration",
     "ShareHosts",
@@ -126,15 +125,6 @@
     ran_ms: float
 
 
-class RunningRow(msgspec.Struct, array_like=True, frozen=True):
-    """Name one run that the worker has begun."""
-
-    job: str
-    step: int
-    index: int
-    attempt: int
-
-
 class WorkerState(msgspec.Struct, array_like=True, frozen=True):
     """Describe a worker as its side process sees it."""
 
@@ -164,7 +154,6 @@
     seen: int
     state: WorkerState
     ends: list[EndRow] = []
-    began: list[RunningRow] = []
 
 
 class HostRow(msgspec.Struct, array_like=True, frozen=True):
