Introduce side processes to entries at once, and again when links are lost

Side processes told the seeds only after a second of trying to publish. Announcements that could not be kept were not tried again, so later ones of dead workers came back. Change: side processes tell the entries of their settings at once and whenever fewer are linked; announcements are kept at the next occasion.

--- a/src/currantbarrow/direct/hosts.py
+++ b/src/currantbarrow/direct/hosts.py
@@ -33,8 +33,8 @@
     sooner when it knows what its worker said last.
     """
 
-    async def save(self, announcement: Announcement) -> None:
-        """Keep an announcement, if that can be done; never raises."""
+    async def save(self, announcement: Announcement) -> bool:
+        """Keep an announcement, and tell whether that was done; never raises."""
 
     async def recall(self) -> Announcement | None:
         """Return the announcement that was kept, if there is one and it can be had."""
--- a/src/currantbarrow/direct/introduction.py
+++ b/src/currantbarrow/direct/introduction.py
@@ -1,9 +1,9 @@
-"""Make a process known to entries while the directory can't be reached."""
+"""Keep a side process known to entries, also while the directory can't be reached."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable
 
 from currantbarrow.direct.hosts import HostDirectory
 from currantbarrow.exceptions import LinkError
@@ -12,33 +12,37 @@
 from currantbarrow.protocol.direct import HostRow, ShareHosts
 from currantbarrow.types import Clock, Network
 
-__all__ = ["publish_or_introduce"]
+__all__ = ["keep_known"]
 
-# The directory takes some milliseconds; after this long it is taken to be away.
-DIRECTORY_PATIENCE_MS = 1000.0
-AGAIN_MS = 2000.0
+# After a loss of power the entries start some tenths of a second after the side processes.
+AGAIN_FIRST_MS = 250.0
+# Seeds may be gone for good, so they are not asked for ever at that pace.
+AGAIN_LIMIT_MS = 4000.0
 
 
-async def publish_or_introduce(
+async def keep_known(
     row: HostRow,
-    seeds: Iterable[str],
+    seeds: tuple[str, ...],
     hello: Hello,
     *,
     directory: HostDirectory,
     network: Network,
     clock: Clock,
+    count_links: Callable[[], int],
 ) -> None:
-    """Publish a process, and meanwhile tell the entries that the settings name."""
+    """Publish a process, and tell the entries of the settings while too few are linked."""
     publishing = asyncio.ensure_future(directory.publish(row))
     try:
-        pause_ms = DIRECTORY_PATIENCE_MS
+        pause_ms = AGAIN_FIRST_MS
+        linked = 0
         while True:
-            done, _ = await asyncio.wait({publishing}, timeout=pause_ms / 1000)
-            if done:
-                return
-            pause_ms = AGAIN_MS
-            for seed in seeds:
-                await _introduce(row, seed, hello, network)
+            before, linked = linked, count_links()
+            if linked < before:
+                pause_ms = AGAIN_FIRST_MS
+            if linked < len(seeds):
+                await asyncio.gather(*(_introduce(row, seed, hello, network) for seed in seeds))
+            await clock.sleep_ms(pause_ms)
+            pause_ms = min(pause_ms * 2, AGAIN_LIMIT_MS)
     finally:
         publishing.cancel()
 
@@ -46,11 +50,8 @@
 async def _introduce(row: HostRow, seed: str, hello: Hello, network: Network) -> None:
     try:
         link = await network.connect(seed, hello)
-    except LinkError as error:
-        logger.info("entry not reached", extra={"address": seed, "error": str(error)})
-        return
-    try:
         link.post(ShareHosts([row]))
     except LinkError as error:
         logger.info("entry not told", extra={"address": seed, "error": str(error)})
+        return
     await link.close()
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -9,7 +9,7 @@
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.driver import WorkerDriver
 from currantbarrow.direct.hosts import AnnouncementMemory, HostDirectory
-from currantbarrow.direct.introduction import publish_or_introduce
+from currantbarrow.direct.introduction import keep_known
 from currantbarrow.direct.runs import Run
 from currantbarrow.direct.session import PING_MS, EntryLease
 from currantbarrow.direct.worker import Announcement, WorkerControl
@@ -124,16 +124,17 @@
             self.options.incarnation,
             self.options.data_centre,
         )
-        publishing = publish_or_introduce(
+        known = keep_known(
             row,
             self.options.seeds,
             hello,
             directory=self._directory,
             network=self._network,
             clock=self._clock,
+            count_links=lambda: len(self._sessions),
         )
         self._tasks = [
-            asyncio.create_task(publishing),
+            asyncio.create_task(known),
             asyncio.create_task(self._recall()),
             asyncio.create_task(self.driver.run()),
             asyncio.create_task(self._tick()),
@@ -145,12 +146,16 @@
         news = (announcement.worker, announcement.leaving)
         if news == self._saved:
             return
-        self._saved = news
         # A process that follows this one must not take a leaving worker for one that stays.
         try:
             async with asyncio.timeout(SAVE_LIMIT_MS / 1000):
-                await self._memory.save(announcement)
+                kept = await self._memory.save(announcement)
         except TimeoutError:
+            kept = False
+        if kept:
+            self._saved = news
+        else:
+            # The next announcement tries again.
             logger.warning("announcement not kept", extra={"worker": announcement.worker})
 
     async def _recall(self) -> None:
--- a/src/currantbarrow/platform/topics.py
+++ b/src/currantbarrow/platform/topics.py
@@ -159,14 +159,16 @@
         self._store = store
         self._metrics = metrics
 
-    async def save(self, announcement: Announcement) -> None:
-        """Keep an announcement, if that can be done."""
+    async def save(self, announcement: Announcement) -> bool:
+        """Keep an announcement, and tell whether that was done."""
         value = msgspec.json.encode(_KeptAnnouncement(announcement))
         try:
             await self._store.append_keyed(WORKERS_TOPIC, KeyedRecord(self._key, value))
         except LogServiceError as error:
             self._metrics.incr("store.call_failed")
             logger.info("announcement not kept", extra={"error": str(error)})
+            return False
+        return True
 
     async def recall(self) -> Announcement | None:
         """Return the announcement that was kept, if there is one and it can be had."""
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -81,9 +81,10 @@
     def __init__(self) -> None:
         self._kept: Announcement | None = None
 
-    async def save(self, announcement: Announcement) -> None:
+    async def save(self, announcement: Announcement) -> bool:
         """Keep an announcement."""
         self._kept = announcement
+        return True
 
     async def recall(self) -> Announcement | None:
         """Return the announcement that was kept."""
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -281,11 +281,22 @@
             await fleet.directory.withdraw(fleet.directory.rows["side-1:1"])
             fleet.directory.down = True
             await fleet.start_side("side-1")
-            await asyncio.sleep(3.0)
+            await asyncio.sleep(0.5)
             assert any(h.address == "side-1:1" for h in fleet.entries["entry-0"].fleet.handles())
 
         run_fleet(scenario)
 
+    def test_entry_that_restarts_alone_finds_sides_while_the_directory_is_away(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            for name in list(fleet.entries):
+                await fleet.kill_entry(name)
+            fleet.directory.down = True
+            await fleet.start_entry("entry-0")
+            await asyncio.sleep(4.5)
+            assert len(fleet.entries["entry-0"].fleet.handles()) == 4
+
+        run_fleet(scenario)
+
     def test_side_process_that_is_cut_off_ends_the_orders_of_the_entry(self) -> None:
         async def scenario(fleet: DirectFleet) -> None:
             jobs = [
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -398,12 +398,13 @@
             store = StoreClient(address)
             kept = StoreAnnouncements("side-1", store, MetricsBook())
             assert await kept.recall() is None
-            await kept.save(announcement)
+            assert await kept.save(announcement)
             assert await kept.recall() == announcement
             memory.records.append(b"\x06side-1not json")
             assert await kept.recall() is None
             memory.status = 503
             assert await kept.recall() is None
+            assert not await kept.save(announcement)
             await store.close()
 
         serve(memory.handle, client)
