--- a/src/currantbarrow/direct/desk.py
+++ b/src/currantbarrow/direct/desk.py
@@ -44,6 +44,20 @@
 }
 
 
+class _Offered(msgspec.Struct, frozen=True):
+    """Pair a worker's offer with the link over which to order."""
+
+    handle: SideHandle
+    offer: WorkerOffer
+
+
+class _Batch(msgspec.Struct, frozen=True):
+    """Gather the tasks of one job that go to one worker."""
+
+    handle: SideHandle
+    tasks: list[JobTask]
+
+
 class JobDesk:
     """Own the jobs that this entry has taken."""
 
@@ -141,63 +155,61 @@
         if now_ms < self._hold_until_ms or now_ms - self._ticked_ms > STALL_MS:
             return
         offers = self._offers()
-        blocked: set[str] = set()
-        batches: dict[tuple[str, str], list[JobTask]] = {}
+        full: set[str] = set()
         for job in sorted(self._waiting.values(), key=lambda job: job.rank(now_ms)):
             service = job.queue.service
-            if service in blocked:
+            if service in full:
                 continue
-            for task in job.ready_tasks(now_ms):
-                step = job.spec.steps[task.step]
-                offer = choose_worker(
-                    step.room,
-                    step.required_label,
-                    task.avoid,
-                    [each for _, each in offers.get(service, [])],
-                    self._rng,
-                )
-                if offer is None:
-                    # A task that only some workers may run holds up nobody else.
-                    if not step.required_label:
-                        blocked.add(service)
-                    break
-                offer.free = offer.free.minus(step.room)
-                if offer.on_trial:
-                    offer.free = Room()
-                batches.setdefault((job.spec.job_id, offer.worker), []).append(task)
-        for (job_id, worker), tasks in batches.items():
-            handle = next(
-                handle
-                for pairs in offers.values()
-                for handle, each in pairs
-                if each.worker == worker
-            )
-            job = self._waiting[job_id]
-            room = job.spec.steps[tasks[0].step].room
-            others = [each for _, each in offers[job.queue.service] if each.worker != worker]
-            scarce = not any(each.free.holds(room) for each in others)
-            self._order(job, handle, tasks, now_ms, scarce)
+            batches, placed_all = self._place(job, offers.get(service, []), now_ms)
+            # A task that only some workers may run holds up nobody else.
+            if not placed_all and not any(step.required_label for step in job.spec.steps):
+                full.add(service)
+            for batch in batches.values():
+                self._order(job, batch, offers[service], now_ms)
         self._forget_ordered()
 
-    def _offers(self) -> dict[str, list[tuple[SideHandle, WorkerOffer]]]:
-        offers: dict[str, list[tuple[SideHandle, WorkerOffer]]] = {}
+    def _place(
+        self, job: OpenJob, offers: list[_Offered], now_ms: float
+    ) -> tuple[dict[str, _Batch], bool]:
+        """Choose workers for a job's tasks; tell whether there was one for each."""
+        batches: dict[str, _Batch] = {}
+        for task in job.ready_tasks(now_ms):
+            step = job.spec.steps[task.step]
+            chosen = choose_worker(
+                step.room,
+                step.required_label,
+                task.avoid,
+                [each.offer for each in offers],
+                self._rng,
+            )
+            if chosen is None:
+                return batches, False
+            # A worker on trial gets one task at a time.
+            chosen.free = Room() if chosen.on_trial else chosen.free.minus(step.room)
+            if chosen.worker not in batches:
+                handle = next(each.handle for each in offers if each.offer is chosen)
+                batches[chosen.worker] = _Batch(handle, [])
+            batches[chosen.worker].tasks.append(task)
+        return batches, True
+
+    def _offers(self) -> dict[str, list[_Offered]]:
+        offers: dict[str, list[_Offered]] = {}
         assert self.fleet is not None
         for handle in self.fleet.handles():
             offer = handle.offer()
             if offer is not None and handle.report is not None:
-                offers.setdefault(handle.report.state.service, []).append((handle, offer))
+                service = handle.report.state.service
+                offers.setdefault(service, []).append(_Offered(handle, offer))
         return offers
 
-    def _order(
-        self,
-        job: OpenJob,
-        handle: SideHandle,
-        tasks: list[JobTask],
-        now_ms: float,
-        scarce: bool,
-    ) -> None:
+    def _order(self, job: OpenJob, batch: _Batch, offers: list[_Offered], now_ms: float) -> None:
+        handle, tasks = batch.handle, batch.tasks
         start_within_ms = job.times.latest_start_ms - now_ms
-        wait_ms = WAIT_FOR_ROOM_MS if scarce else 0.0
+        room = job.spec.steps[tasks[0].step].room
+        others_have_room = any(
+            each.offer.free.holds(room) for each in offers if each.handle is not handle
+        )
+        wait_ms = 0.0 if others_have_room else WAIT_FOR_ROOM_MS
         orders = []
         for task in tasks:
             room = job.spec.steps[task.step].room
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -6,8 +6,7 @@
 from collections.abc import Callable
 
 from currantbarrow.background import BackgroundTasks
-from currantbarrow.direct.life import WorkerLife
-from currantbarrow.direct.model import Room
+from currantbarrow.direct.life import NO_WORKER, WorkerLife
 from currantbarrow.direct.orders import OrderGiver
 from currantbarrow.direct.runs import Run, RunPhase
 from currantbarrow.direct.worker import (
@@ -81,30 +80,9 @@
 
     def state(self) -> WorkerState:
         """Describe the worker."""
-        now_ms = self._clock.monotonic_ms()
-        life = self.life
-        if life is None:
-            return WorkerState("", "", False, 0, 0, 0, 0, 0, 0, 0, 0, 1.0, False, [])
-        capacity = life.announcement.capacity
-        waiting = life.waiting()
-        begun = len(life.runs) - len(waiting)
-        free = life.book.free if life.soundness.may_begin(now_ms, begun) else Room()
-        return WorkerState(
-            life.worker,
-            life.announcement.service,
-            self._accepts(life),
-            capacity.cpu_millis,
-            capacity.memory_mb,
-            capacity.gpus,
-            free.cpu_millis,
-            free.memory_mb,
-            free.gpus,
-            len(waiting),
-            sum(run.room.cpu_millis for run in waiting),
-            life.soundness.slowness,
-            life.soundness.on_trial,
-            sorted(life.announcement.labels),
-        )
+        if self.life is None:
+            return NO_WORKER
+        return self.life.describe(self._accepts(self.life), self._clock.monotonic_ms())
 
     # Orders.
 
--- a/src/currantbarrow/direct/life.py
+++ b/src/currantbarrow/direct/life.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from currantbarrow.direct.model import Room
 from currantbarrow.direct.room import RoomBook
 from currantbarrow.direct.runs import Run, RunPhase
 from currantbarrow.direct.soundness import Soundness
 from currantbarrow.direct.worker import Announcement, RunName
+from currantbarrow.protocol.direct import WorkerState
 
-__all__ = ["WorkerLife"]
+__all__ = ["NO_WORKER", "WorkerLife"]
 
 # A worker's clock may run 2 % slow against this process's.
 CLOCK_RATE = 1.02
@@ -21,6 +23,9 @@
 # Once an order was lost, others are likely to be for some seconds.
 LOSSY_MS = 3000.0
 
+# What a side process tells of its worker while it knows of none.
+NO_WORKER = WorkerState("", "", False, 0, 0, 0, 0, 0, 0, 0, 0, 1.0, False, [])
+
 
 class WorkerLife:
     """Keep the clock, the room and the runs of one life of a worker."""
@@ -128,6 +133,29 @@
             run.renumber(number)
         return run.name
 
+    def describe(self, accepting: bool, now_ms: float) -> WorkerState:
+        """Return what entries need to know of the worker."""
+        capacity = self.announcement.capacity
+        waiting = self.waiting()
+        begun = len(self.runs) - len(waiting)
+        free = self.book.free if self.soundness.may_begin(now_ms, begun) else Room()
+        return WorkerState(
+            self.worker,
+            self.announcement.service,
+            accepting,
+            capacity.cpu_millis,
+            capacity.memory_mb,
+            capacity.gpus,
+            free.cpu_millis,
+            free.memory_mb,
+            free.gpus,
+            len(waiting),
+            sum(run.room.cpu_millis for run in waiting),
+            self.soundness.slowness,
+            self.soundness.on_trial,
+            sorted(self.announcement.labels),
+        )
+
     def count(self, *phases: RunPhase) -> int:
         """Return how many runs are in some phases."""
         return sum(run.phase in phases for run in self.runs.values())
--- a/src/currantbarrow/exceptions.py
+++ b/src/currantbarrow/exceptions.py
@@ -6,6 +6,7 @@
     "AddressUnavailable",
     "AppendUnknown",
     "BadFrame",
+    "CallUnsent",
     "ClassConflict",
     "ConfigurationError",
     "CurrantbarrowError",
@@ -161,6 +162,12 @@
     code = "bad_frame"
 
 
+class CallUnsent(LinkError):
+    """Report a call that surely did not reach its server."""
+
+    code = "call_unsent"
+
+
 class RemoteError(LinkError):
     """Report a call that the peer answered with an error."""
 
--- a/src/currantbarrow/platform/http.py
+++ b/src/currantbarrow/platform/http.py
@@ -8,9 +8,9 @@
 import aiohttp
 import msgspec
 
-from currantbarrow.exceptions import LinkClosed, LinkError, LinkTimeout
+from currantbarrow.exceptions import CallUnsent, LinkClosed, LinkTimeout
 
-__all__ = ["Answer", "CallUnsent", "HttpCaller"]
+__all__ = ["Answer", "HttpCaller"]
 
 # A server is a millisecond or two away; connecting is tried again after a lost packet.
 CONNECT_TIMEOUT_S = 1.0
@@ -22,12 +22,6 @@
 LONGEST_CALL_S = 5.0
 
 
-class CallUnsent(LinkError):
-    """Report a call that surely did not reach its server."""
-
-    code = "call_unsent"
-
-
 class Answer(msgspec.Struct, frozen=True):
     """Hold the answer to a call."""
 
--- a/src/currantbarrow/platform/store.py
+++ b/src/currantbarrow/platform/store.py
@@ -11,11 +11,12 @@
 
 from currantbarrow.exceptions import (
     AppendUnknown,
+    CallUnsent,
     LinkError,
     LogUnavailable,
     RecordsExpired,
 )
-from currantbarrow.platform.http import Answer, CallUnsent, HttpCaller
+from currantbarrow.platform.http import Answer, HttpCaller
 
 __all__ = ["KeyedRecord", "KeyedRecords", "StoreClient", "StoredRecord"]
 
--- a/src/currantbarrow/platform/worker.py
+++ b/src/currantbarrow/platform/worker.py
@@ -12,8 +12,14 @@
     WorkerEnd,
     WorkerLists,
 )
-from currantbarrow.exceptions import LinkError, WorkerReplaced, WorkerSilent, WorkerUnreached
-from currantbarrow.platform.http import Answer, CallUnsent, HttpCaller
+from currantbarrow.exceptions import (
+    CallUnsent,
+    LinkError,
+    WorkerReplaced,
+    WorkerSilent,
+    WorkerUnreached,
+)
+from currantbarrow.platform.http import Answer, HttpCaller
 from currantbarrow.protocol.direct import RunEnd
 
 __all__ = ["HttpWorkerControl"]
