--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -404,3 +404,26 @@
             assert await first == "moved"
 
         run_fleet(scenario)
+
+
+class TestLosses:
+    def test_entry_and_most_side_processes_lost_at_once_hold_up_nobody_else(self) -> None:
+        """Lose for good what leaves shards of an owner down: it and three of its panel's five."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            open_jobs = [
+                asyncio.create_task(fleet.submit("entry-1", fleet.job(f"{place:016x}", 2, 1500.0)))
+                for place in range(4)
+            ]
+            spec = fleet.job("7" * 16, 3, 2000.0)
+            lost = asyncio.create_task(fleet.submit("entry-0", spec))
+            await asyncio.sleep(0.3)
+            await fleet.kill_entry("entry-0")
+            for name in ("side-0", "side-1", "side-2"):
+                await fleet.kill_side(name)
+            lost.cancel()
+            await asyncio.sleep(RETRANSMIT_S)
+            assert await fleet.submit("entry-2", spec) == "completed"
+            assert set(await asyncio.gather(*open_jobs)) == {JobState.COMPLETED}
+
+        run_fleet(scenario, DirectPlan(sides=5))
