Use what stands already in peers, fleet, side and entry of direct dispatch

Cause: a last read found a set of tasks kept by hand beside BackgroundTasks, the same filter over workers twice, the same loop over an entry's runs twice, entries counted twice, and a count of peers that nothing asked for.

--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -306,8 +306,7 @@
             self.fleet.add(row.address)
         elif row.role == Role.ENTRY.value:
             self.peers.add(row.address)
-        entries = sum(each.role == Role.ENTRY.value for each in self._hosts.values())
-        self.desk.set_entries(entries + 1)
+        self._count_entries()
 
     def _remove_host(self, address: str) -> None:
         row = self._hosts.pop(address, None)
@@ -318,8 +317,11 @@
             self.fleet.remove(address)
         else:
             self.peers.remove(address)
-        entries = sum(each.role == Role.ENTRY.value for each in self._hosts.values())
-        self.desk.set_entries(entries + 1)
+        self._count_entries()
+
+    def _count_entries(self) -> None:
+        others = sum(row.role == Role.ENTRY.value for row in self._hosts.values())
+        self.desk.set_entries(others + 1)
 
     # Time.
 
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -178,22 +178,13 @@
         """Return the cores of a service's workers that take runs."""
         return sum(
             handle.report.state.capacity_cpu_millis / 1000
-            for handle in self.handles()
+            for handle in self._sound(service)
             if handle.report is not None
-            and handle.report.state.service == service
-            and handle.report.state.accepting
-            and not handle.report.state.on_trial
         )
 
     def free_cores(self, service: str) -> float:
         """Return the cores of a service's workers that are free, as far as is known here."""
-        return sum(
-            max(0.0, handle.free().cpu_millis / 1000)
-            for handle in self.handles()
-            if handle.report is not None
-            and handle.report.state.service == service
-            and not handle.report.state.on_trial
-        )
+        return sum(max(0.0, handle.free().cpu_millis / 1000) for handle in self._sound(service))
 
     def largest(self, service: str) -> Room | None:
         """Return the room of the largest worker of a service, or None when none is known."""
@@ -244,6 +235,17 @@
         """Close all links."""
         self._keeper.stop()
 
+    def _sound(self, service: str) -> list[SideHandle]:
+        """Return the links to a service's workers that take runs and are not on trial."""
+        return [
+            handle
+            for handle in self.handles()
+            if handle.report is not None
+            and handle.report.state.service == service
+            and handle.report.state.accepting
+            and not handle.report.state.on_trial
+        ]
+
     async def _serve(self, address: str, link: Link) -> None:
         near = link.peer.data_centre == self._hello.data_centre
         handle = SideHandle(address, link, near, self._clock.monotonic_ms())
--- a/src/currantbarrow/direct/peers.py
+++ b/src/currantbarrow/direct/peers.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.links import LinkKeeper
 from currantbarrow.direct.session import LEASE_MS, PING_MS
 from currantbarrow.direct.standings import StandingBook
@@ -96,7 +97,7 @@
             hello, self._serve_own, network=network, clock=clock, rng=rng, metrics=metrics
         )
         self._peers: dict[str, _PeerHandle] = {}
-        self._answers: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks(metrics)
 
     @property
     def add(self) -> Callable[[str], None]:
@@ -108,10 +109,6 @@
         """Let go of the entry at an address."""
         return self._keeper.remove
 
-    def count(self) -> int:
-        """Return how many peers are linked."""
-        return len(self._peers)
-
     async def ask(self, address: str, job: str) -> Standing | None:
         """Return a job's standing at a peer that lets go of it, or None when it can't be told."""
         peer = self._peers.get(address)
@@ -160,8 +157,7 @@
     def stop(self) -> None:
         """Close all links."""
         self._keeper.stop()
-        for task in self._answers:
-            task.cancel()
+        self._background.cancel_all()
 
     async def serve(self, link: Link) -> None:
         """Answer on a link that a peer opened."""
@@ -177,7 +173,7 @@
                     version = self._share_newer(link, message.configuration, version)
                     link.post(PeerPing())
                 case ShowStanding():
-                    self._answer(self._show(link, message))
+                    self._background.spawn(self._show(link, message))
                 case StopJob():
                     link.post(JobStanding(message.call_id, self._listener.stop_job(message.job)))
                 case ShareHosts():
@@ -193,17 +189,10 @@
             return version
         return shared
 
-    def _answer(self, answering: asyncio.Task[None]) -> None:
-        self._answers.add(answering)
-        answering.add_done_callback(self._answers.discard)
-
-    def _show(self, link: Link, call: ShowStanding) -> asyncio.Task[None]:
-        async def show() -> None:
-            standing = await self._listener.standing(call.job, call.release)
-            if not link.closed:
-                link.post(JobStanding(call.call_id, standing))
-
-        return asyncio.create_task(show())
+    async def _show(self, link: Link, call: ShowStanding) -> None:
+        standing = await self._listener.standing(call.job, call.release)
+        if not link.closed:
+            link.post(JobStanding(call.call_id, standing))
 
     async def _serve_own(self, address: str, link: Link) -> None:
         peer = _PeerHandle(link)
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -249,9 +249,10 @@
             else:
                 self.driver.order(run)
 
-    def _withdraw(self, session: SideSession, job: str) -> None:
+    def _withdraw(self, session: SideSession, job: str | None = None) -> None:
+        """End an entry's runs of one job, or all of them."""
         for run in self.driver.runs():
-            if run.session is session and run.name.job == job:
+            if run.session is session and job in (None, run.name.job):
                 self.driver.withdraw(run)
 
     async def _clear(self, session: SideSession, call: ClearJob) -> None:
@@ -300,9 +301,7 @@
         self._sessions.remove(session)
         if session.flush is not None:
             session.flush.cancel()
-        for run in self.driver.runs():
-            if run.session is session:
-                self.driver.withdraw(run)
+        self._withdraw(session)
 
     def _note_end(self, run: Run, end: RunEnd) -> None:
         now_ms = self._clock.monotonic_ms()
