--- /dev/null
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -0,0 +1,231 @@
+"""Run real entries and side processes of direct dispatch over fakes, in one loop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from currantbarrow.direct.admission import Refusal
+from currantbarrow.direct.entry import DirectEntry, DirectEntryOptions
+from currantbarrow.direct.job import OpenJob
+from currantbarrow.direct.model import JobSpec, JobState, Room, StepSpec, WorkQueue
+from currantbarrow.direct.routing import Configuration
+from currantbarrow.direct.side import DirectSide, DirectSideOptions
+from currantbarrow.observe import MetricsBook
+from currantbarrow.protocol import Hello
+from currantbarrow.protocol.direct import HostRow, Standing
+from currantbarrow.standins.direct_worker import MemoryWorker, RunBook
+from currantbarrow.standins.fleet import LoopClock
+from currantbarrow.standins.memory_network import MemoryFabric, MemoryNetwork
+
+__all__ = ["DirectFleet", "DirectPlan"]
+
+LEASE_MS = 1000.0
+ANNOUNCE_MS = 500.0
+SETTLE_S = 1.5
+QUEUE = WorkQueue("work", "host", "/work/", "work", 0, 60.0, 1.6, 3, 0.0)
+
+
+class DirectPlan(msgspec.Struct, frozen=True):
+    """Say how large a fleet of stand-ins is."""
+
+    entries: int = 3
+    sides: int = 4
+    cpu_millis: int = 16_000
+    delay_ms: float = 0.5
+    seed: int = 1
+
+
+class MemoryDirectory:
+    """Keep the processes in memory; while it is down, it hears and tells nothing."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, HostRow] = {}
+        self.down = False
+        self._followers: list[tuple[Callable[[HostRow], None], Callable[[str], None]]] = []
+
+    async def publish(self, row: HostRow) -> None:
+        """Make a process known."""
+        while self.down:
+            await asyncio.sleep(0.1)
+        self.rows[row.address] = row
+        for on_row, _ in self._followers:
+            on_row(row)
+
+    async def withdraw(self, row: HostRow) -> None:
+        """Take a process off the list."""
+        if not self.down:
+            self.rows.pop(row.address, None)
+            for _, on_gone in self._followers:
+                on_gone(row.address)
+
+    async def follow(
+        self, on_row: Callable[[HostRow], None], on_gone: Callable[[str], None]
+    ) -> None:
+        """Report processes until cancelled."""
+        while self.down:
+            await asyncio.sleep(0.1)
+        self._followers.append((on_row, on_gone))
+        for row in list(self.rows.values()):
+            on_row(row)
+        await asyncio.Event().wait()
+
+
+class MemoryConfigurations:
+    """Publish configurations by version to those that can hear."""
+
+    def __init__(self) -> None:
+        self.version = 1
+        self.deaf: set[str] = set()
+        self._queues: dict[int, list[WorkQueue]] = {1: [QUEUE]}
+        self._followers: dict[str, Callable[[bytes], None]] = {}
+
+    def publish(self, queues: list[WorkQueue]) -> None:
+        """Publish a new version."""
+        self.version += 1
+        self._queues[self.version] = queues
+        for name, on_document in self._followers.items():
+            if name not in self.deaf:
+                on_document(str(self.version).encode())
+
+    def parse(self, document: bytes) -> Configuration:
+        """Return a configuration."""
+        version = int(document)
+        services = frozenset({"work"})
+        return Configuration(version, self._queues[version], services, 1 << 18, document)
+
+    def source(self, name: str) -> _Source:
+        """Return what one process hears."""
+        return _Source(self, name)
+
+    async def follow(self, name: str, on_document: Callable[[bytes], None]) -> None:
+        """Report configurations to a process until cancelled."""
+        self._followers[name] = on_document
+        if name not in self.deaf:
+            on_document(str(self.version).encode())
+        await asyncio.Event().wait()
+
+
+class _Source:
+    def __init__(self, configurations: MemoryConfigurations, name: str) -> None:
+        self._configurations = configurations
+        self._name = name
+
+    async def follow(self, on_document: Callable[[bytes], None]) -> None:
+        await self._configurations.follow(self._name, on_document)
+
+
+class DirectFleet:
+    """Hold entries, side processes and workers."""
+
+    def __init__(self, plan: DirectPlan) -> None:
+        self.plan = plan
+        self.clock = LoopClock()
+        self.rng = random.Random(plan.seed)
+        self.fabric = MemoryFabric(self.rng, self._delay_ms)
+        self.directory = MemoryDirectory()
+        self.configurations = MemoryConfigurations()
+        self.book = RunBook()
+        self.metrics = MetricsBook()
+        self.entries: dict[str, DirectEntry] = {}
+        self.sides: dict[str, DirectSide] = {}
+        self.workers: dict[str, MemoryWorker] = {}
+        self._lives = 0
+        self._announcing: dict[str, asyncio.Task[None]] = {}
+        self._publishing: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start everything and wait until all know one another."""
+        for place in range(self.plan.sides):
+            name = f"side-{place}"
+            room = Room(self.plan.cpu_millis, 64_000, 0)
+            self.workers[name] = MemoryWorker(f"worker-{place}", room, self.book, LEASE_MS)
+            self.workers[name].start_clock()
+            await self.start_side(name)
+        for place in range(self.plan.entries):
+            await self.start_entry(f"entry-{place}")
+        await asyncio.sleep(SETTLE_S)
+
+    async def start_entry(self, name: str) -> None:
+        """Start an entry."""
+        self._lives += 1
+        options = DirectEntryOptions(
+            name, f"{name}.{self._lives}", f"{name}:1", "one", (), 2800.0, 5500.0
+        )
+        self.entries[name] = DirectEntry(
+            options,
+            clock=self.clock,
+            network=MemoryNetwork(self.fabric),
+            rng=self.rng,
+            metrics=self.metrics,
+            directory=self.directory,
+            source=self.configurations.source(name),
+            parse=self.configurations.parse,
+        )
+        await self.entries[name].start()
+
+    async def start_side(self, name: str) -> None:
+        """Start the side process of a worker."""
+        self._lives += 1
+        options = DirectSideOptions(
+            name, f"{name}.{self._lives}", f"{name}:1", "one", LEASE_MS, 5500.0
+        )
+        side = DirectSide(
+            options,
+            self.workers[name],
+            clock=self.clock,
+            network=MemoryNetwork(self.fabric),
+            metrics=self.metrics,
+        )
+        self.sides[name] = side
+        await side.start()
+        row = HostRow("side", f"{name}:1", options.incarnation, "one")
+        publishing = asyncio.create_task(self.directory.publish(row))
+        self._publishing.add(publishing)
+        self._announcing[name] = asyncio.create_task(self._announce(name, side))
+
+    async def kill_entry(self, name: str) -> None:
+        """End an entry as a crash does."""
+        await self.entries.pop(name).stop()
+
+    async def kill_side(self, name: str) -> None:
+        """End a side process as a crash does."""
+        self._announcing.pop(name).cancel()
+        await self.sides.pop(name).stop()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for announcing in self._announcing.values():
+            announcing.cancel()
+        for entry in self.entries.values():
+            await entry.stop()
+        for side in self.sides.values():
+            await side.stop()
+        for worker in self.workers.values():
+            worker.stop_clock()
+
+    def job(self, key: str, tasks: int, run_ms: float, cpu_millis: int = 2000) -> JobSpec:
+        """Return a job of alike tasks."""
+        step = StepSpec(tasks, Room(cpu_millis, 64, 0), run_ms)
+        return JobSpec(key, f"{run_ms}/{cpu_millis}", (step,))
+
+    async def submit(self, entry: str, spec: JobSpec, patience_ms: float = 0.0) -> JobState:
+        """Submit a job and return what becomes of it."""
+        outcome = await self.entries[entry].submit(spec, QUEUE, patience_ms)
+        if isinstance(outcome, OpenJob):
+            await outcome.ended.wait()
+            return outcome.state
+        if isinstance(outcome, Refusal):
+            return JobState.REFUSED
+        return JobState.COMPLETED if outcome is Standing.COMPLETED else JobState.FAILED
+
+    async def _announce(self, name: str, side: DirectSide) -> None:
+        while True:
+            side.announce(self.workers[name].announcement())
+            await asyncio.sleep(ANNOUNCE_MS / 1000)
+
+    def _delay_ms(self, sender: Hello, receiver: Hello) -> float:
+        return self.plan.delay_ms
--- a/src/currantbarrow/standins/memory_network.py
+++ b/src/currantbarrow/standins/memory_network.py
@@ -69,6 +69,7 @@
         if not self._closed:
             self._inbound.clear()
             self.end()
+            self._fabric.drop_sent(self)
             if self._other is not None:
                 self._fabric.carry_end(self, self._other)
 
@@ -210,6 +211,10 @@
             stalled for stalled in self._stalled if stalled[0].owner.incarnation != incarnation
         ]
 
+    def drop_sent(self, sender: _MemoryLink) -> None:
+        """Drop what one end had sent and a cut holds up."""
+        self._stalled = [stalled for stalled in self._stalled if stalled[0] is not sender]
+
     def _release(self) -> None:
         stalled, self._stalled = self._stalled, []
         for sender, receiver, message in stalled:
--- /dev/null
+++ b/tests/test_direct_fleet.py
@@ -0,0 +1,275 @@
+"""Check direct dispatch over a fleet in virtual time, under faults."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from currantbarrow.direct.model import JobState
+from currantbarrow.standins.direct_fleet import QUEUE, DirectFleet, DirectPlan
+from currantbarrow.standins.virtual import run_virtual
+
+Scenario = Callable[[DirectFleet], Awaitable[None]]
+# A caller whose connection broke sends its job again after this long.
+RETRANSMIT_S = 1.3
+
+
+def run_fleet(scenario: Scenario, plan: DirectPlan | None = None) -> DirectFleet:
+    """Run a scenario, and check what must never happen."""
+
+    async def run() -> DirectFleet:
+        fleet = DirectFleet(plan or DirectPlan())
+        await fleet.start()
+        await scenario(fleet)
+        await fleet.stop()
+        assert fleet.book.double_runs == []
+        assert fleet.book.over_capacity == []
+        return fleet
+
+    return run_virtual(run())
+
+
+class TestCalm:
+    def test_job_is_run_whole_and_once(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            assert await fleet.submit("entry-0", fleet.job("a" * 16, 5, 100.0)) == "completed"
+            assert len(fleet.book.started) == 5
+
+        run_fleet(scenario)
+
+    def test_many_jobs_from_all_entries_stay_within_capacity(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            jobs = [
+                fleet.submit(f"entry-{place % 3}", fleet.job(f"{place:016x}", 4, 200.0, 3000))
+                for place in range(30)
+            ]
+            states = await asyncio.gather(*jobs)
+            assert states.count(JobState.COMPLETED) >= 15
+            assert set(states) <= {JobState.COMPLETED, JobState.REFUSED}
+
+        run_fleet(scenario)
+
+    def test_same_key_while_open_joins_the_job(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            spec = fleet.job("b" * 16, 2, 300.0)
+            states = await asyncio.gather(
+                fleet.submit("entry-0", spec), fleet.submit("entry-0", spec)
+            )
+            assert states == [JobState.COMPLETED, JobState.COMPLETED]
+            assert len(fleet.book.started) == 2
+
+        run_fleet(scenario)
+
+    def test_job_larger_than_any_worker_is_refused_at_once(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            began_s = asyncio.get_running_loop().time()
+            state = await fleet.submit("entry-0", fleet.job("c" * 16, 1, 100.0, 17_000))
+            assert state == "refused"
+            assert asyncio.get_running_loop().time() == began_s
+
+        run_fleet(scenario)
+
+    def test_idle_worker_is_not_looked_at(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            before = sum(worker.looks for worker in fleet.workers.values())
+            await asyncio.sleep(10)
+            assert sum(worker.looks for worker in fleet.workers.values()) == before
+
+        run_fleet(scenario)
+
+
+class TestCallers:
+    def test_job_of_a_caller_that_left_is_stopped(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            entry = fleet.entries["entry-0"]
+            job = asyncio.create_task(fleet.submit("entry-0", fleet.job("d" * 16, 3, 5000.0)))
+            await asyncio.sleep(0.1)
+            assert len(fleet.book.running) == 3
+            entry.desk.cancel(entry.desk.jobs["d" * 16], "its caller left")
+            await asyncio.sleep(0.1)
+            assert await job == "cancelled"
+            assert fleet.book.running == {}
+
+        run_fleet(scenario)
+
+    def test_job_sent_again_to_another_entry_moves_there(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            spec = fleet.job("e" * 16, 3, 2000.0)
+            first = asyncio.create_task(fleet.submit("entry-0", spec))
+            await asyncio.sleep(RETRANSMIT_S)
+            assert await fleet.submit("entry-1", spec) == "completed"
+            assert await first == "moved"
+
+        run_fleet(scenario)
+
+    def test_answered_job_sent_again_elsewhere_is_answered_without_a_run(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            spec = fleet.job("f" * 16, 2, 100.0)
+            assert await fleet.submit("entry-0", spec) == "completed"
+            await asyncio.sleep(RETRANSMIT_S)
+            assert await fleet.submit("entry-2", spec) == "completed"
+            assert len(fleet.book.started) == 2
+
+        run_fleet(scenario)
+
+    def test_job_of_a_dead_entry_runs_again_elsewhere_once_its_runs_have_ended(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            spec = fleet.job("1" * 16, 3, 3000.0)
+            first = asyncio.create_task(fleet.submit("entry-0", spec))
+            await asyncio.sleep(0.5)
+            await fleet.kill_entry("entry-0")
+            first.cancel()
+            await asyncio.sleep(RETRANSMIT_S)
+            assert await fleet.submit("entry-1", spec) == "completed"
+
+        run_fleet(scenario)
+
+    def test_job_of_an_entry_that_is_cut_off_runs_once_at_a_time(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            spec = fleet.job("2" * 16, 3, 3000.0)
+            first = asyncio.create_task(fleet.submit("entry-0", spec))
+            await asyncio.sleep(0.5)
+            others = [name for name in (*fleet.entries, *fleet.sides) if name != "entry-0"]
+            for other in others:
+                fleet.fabric.cut("entry-0", other)
+            await asyncio.sleep(RETRANSMIT_S)
+            again = asyncio.create_task(fleet.submit("entry-1", spec))
+            await asyncio.sleep(1.0)
+            for other in others:
+                fleet.fabric.mend("entry-0", other)
+            assert await again == "completed"
+            first.cancel()
+
+        run_fleet(scenario)
+
+
+class TestWorkers:
+    def test_tasks_of_a_crashed_worker_run_elsewhere(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            jobs = [
+                asyncio.create_task(fleet.submit("entry-0", fleet.job(f"{place:016x}", 4, 1000.0)))
+                for place in range(4)
+            ]
+            await asyncio.sleep(0.3)
+            fleet.workers["side-1"].crash()
+            assert set(await asyncio.gather(*jobs)) == {JobState.COMPLETED}
+
+        run_fleet(scenario)
+
+    def test_tasks_of_a_silent_worker_run_elsewhere_once_their_lease_has_lapsed(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            jobs = [
+                asyncio.create_task(fleet.submit("entry-0", fleet.job(f"{place:016x}", 4, 3000.0)))
+                for place in range(4)
+            ]
+            await asyncio.sleep(0.3)
+            fleet.workers["side-1"].faults.silent = True
+            await asyncio.sleep(5.0)
+            fleet.workers["side-1"].faults.silent = False
+            assert set(await asyncio.gather(*jobs)) == {JobState.COMPLETED}
+
+        run_fleet(scenario)
+
+    def test_start_whose_answer_was_lost_goes_on(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            for worker in fleet.workers.values():
+                worker.faults.lost_answers = 2
+            assert await fleet.submit("entry-0", fleet.job("3" * 16, 4, 800.0)) == "completed"
+            assert len(fleet.book.started) == 4
+
+        run_fleet(scenario)
+
+    def test_start_that_comes_late_does_not_run(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            for worker in fleet.workers.values():
+                worker.faults.late_starts = 1
+            assert await fleet.submit("entry-0", fleet.job("4" * 16, 8, 200.0)) == "completed"
+            await asyncio.sleep(5.0)
+            assert len(fleet.book.started) == 8
+
+        run_fleet(scenario)
+
+    def test_worker_that_fails_everything_is_left_alone_soon(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            fleet.workers["side-2"].faults.fails = True
+            for place in range(40):
+                state = await fleet.submit("entry-0", fleet.job(f"{place:016x}", 2, 50.0))
+                assert state == "completed"
+            failed = [worker for _, worker in fleet.book.started if worker == "worker-2#1"]
+            assert len(failed) < 12
+
+        run_fleet(scenario)
+
+    def test_tasks_that_stand_still_are_moved(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            fleet.workers["side-2"].faults.hangs = True
+            jobs = [
+                fleet.submit("entry-0", fleet.job(f"{place:016x}", 4, 200.0)) for place in range(6)
+            ]
+            assert set(await asyncio.gather(*jobs)) == {JobState.COMPLETED}
+            assert asyncio.get_running_loop().time() < 4.0
+
+        run_fleet(scenario)
+
+    def test_leaving_worker_gets_nothing_new(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            fleet.workers["side-0"].leaving = True
+            await asyncio.sleep(1.0)
+            before = len(fleet.book.started)
+            for place in range(10):
+                await fleet.submit("entry-0", fleet.job(f"{place:016x}", 3, 20.0))
+            started = [worker for _, worker in fleet.book.started[before:]]
+            assert "worker-0#1" not in started
+
+        run_fleet(scenario)
+
+
+class TestSides:
+    def test_side_process_that_restarts_clears_its_worker_first(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            jobs = [
+                asyncio.create_task(fleet.submit("entry-0", fleet.job(f"{place:016x}", 4, 1500.0)))
+                for place in range(4)
+            ]
+            await asyncio.sleep(0.3)
+            await fleet.kill_side("side-1")
+            await asyncio.sleep(0.2)
+            await fleet.start_side("side-1")
+            assert set(await asyncio.gather(*jobs)) == {JobState.COMPLETED}
+
+        run_fleet(scenario)
+
+    def test_side_process_that_is_cut_off_ends_the_orders_of_the_entry(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            jobs = [
+                asyncio.create_task(fleet.submit("entry-0", fleet.job(f"{place:016x}", 4, 2500.0)))
+                for place in range(4)
+            ]
+            await asyncio.sleep(0.3)
+            fleet.fabric.cut("entry-0", "side-1")
+            assert set(await asyncio.gather(*jobs)) == {JobState.COMPLETED}
+
+        run_fleet(scenario)
+
+
+class TestConfiguration:
+    def test_entry_that_hears_nothing_gets_the_configuration_from_a_peer(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            fleet.configurations.deaf = {"entry-1"}
+            fleet.configurations.publish([QUEUE])
+            await asyncio.sleep(1.0)
+            configured = fleet.entries["entry-1"].configured
+            assert configured is not None
+            assert configured.version == 2
+
+        run_fleet(scenario)
+
+    def test_older_configuration_changes_nothing(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            fleet.configurations.publish([])
+            fleet.entries["entry-0"].take_configuration(b"1")
+            configured = fleet.entries["entry-0"].configured
+            assert configured is not None
+            assert configured.version == 2
+
+        run_fleet(scenario)
