--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -27,7 +27,7 @@
 LEASE_MS = 1000.0
 ANNOUNCE_MS = 500.0
 SETTLE_S = 1.5
-QUEUE = WorkQueue("work", "host", "/work/", "work", 0, 60.0, 1.6, 3, 0.0)
+QUEUE = WorkQueue("work", "host", "/jobs/", "work", 0, 60.0, 1.6, 3, 0.0)
 
 
 class DirectPlan(msgspec.Struct, frozen=True):
