Keep draining entries known to their peers, and end jobs whose orders are rejected as moved

A cancel at a peer then found no link, cleared the job at the side processes, and these rejected the draining entry's orders as moved for 10 s. The entry took each rejection for a lack of resources and ordered again every millisecond, until its drain limit cut its caller off. Change: pings tell peers that an entry drains; it stays linked, without a share of the workers, and leaves the directory after its last job. Side processes say why they reject an order: the job was taken over, or cancelled; the entry then ends it as that. A cleared job is kept for an incarnation rather than for a link, so that the entry that cleared it may order it over a new link. An entry that takes a job back from one that had cleared it clears it again. Jobs left at the drain limit are stopped and returned to their callers. The wait for the directory is bounded, and an entry publishes its row again if a late withdrawal of its predecessor removes it.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -71,13 +71,14 @@
     ) -> None:
         self.fleet: SideFleet | None = None
         self.jobs: dict[str, OpenJob] = {}
+        # The number of entries that share the workers, including this one.
+        self.entry_count = 1
         self.run_time_estimator = RunTimeEstimator()
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
         self._history = history
         self._release_rate = ReleaseRate()
-        self._entry_count = 1
         self._last_tick_ms = clock.monotonic_ms()
         self._holdoff_until_ms = 0.0
         self._last_dispatch_ms = 0.0
@@ -85,10 +86,6 @@
         # Jobs with tasks that have not been ordered; dispatch passes visit only these.
         self._waiting: dict[str, OpenJob] = {}
 
-    def set_entry_count(self, count: int) -> None:
-        """Set the number of entries that share the workers."""
-        self._entry_count = max(1, count)
-
     # Submission.
 
     def submit(
@@ -121,11 +118,11 @@
             self._metrics.incr("entry.job_cancelled")
             self._end_job(job, JobState.CANCELLED, reason)
 
-    def move(self, job: OpenJob) -> None:
-        """Release an open job that another entry has taken over."""
+    def move(self, job: OpenJob, reason: str = "sent again to another entry") -> None:
+        """Release an open job, which its caller submits to another entry."""
         if job.state is JobState.OPEN:
             self._metrics.incr("entry.job_moved")
-            self._end_job(job, JobState.MOVED, "sent again to another entry")
+            self._end_job(job, JobState.MOVED, reason)
 
     def count_unstarted(self, queue: str) -> int:
         """Return the number of jobs of a queue with no task started."""
@@ -302,6 +299,12 @@
             self._record_done(job, task, handle, ran_ms)
             return
         self._metrics.incr(f"entry.run_undone.{end.value}")
+        if end is RunEnd.MOVED:
+            self.move(job)
+            return
+        if end is RunEnd.CANCELLED:
+            self.cancel(job, "cancelled through another entry")
+            return
         self._waiting[job.spec.job_id] = job
         if end is RunEnd.NOT_STARTED:
             # The same report carries the worker's free resources. The pause limits retries on a
@@ -402,7 +405,7 @@
             ahead_cores += other.waiting_cores()
             if other.queue.name == job.queue.name and not other.started:
                 oldest_ms = max(oldest_ms, now_ms - other.times.received_ms)
-        cores = self.fleet.accepting_cores(service) / self._entry_count
+        cores = self.fleet.accepting_cores(service) / self.entry_count
         return Backlog(
             ahead_cores,
             job.waiting_cores(),
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.admission import Refusal
 from currantbarrow.direct.dispatcher import TICK_INTERVAL_MS, JobDispatcher
 from currantbarrow.direct.fleet import SideFleet
@@ -25,7 +26,14 @@
 from currantbarrow.exceptions import ConfigurationError, LinkError
 from currantbarrow.observe import logger
 from currantbarrow.protocol import Hello, Role
-from currantbarrow.protocol.direct import HostRow, ShareHosts, Standing, TakenRow
+from currantbarrow.protocol.direct import (
+    EntryPing,
+    HostRow,
+    JobStanding,
+    ShareHosts,
+    ShowStanding,
+    Standing,
+)
 from currantbarrow.types import Clock, Link, Metrics, Network
 
 __all__ = ["DirectEntry", "DirectEntryOptions"]
@@ -40,6 +48,8 @@
 RELEASE_POLL_INTERVAL_MS = 5.0
 # How long to wait for the runs of a job to stop when another entry requests its release.
 RELEASE_TIMEOUT_MS = 700.0
+# Time to leave the directory after a drain that took all the time it may take.
+WITHDRAW_MIN_MS = 50.0
 DRAIN_POLL_INTERVAL_MS = 50.0
 
 Parser = Callable[[bytes], Configuration]
@@ -90,6 +100,9 @@
         self._parse = parse
         # The other known entries and side processes, by address; several may run on one machine.
         self._processes: dict[str, HostRow] = {}
+        # The addresses of entries that end as soon as their jobs have ended.
+        self._draining_entries: set[str] = set()
+        self._background = BackgroundTasks(metrics)
         self._tasks: list[asyncio.Task[None]] = []
         self._drain_began_ms = 0.0
         self._hello = Hello(
@@ -144,19 +157,32 @@
         )
 
     async def drain(self) -> None:
-        """Serve until callers are routed elsewhere and all jobs have ended, or the limit passes."""
+        """Serve until callers are routed elsewhere and all jobs have ended, or the limit passes.
+
+        Peers keep their links to this entry meanwhile, since callers may cancel its jobs at other
+        entries or resubmit them there. Jobs left at the limit are returned to their callers.
+        """
         self.draining = True
         self._drain_began_ms = self._clock.monotonic_ms()
         logger.info("draining", extra={"jobs": len(self.dispatcher.jobs)})
-        await self._directory.withdraw(self._own_row())
+        self.peers.ping_all()
         while not self._has_drained():
             await self._clock.sleep_ms(DRAIN_POLL_INTERVAL_MS)
         logger.info("drained", extra={"jobs": len(self.dispatcher.jobs)})
+        for job in list(self.dispatcher.jobs.values()):
+            self.dispatcher.move(job, "entry is shutting down")
+        left_ms = max(WITHDRAW_MIN_MS, self.options.drain_limit_ms - self._drained_for_ms())
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                await self._directory.withdraw(self._own_row())
+        except TimeoutError:
+            logger.warning("directory did not answer in time", extra={"for_ms": round(left_ms)})
 
     async def stop(self) -> None:
         """Stop immediately and close all links."""
         for task in self._tasks:
             task.cancel()
+        self._background.cancel_all()
         self.fleet.stop()
         self.peers.stop()
         await self._network.stop()
@@ -199,7 +225,7 @@
         known = await self.peers.stop_job(job_id)
         if not known and self.history.accepting_peer(job_id):
             # The peer that has the job is unreachable, so the side processes stop its runs.
-            known = await self.fleet.clear_job(job_id)
+            known = await self._clear_job(job_id, cancelled=True)
         return known
 
     def standing_of(self, job_id: str) -> Standing:
@@ -211,22 +237,29 @@
     async def _take_over(self, job_id: str, address: str) -> Standing:
         """Make another entry release a job that its caller has resubmitted here."""
         self._metrics.incr("entry.job_sent_again")
-        standing = await self.peers.request_release(address, job_id)
+        answer = await self.peers.request_release(address, job_id)
         logger.info(
             "job resubmitted here",
-            extra={"job": job_id, "address": address, "standing": standing and standing.value},
+            extra={"job": job_id, "address": address, "standing": answer and answer.standing.value},
         )
-        if standing in (Standing.COMPLETED, Standing.FAILED):
-            return standing
-        if standing is None or standing is Standing.OPEN:
-            # That entry is unreachable or still has runs, so the side processes stop them.
-            cleared = await self.fleet.clear_job(job_id)
-            logger.info(
-                "runs of job stopped at side processes",
-                extra={"job": job_id, "everywhere": cleared},
-            )
+        if answer is not None and answer.standing in (Standing.COMPLETED, Standing.FAILED):
+            return answer.standing
+        if answer is None or answer.standing is Standing.OPEN or answer.cleared:
+            # That entry is unreachable or still has runs, which the side processes stop; or it has
+            # cleared the job, so they reject the orders of this entry.
+            await self._clear_job(job_id)
         return Standing.UNKNOWN
 
+    async def _clear_job(self, job_id: str, *, cancelled: bool = False) -> bool:
+        """Have side processes stop other entries' runs of a job; return whether all confirmed."""
+        self.history.record_cleared(job_id)
+        everywhere = await self.fleet.clear_job(job_id, cancelled=cancelled)
+        logger.info(
+            "runs of job stopped at side processes",
+            extra={"job": job_id, "everywhere": everywhere, "cancelled": cancelled},
+        )
+        return everywhere
+
     def configuration(self) -> tuple[int, bytes]:
         """Return version and document of the current configuration."""
         if self.current_configuration is None:
@@ -260,17 +293,19 @@
             if row.address not in self._processes:
                 self._add_process(row)
 
-    async def report_standing(self, job_id: str, release: bool) -> Standing:
-        """Return the standing of a job; with release, first stop and release it if it is open.
+    async def answer_standing(self, call: ShowStanding) -> JobStanding:
+        """Answer with the standing of a job, after releasing it if the call requests it."""
+        standing = await self._release(call.job) if call.release else self.standing_of(call.job)
+        return JobStanding(call.call_id, standing, self.history.was_cleared(call.job))
+
+    async def _release(self, job_id: str) -> Standing:
+        """Stop and release a job if it is open, and return its standing.
 
-        A release waits up to RELEASE_TIMEOUT_MS for the runs to stop; the standing is OPEN if some
-        are left then.
+        The runs have up to RELEASE_TIMEOUT_MS to stop; the standing is OPEN if some are left then.
         """
         open_job = self.dispatcher.jobs.get(job_id)
         if open_job is None:
             return self.history.final_standing(job_id)
-        if not release:
-            return Standing.OPEN
         self.dispatcher.move(open_job)
         until_ms = self._clock.monotonic_ms() + RELEASE_TIMEOUT_MS
         while open_job.ordered_tasks():
@@ -286,17 +321,20 @@
             self.dispatcher.cancel(self.dispatcher.jobs[job_id], "cancelled through another entry")
         return standing
 
-    def handle_peer_jobs(self, address: str, rows: list[TakenRow]) -> None:
+    def handle_peer_ping(self, ping: EntryPing) -> None:
         """Record the jobs that a peer accepted, and release those resubmitted to it."""
-        self.history.record_peer_jobs(address, rows)
+        self._set_draining(ping.address, ping.draining)
+        self.history.record_peer_jobs(ping.address, ping.taken)
         now_ms = self._clock.monotonic_ms()
-        for row in rows:
+        for row in ping.taken:
             job = self.dispatcher.jobs.get(row.job)
             if (
                 job is not None
                 and now_ms - job.times.received_ms > row.age_ms + RESUBMISSION_MIN_AGE_MS
             ):
-                logger.info("job resubmitted to peer", extra={"job": row.job, "address": address})
+                logger.info(
+                    "job resubmitted to peer", extra={"job": row.job, "address": ping.address}
+                )
                 self.dispatcher.move(job)
 
     def _own_row(self) -> HostRow:
@@ -329,7 +367,22 @@
             self.peers.add(row.address)
         self._update_entries()
 
+    def _set_draining(self, address: str, draining: bool) -> None:
+        if draining == (address in self._draining_entries):
+            return
+        logger.info("peer draining", extra={"address": address, "draining": draining})
+        if draining:
+            self._draining_entries.add(address)
+        else:
+            self._draining_entries.discard(address)
+        self._update_entries()
+
     def _remove_process(self, address: str) -> None:
+        if address == self.options.link_address and not self.draining:
+            # The previous process at this address withdrew its row, which arrived late.
+            logger.warning("own row removed from the directory, publishing it again")
+            self._background.spawn(self._directory.publish(self._own_row()))
+            return
         row = self._processes.pop(address, None)
         if row is None:
             return
@@ -342,8 +395,12 @@
 
     def _update_entries(self) -> None:
         rows = self._processes.values()
-        others = [row.address for row in rows if row.role == Role.ENTRY.value]
-        self.dispatcher.set_entry_count(len(others) + 1)
+        others = [
+            row.address
+            for row in rows
+            if row.role == Role.ENTRY.value and row.address not in self._draining_entries
+        ]
+        self.dispatcher.entry_count = len(others) + 1
         self.fleet.set_entries(others)
 
     async def _tick(self) -> None:
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -256,12 +256,15 @@
                 # The side process stops them by itself once the link has ended.
                 self._metrics.incr("entry.drop_unsent")
 
-    async def clear_job(self, job: str) -> bool:
-        """Stop other entries' runs of a job; return whether all linked side processes confirmed."""
+    async def clear_job(self, job: str, *, cancelled: bool = False) -> bool:
+        """Stop other entries' runs of a job, and have their later orders for it rejected.
+
+        Return whether all linked side processes confirmed it.
+        """
         replies = await asyncio.gather(
             *(
                 handle.rpc.call(
-                    lambda call_id: ClearJob(call_id, job), ClearedJob, CLEAR_TIMEOUT_MS
+                    lambda call_id: ClearJob(call_id, job, cancelled), ClearedJob, CLEAR_TIMEOUT_MS
                 )
                 for handle in self.handles()
             ),
--- a/src/currantbarrow/direct/history.py
+++ b/src/currantbarrow/direct/history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from typing import Generic, TypeVar
 
 from currantbarrow.protocol.direct import Standing, TakenRow
 from currantbarrow.types import Clock
@@ -14,46 +15,79 @@
 # Jobs accepted within this time are reported to a peer whose link was down.
 RECENT_JOBS_MS = 10_000.0
 
+ValueT = TypeVar("ValueT")
+
+
+class _JobRecords(Generic[ValueT]):
+    """Keep one value per job for the retention time."""
+
+    __slots__ = ("_records",)
+
+    def __init__(self) -> None:
+        # Values and the times at which they were set, oldest first.
+        self._records: collections.OrderedDict[str, tuple[ValueT, float]] = (
+            collections.OrderedDict()
+        )
+
+    def set(self, job: str, value: ValueT, now_ms: float) -> None:
+        self._records[job] = (value, now_ms)
+        self._records.move_to_end(job)
+
+    def get(self, job: str, default: ValueT) -> ValueT:
+        record = self._records.get(job)
+        return record[0] if record is not None else default
+
+    def remove(self, job: str) -> None:
+        self._records.pop(job, None)
+
+    def expire(self, now_ms: float) -> None:
+        while self._records and now_ms - next(iter(self._records.values()))[1] > RETENTION_MS:
+            self._records.popitem(last=False)
+
 
 class JobHistory:
     """Record the outcomes of jobs at this entry, and the entries that have accepted jobs."""
 
-    __slots__ = ("_accepted", "_clock", "_ended", "_peer_jobs")
+    __slots__ = ("_accepted", "_cleared", "_clock", "_ended", "_peer_jobs")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._ended: collections.OrderedDict[str, tuple[Standing, float]] = (
-            collections.OrderedDict()
-        )
-        self._peer_jobs: collections.OrderedDict[str, tuple[str, float]] = collections.OrderedDict()
+        self._ended: _JobRecords[Standing] = _JobRecords()
+        # The address of the entry that accepted a job.
+        self._peer_jobs: _JobRecords[str] = _JobRecords()
+        self._cleared: _JobRecords[bool] = _JobRecords()
         self._accepted: collections.deque[tuple[str, float]] = collections.deque()
 
     def record_accepted(self, job: str) -> None:
         """Record that this entry has accepted a job."""
         self._accepted.append((job, self._clock.monotonic_ms()))
-        self._ended.pop(job, None)
+        self._ended.remove(job)
 
     def record_ended(self, job: str, standing: Standing) -> None:
         """Record the outcome of a job at this entry."""
-        self._ended[job] = (standing, self._clock.monotonic_ms())
-        self._ended.move_to_end(job)
+        self._ended.set(job, standing, self._clock.monotonic_ms())
 
     def final_standing(self, job: str) -> Standing:
         """Return the outcome of a job at this entry, UNKNOWN if there is none."""
-        entry = self._ended.get(job)
-        return entry[0] if entry is not None else Standing.UNKNOWN
+        return self._ended.get(job, Standing.UNKNOWN)
+
+    def record_cleared(self, job: str) -> None:
+        """Record that side processes reject orders for a job from all entries but this one."""
+        self._cleared.set(job, True, self._clock.monotonic_ms())
+
+    def was_cleared(self, job: str) -> bool:
+        """Return whether this entry has recently cleared a job at the side processes."""
+        return self._cleared.get(job, False)
 
     def record_peer_jobs(self, address: str, rows: list[TakenRow]) -> None:
         """Record that another entry has accepted jobs."""
         now_ms = self._clock.monotonic_ms()
         for row in rows:
-            self._peer_jobs[row.job] = (address, now_ms)
-            self._peer_jobs.move_to_end(row.job)
+            self._peer_jobs.set(row.job, address, now_ms)
 
     def accepting_peer(self, job: str) -> str:
         """Return the address of another entry that has accepted a job, or an empty string."""
-        entry = self._peer_jobs.get(job)
-        return entry[0] if entry is not None else ""
+        return self._peer_jobs.get(job, "")
 
     def accepted_since(self, since_ms: float) -> list[TakenRow]:
         """Return the jobs accepted here since a time, as far as they are retained."""
@@ -70,6 +104,6 @@
         now_ms = self._clock.monotonic_ms()
         while self._accepted and now_ms - self._accepted[0][1] > RECENT_JOBS_MS:
             self._accepted.popleft()
-        for records in (self._ended, self._peer_jobs):
-            while records and now_ms - next(iter(records.values()))[1] > RETENTION_MS:
-                records.popitem(last=False)
+        self._ended.expire(now_ms)
+        self._peer_jobs.expire(now_ms)
+        self._cleared.expire(now_ms)
--- a/src/currantbarrow/direct/peers.py
+++ b/src/currantbarrow/direct/peers.py
@@ -24,7 +24,6 @@
     ShowStanding,
     Standing,
     StopJob,
-    TakenRow,
 )
 from currantbarrow.types import Clock, Link, Metrics, Network
 
@@ -45,6 +44,9 @@
 class PeerListener(Protocol):
     """Handle requests and notifications from peers."""
 
+    # Whether this entry ends as soon as its jobs have ended.
+    draining: bool
+
     def configuration(self) -> tuple[int, bytes]:
         """Return version and document of the current configuration."""
 
@@ -57,14 +59,14 @@
     def add_processes(self, rows: list[HostRow]) -> None:
         """Add the processes that a peer knows."""
 
-    async def report_standing(self, job_id: str, release: bool) -> Standing:
-        """Return the standing of a job; with release, first stop and release it if it is open."""
+    async def answer_standing(self, call: ShowStanding) -> JobStanding:
+        """Answer with the standing of a job, after releasing it if the call requests it."""
 
     def stop_job(self, job_id: str) -> Standing:
         """Cancel a job, and return its standing before."""
 
-    def handle_peer_jobs(self, address: str, rows: list[TakenRow]) -> None:
-        """Handle the list of jobs that a peer has accepted."""
+    def handle_peer_ping(self, ping: EntryPing) -> None:
+        """Handle the jobs that a peer has accepted, and whether it drains."""
 
 
 class _PeerHandle:
@@ -116,13 +118,13 @@
         """Close the link to the entry at an address."""
         return self._connector.remove
 
-    async def request_release(self, address: str, job: str) -> Standing | None:
-        """Have a peer release a job and return its standing, or None without an answer."""
+    async def request_release(self, address: str, job: str) -> JobStanding | None:
+        """Have a peer release a job and return its answer, or None without one."""
         peer = self._peers.get(address)
         if peer is None:
             return None
         try:
-            reply = await peer.rpc.call(
+            return await peer.rpc.call(
                 lambda call_id: ShowStanding(call_id, job, True), JobStanding, STANDING_TIMEOUT_MS
             )
         except LinkError as error:
@@ -131,7 +133,6 @@
                 extra={"job": job, "address": address, "error": str(error)},
             )
             return None
-        return reply.standing
 
     async def stop_job(self, job: str) -> bool:
         """Cancel a job at every peer; return whether any of them knew it."""
@@ -154,8 +155,12 @@
             await self._clock.sleep_ms(
                 min(max(PING_INTERVAL_MIN_MS, interval_ms), PING_INTERVAL_MAX_MS)
             )
-            for peer in list(self._peers.values()):
-                self._ping(peer)
+            self.ping_all()
+
+    def ping_all(self) -> None:
+        """Ping all peers at once."""
+        for peer in list(self._peers.values()):
+            self._ping(peer)
 
     def stop(self) -> None:
         """Close all links."""
@@ -172,7 +177,7 @@
             message = await link.receive()
             match message:
                 case EntryPing():
-                    self._listener.handle_peer_jobs(message.address, message.taken)
+                    self._listener.handle_peer_ping(message)
                     version = self._share_configuration(link, message.configuration, version)
                     link.post(PeerPing())
                 case ShowStanding():
@@ -190,7 +195,7 @@
         taken = self._history.accepted_since(peer.last_ping_ms)
         peer.last_ping_ms = self._clock.monotonic_ms()
         try:
-            peer.link.post(EntryPing(version, taken, self._address))
+            peer.link.post(EntryPing(version, taken, self._address, self._listener.draining))
         except LinkError:
             # The link's reader detects the failure; a new link sends the recent jobs again.
             self._metrics.incr("entry.ping_unsent")
@@ -204,9 +209,9 @@
         return sent_version
 
     async def _answer_standing(self, link: Link, call: ShowStanding) -> None:
-        standing = await self._listener.report_standing(call.job, call.release)
+        answer = await self._listener.answer_standing(call)
         if not link.closed:
-            link.post(JobStanding(call.call_id, standing))
+            link.post(answer)
 
     async def _serve_outgoing(self, address: str, link: Link) -> None:
         peer = _PeerHandle(link)
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -47,6 +47,11 @@
 SAVE_TIMEOUT_MS = 700.0
 # Longer than an order for a job that moved to another entry can be delayed.
 CLEARED_JOB_RETENTION_MS = 10_000.0
+REJECTION_REASONS = {
+    RunEnd.MOVED: "job moved",
+    RunEnd.CANCELLED: "job cancelled",
+    RunEnd.NOT_STARTED: "link lease expired",
+}
 
 
 class DirectSideOptions(msgspec.Struct, frozen=True):
@@ -66,6 +71,15 @@
     drain_ms: float
 
 
+class _ClearedJobRecord(msgspec.Struct, frozen=True):
+    """Describe a job whose orders are rejected from all entries but one."""
+
+    # The entry that cleared the job.
+    incarnation: str
+    cancelled: bool
+    cleared_ms: float
+
+
 class SideSession:
     """Track the link to one entry, its lease and its unreported ends."""
 
@@ -131,8 +145,7 @@
         self._metrics = metrics
         self._background = BackgroundTasks(metrics)
         self._sessions: list[SideSession] = []
-        # Jobs that moved to another entry, with that entry's link and the time of the move.
-        self._moved_jobs: dict[str, tuple[Link, float]] = {}
+        self._cleared_jobs: dict[str, _ClearedJobRecord] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self.driver = WorkerDriver(
             control,
@@ -270,25 +283,34 @@
         now_ms = self._clock.monotonic_ms()
         session.lease.renew(orders.heard_ms)
         session.last_order_sequence = max(session.last_order_sequence, orders.sequence)
-        move = self._moved_jobs.get(orders.job)
-        moved = move is not None and move[0] is not session.link
+        cleared = self._cleared_jobs.get(orders.job)
+        rejection: RunEnd | None = None
+        if cleared is not None and cleared.incarnation != session.link.peer.incarnation:
+            rejection = RunEnd.CANCELLED if cleared.cancelled else RunEnd.MOVED
+        elif not session.lease.is_valid(now_ms):
+            rejection = RunEnd.NOT_STARTED
         for order in orders.tasks:
             run = Run(session, orders.job, orders.payload, order, now_ms)
-            if moved or not session.lease.is_valid(now_ms):
-                self._metrics.incr("side.stale_order")
-                logger.info(
-                    "order rejected",
-                    extra={
-                        "job": orders.job,
-                        "task": order.index,
-                        "reason": "job moved" if moved else "link lease expired",
-                        "age_ms": round(session.lease.age_ms(now_ms)),
-                    },
-                )
-                session.ends.append(run.end_row(RunEnd.NOT_STARTED, now_ms))
-                self._schedule_report(session, END_REPORT_DELAY_MS)
-            else:
+            if rejection is None:
                 self.driver.submit(run)
+            else:
+                self._reject_order(session, run, rejection, now_ms)
+
+    def _reject_order(
+        self, session: SideSession, run: Run, rejection: RunEnd, now_ms: float
+    ) -> None:
+        self._metrics.incr("side.stale_order")
+        logger.info(
+            "order rejected",
+            extra={
+                "job": run.name.job,
+                "task": run.name.index,
+                "reason": REJECTION_REASONS[rejection],
+                "age_ms": round(session.lease.age_ms(now_ms)),
+            },
+        )
+        session.ends.append(run.end_row(rejection, now_ms))
+        self._schedule_report(session, END_REPORT_DELAY_MS)
 
     def _cancel_runs(self, session: SideSession, job: str | None = None) -> None:
         """Cancel the runs of an entry, all of them or those of one job."""
@@ -298,7 +320,9 @@
 
     async def _clear_job(self, session: SideSession, call: ClearJob) -> None:
         now_ms = self._clock.monotonic_ms()
-        self._moved_jobs[call.job] = (session.link, now_ms)
+        self._cleared_jobs[call.job] = _ClearedJobRecord(
+            session.link.peer.incarnation, call.cancelled, now_ms
+        )
         runs = [
             run
             for run in self.driver.runs()
@@ -332,9 +356,9 @@
                     self._report(session)
             self.driver.tick()
             self.driver.start_waiting_runs()
-            for job, (_, cleared_ms) in list(self._moved_jobs.items()):
-                if now_ms - cleared_ms > CLEARED_JOB_RETENTION_MS:
-                    del self._moved_jobs[job]
+            for job, cleared in list(self._cleared_jobs.items()):
+                if now_ms - cleared.cleared_ms > CLEARED_JOB_RETENTION_MS:
+                    del self._cleared_jobs[job]
 
     def _close_session(self, session: SideSession) -> None:
         """Close the session of an entry that is lost, and cancel its runs."""
--- a/src/currantbarrow/platform/callers.py
+++ b/src/currantbarrow/platform/callers.py
@@ -132,7 +132,7 @@
             case JobState.REFUSED:
                 return _refuse(job.reason, job.retry_after_s)
             case _:
-                # The caller has resubmitted the job to another entry and is answered there.
+                # Another entry has the job, or this one is shutting down: the caller retries there.
                 return _reply(502, _ErrorBody("job_moved"))
 
 
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -42,6 +42,10 @@
     LOST = "lost"
     # The run was not started and never will be.
     NOT_STARTED = "not_started"
+    # The run was not started, because another entry has taken over its job.
+    MOVED = "moved"
+    # The run was not started, because its job was cancelled through another entry.
+    CANCELLED = "cancelled"
 
     @classmethod
     def _missing_(cls, value: object) -> RunEnd:
@@ -112,6 +116,8 @@
     """Ask a side process to end other entries' runs of a job and to reject their orders for it."""
 
     job: str
+    # Whether the job was cancelled, rather than taken over by the sender.
+    cancelled: bool = False
 
 
 class ClearedJob(Reply, frozen=True):
@@ -184,6 +190,8 @@
     taken: list[TakenRow]
     # Address at which the sender accepts links.
     address: str
+    # Whether the sender ends as soon as its jobs have ended.
+    draining: bool = False
 
 
 class PeerPing(Message, frozen=True):
@@ -220,3 +228,5 @@
     """Return the state of a job."""
 
     standing: Standing
+    # Whether side processes reject orders for the job from all entries but the sender.
+    cleared: bool = False
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -46,6 +46,8 @@
     def __init__(self) -> None:
         self.rows: dict[str, HostRow] = {}
         self.down = False
+        # Withdrawals are neither carried out nor answered.
+        self.hangs = False
         self._followers: list[tuple[Callable[[HostRow], None], Callable[[str], None]]] = []
 
     async def publish(self, row: HostRow) -> None:
@@ -58,6 +60,8 @@
 
     async def withdraw(self, row: HostRow) -> None:
         """Remove the row of a process, and report it to the followers."""
+        if self.hangs:
+            await asyncio.Event().wait()
         if not self.down:
             self.rows.pop(row.address, None)
             for _, on_gone in self._followers:
