Exit within the grace period, whether or not peers confirm that links are closed

Cause: on the way out a process closed each link with a handshake of up to 2 s, and the websockets server then waited up to 10 s for a connection whose peer is suspended; with 0.5 s left of the grace period a frozen peer was enough for a SIGKILL. Waits for HTTP handlers (0.3 s twice for each of three servers) came on top. Change: WebsocketNetwork.stop aborts links that are not closed within 0.2 s; the programs close their servers and connections under one limit, the reserve of the grace period less 150 ms for the exit.

--- a/src/currantbarrow/platform/entry_program.py
+++ b/src/currantbarrow/platform/entry_program.py
@@ -9,7 +9,12 @@
 from currantbarrow.observe.exposition import PrometheusMetrics, create_metrics_app
 from currantbarrow.platform.callers import create_callers_app, create_readiness_app
 from currantbarrow.platform.configuration import parse_configuration
-from currantbarrow.platform.serving import DRAIN_RESERVE_MS, serve_app, wait_for_stop
+from currantbarrow.platform.serving import (
+    DRAIN_RESERVE_MS,
+    close_all,
+    serve_app,
+    wait_for_stop,
+)
 from currantbarrow.platform.settings import ProcessSettings
 from currantbarrow.platform.store import StoreClient
 from currantbarrow.platform.topics import TopicHostDirectory, create_configuration_source
@@ -59,7 +64,4 @@
     logger.info("started", extra={"incarnation": options.incarnation})
     await wait_for_stop()
     await entry.drain()
-    for runner in reversed(runners):
-        await runner.cleanup()
-    await entry.stop()
-    await store.close()
+    await close_all([*(runner.cleanup for runner in reversed(runners)), entry.stop, store.close])
--- a/src/currantbarrow/platform/serving.py
+++ b/src/currantbarrow/platform/serving.py
@@ -4,17 +4,22 @@
 
 import asyncio
 import signal
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
 from currantbarrow.listening import bind_address
 from currantbarrow.observe import logger
 
-__all__ = ["DRAIN_RESERVE_MS", "serve_app", "wait_for_stop"]
+__all__ = ["DRAIN_RESERVE_MS", "Closer", "close_all", "serve_app", "wait_for_stop"]
 
-# Part of the grace period that is reserved for sending the last responses.
+# Part of the grace period that is reserved for sending the last responses and closing connections.
 DRAIN_RESERVE_MS = 500.0
-SHUTDOWN_TIMEOUT_S = 0.3
+# The part of it that remains for the interpreter to exit, which is slow on a busy host.
+EXIT_RESERVE_MS = 150.0
+SHUTDOWN_TIMEOUT_S = 0.1
+
+Closer = Callable[[], Awaitable[None]]
 # Callers reuse connections between requests; new ones cost both ends more.
 KEEP_ALIVE_TIMEOUT_S = 75.0
 
@@ -35,6 +40,22 @@
     return runner
 
 
+async def close_all(closers: list[Closer]) -> None:
+    """Close servers and connections in order, each as far as the time reserved for it permits."""
+    limit_s = (DRAIN_RESERVE_MS - EXIT_RESERVE_MS) / 1000
+    closed = 0
+    try:
+        async with asyncio.timeout(limit_s):
+            for close in closers:
+                await close()
+                closed += 1
+    except TimeoutError:
+        logger.warning(
+            "connections not closed in time",
+            extra={"for_ms": round(limit_s * 1000), "closed": closed, "of": len(closers)},
+        )
+
+
 async def wait_for_stop() -> None:
     """Wait for SIGTERM or SIGINT."""
     stop = asyncio.Event()
--- a/src/currantbarrow/platform/side_program.py
+++ b/src/currantbarrow/platform/side_program.py
@@ -8,7 +8,12 @@
 from currantbarrow.observe import HybridClock, create_clock, logger
 from currantbarrow.observe.exposition import PrometheusMetrics, create_metrics_app
 from currantbarrow.platform.announcements import create_announcements_app
-from currantbarrow.platform.serving import DRAIN_RESERVE_MS, serve_app, wait_for_stop
+from currantbarrow.platform.serving import (
+    DRAIN_RESERVE_MS,
+    close_all,
+    serve_app,
+    wait_for_stop,
+)
 from currantbarrow.platform.settings import ProcessSettings
 from currantbarrow.platform.store import StoreClient
 from currantbarrow.platform.topics import TopicAnnouncementStore, TopicHostDirectory
@@ -57,9 +62,7 @@
     await wait_for_stop()
     logger.info("draining")
     await side.drain()
-    for runner in runners:
-        await runner.cleanup()
-    await side.stop()
-    await control.close()
-    await store.close()
+    await close_all(
+        [*(runner.cleanup for runner in runners), side.stop, control.close, store.close]
+    )
     logger.info("drained")
--- a/src/currantbarrow/protocol/websocket.py
+++ b/src/currantbarrow/protocol/websocket.py
@@ -33,6 +33,8 @@
 MAX_QUEUED_MESSAGES = 20_000
 HANDSHAKE_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
+# A process that stops has to exit within its grace period, whether or not its peers answer.
+STOP_TIMEOUT_S = 0.2
 SENT_COUNTERS = {kind: f"link.sent.{kind.__name__}" for kind in CONCRETE_MESSAGES}
 
 
@@ -226,8 +228,17 @@
         return f"{bound[0]}:{bound[1]}"
 
     async def stop(self) -> None:
-        """Stop accepting links and close all open ones."""
-        await asyncio.gather(*(link.close() for link in list(self._links)))
+        """Stop accepting links and close all open ones; abort those that do not close in time."""
+        links = list(self._links)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await asyncio.gather(*(link.close() for link in links))
+        except TimeoutError:
+            self._metrics.incr("link.close_timed_out")
+        finally:
+            # The library otherwise waits 10 s for the closing handshake with a suspended peer.
+            for link in links:
+                link.abort()
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import cbor2
 import msgspec
@@ -18,6 +19,7 @@
 from currantbarrow.exceptions import BadFrame, LinkClosed
 from currantbarrow.jobs import TaskState
 from currantbarrow.observe import HybridClock, MetricsRegistry, create_clock
+from currantbarrow.platform.serving import DRAIN_RESERVE_MS
 from currantbarrow.protocol import (
     Heartbeat,
     Hello,
@@ -191,6 +193,44 @@
         self.run_pair(scenario)
 
 
+class TestStop:
+    """A stopping process must exit in time, although a suspended peer does not answer."""
+
+    @pytest.mark.parametrize("suspended", ["server", "client"])
+    def test_unresponsive_peer_does_not_delay_the_stop(self, suspended: str) -> None:
+        async def run() -> float:
+            networks = {
+                name: create_network("", HybridClock(create_clock()), MetricsRegistry())
+                for name in ("server", "client")
+            }
+            links: dict[str, Any] = {}
+
+            async def hold(link: Link) -> None:
+                links["server"] = link
+                with contextlib.suppress(LinkClosed):
+                    await link.receive()
+
+            address = await networks["server"].listen(
+                "127.0.0.1:0", Hello(Role.SIDE, "s", "s.1"), hold
+            )
+            links["client"] = await networks["client"].connect(
+                address, Hello(Role.ENTRY, "e", "e.1")
+            )
+            while "server" not in links:
+                await asyncio.sleep(0.001)
+            links[suspended]._socket.transport.pause_reading()
+            stopping = networks["client" if suspended == "server" else "server"]
+            began_s = asyncio.get_running_loop().time()
+            async with asyncio.timeout(5.0):
+                await stopping.stop()
+            took_s = asyncio.get_running_loop().time() - began_s
+            links[suspended].abort()
+            return took_s
+
+        # Less than a process keeps of its grace period for closing connections.
+        assert uvloop.run(run()) < DRAIN_RESERVE_MS / 1000
+
+
 class TestBrokenHandshake:
     """A forwarder accepts a connection and resets it because its target is not listening."""
 
