Exchange few messages on links without runs, and ping peers only with news

Cause: at rest each warm link carried a report and its acknowledgement every 200 ms, each cold one every second, and each pair of entries a ping and its answer both ways every 200 to 400 ms, whether or not anything had happened; entries and side processes woke up 60 and 20 times a second to look. Change: reports every 0.5 s on warm links without runs, every 4 s on cold ones, and as before every 0.25 s where runs depend on them. An order carries the newest stamp plus the time since, divided by the largest drift of two clocks, so that it needs no report just before it; the entry counts the lease from the order then. Nothing is ordered from a side process that has been silent for a lease. Pings go out with new jobs, another configuration or the start of a drain, else every 3 s; an answer is asked for every 0.5 s at most and has to come within 0.8 s. A peer with an older configuration pings at once. Ticks are 100 ms (entry) and 200 ms (side process) while nothing waits or runs; the ring of side processes is sorted after changes only. Processes of the commit before get the intervals they expect, by a flag that they do not send.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -23,6 +23,8 @@
 __all__ = ["JobDispatcher"]
 
 TICK_INTERVAL_MS = 25.0
+# Interval while no task waits.
+IDLE_TICK_INTERVAL_MS = 100.0
 # After every third rejection for lack of resources, a task pauses before it is ordered again.
 REJECTION_PAUSE_MS = 20.0
 REJECTIONS_BEFORE_PAUSE = 3
@@ -170,7 +172,7 @@
         now_ms = self._last_dispatch_ms = self._clock.monotonic_ms()
         if now_ms < self._holdoff_until_ms or now_ms - self._last_tick_ms > STALL_THRESHOLD_MS:
             return
-        candidates = self._collect_candidates()
+        candidates = self._collect_candidates(now_ms)
         full_services: set[str] = set()
         for job in sorted(self._waiting.values(), key=lambda job: job.rank(now_ms)):
             service = job.queue.service
@@ -215,11 +217,11 @@
             batches[chosen.worker].tasks.append(task)
         return batches, True
 
-    def _collect_candidates(self) -> dict[str, list[_Candidate]]:
+    def _collect_candidates(self, now_ms: float) -> dict[str, list[_Candidate]]:
         candidates: dict[str, list[_Candidate]] = {}
         assert self.fleet is not None
         for handle in self.fleet.handles():
-            offer = handle.offer()
+            offer = handle.offer(now_ms)
             if offer is not None and handle.report is not None:
                 service = handle.report.state.service
                 candidates.setdefault(service, []).append(_Candidate(handle, offer))
@@ -254,7 +256,7 @@
                 )
             )
         try:
-            handle.send_orders(job, orders)
+            handle.send_orders(job, orders, now_ms)
         except LinkError:
             # Nothing was sent; the tasks wait for the next dispatch pass.
             self._metrics.incr("entry.order_unsent", len(orders))
@@ -357,6 +359,10 @@
 
     # Timers.
 
+    def tick_interval_ms(self) -> float:
+        """Return the time until the next tick."""
+        return TICK_INTERVAL_MS if self._waiting else IDLE_TICK_INTERVAL_MS
+
     def tick(self) -> None:
         """Detect stalls, refuse jobs that waited too long, and run a dispatch pass."""
         now_ms = self._clock.monotonic_ms()
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -15,7 +15,7 @@
 
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.admission import Refusal
-from currantbarrow.direct.dispatcher import TICK_INTERVAL_MS, JobDispatcher
+from currantbarrow.direct.dispatcher import JobDispatcher
 from currantbarrow.direct.fleet import SideFleet
 from currantbarrow.direct.history import JobHistory
 from currantbarrow.direct.hosts import ConfigurationSource, HostDirectory
@@ -405,7 +405,7 @@
 
     async def _tick(self) -> None:
         while True:
-            await self._clock.sleep_ms(TICK_INTERVAL_MS)
+            await self._clock.sleep_ms(self.dispatcher.tick_interval_ms())
             self.dispatcher.tick()
 
     async def _expire_history(self) -> None:
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -12,7 +12,7 @@
 from currantbarrow.direct.links import LinkConnector
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.placement import WorkerOffer
-from currantbarrow.direct.session import SideLiveness
+from currantbarrow.direct.session import LinkActivity, SideLiveness
 from currantbarrow.exceptions import LinkError
 from currantbarrow.observe import logger
 from currantbarrow.protocol import Hello, Message, Reply, RpcClient
@@ -33,7 +33,7 @@
 # A report is acknowledged once its stamp is newer than the last acknowledged one by this much. Side
 # processes report at least as often.
 ACKNOWLEDGE_AFTER_MS = 160.0
-CHECK_INTERVAL_MS = 50.0
+CHECK_INTERVAL_MS = 100.0
 # How long side processes may take to end another entry's runs: one lease and a stop.
 CLEAR_TIMEOUT_MS = 1000.0
 
@@ -87,6 +87,13 @@
         # The tasks ordered over this link that have not ended.
         self.ordered_tasks: dict[tuple[str, int, int], tuple[OpenJob, JobTask]] = {}
 
+    @property
+    def activity(self) -> LinkActivity:
+        """Return how much the link is used."""
+        if self.ordered_tasks:
+            return LinkActivity.BUSY
+        return LinkActivity.IDLE if self.warm else LinkActivity.COLD
+
     @property
     def worker(self) -> str:
         """Return the worker's name, or an empty string before it is known."""
@@ -109,23 +116,23 @@
 
     def is_lost(self, now_ms: float) -> bool:
         """Return whether the side process is considered lost."""
-        return self.liveness.is_lost(now_ms, self.warm or bool(self.ordered_tasks))
+        return self.liveness.is_lost(now_ms, self.activity)
 
     def set_warm(self, warm: bool, now_ms: float) -> None:
         """Request frequent or infrequent reports; raise LinkError."""
         self.warm = warm
         if warm:
-            self.liveness.expect_reports(now_ms)
+            self.liveness.request_report(now_ms)
         self.acknowledge()
 
     def acknowledge(self) -> None:
         """Acknowledge the newest report, which renews the lease of orders; raise LinkError."""
         self.acknowledged_stamp_ms = self.liveness.stamp_ms
-        self.link.post(SessionPing(self.liveness.stamp_ms, self.warm))
+        self.link.post(SessionPing(self.liveness.stamp_ms, self.warm, infrequent=True))
 
-    def offer(self) -> WorkerOffer | None:
+    def offer(self, now_ms: float) -> WorkerOffer | None:
         """Return the worker's offer, or None if it accepts no runs or its state is outdated."""
-        if not self.warm or not self.liveness.has_fresh_report():
+        if not self.warm or not self.liveness.has_fresh_report(now_ms):
             return None
         if self.report is None or not self.report.state.accepting:
             return None
@@ -141,16 +148,17 @@
             frozenset(state.labels),
         )
 
-    def send_orders(self, job: OpenJob, orders: list[TaskOrder]) -> None:
+    def send_orders(self, job: OpenJob, orders: list[TaskOrder], now_ms: float) -> None:
         """Send orders for runs; raise LinkError if they were certainly not sent."""
         message = RunTasks(
-            self.liveness.stamp_ms,
+            self.liveness.sender_clock_ms(now_ms),
             self.last_order_sequence + 1,
             job.spec.job_id,
             job.spec.payload,
             orders,
         )
         self.link.post(message)
+        self.liveness.record_order(now_ms)
         self.acknowledged_stamp_ms = self.liveness.stamp_ms
         self.last_order_sequence += 1
         for order in orders:
@@ -184,6 +192,10 @@
         self._address = address
         self._entries: tuple[str, ...] = ()
         self._aperture = Aperture()
+        # The linked side processes in the order in which they are added to the aperture, or None
+        # after a change of the links or the entries.
+        self._ring: list[str] | None = None
+        self._warm_count = 0
         # Lost links, with the time at which all runs ordered over them have certainly ended.
         self._lost_handles: list[tuple[SideHandle, float]] = []
 
@@ -214,6 +226,7 @@
     def set_entries(self, addresses: Iterable[str]) -> None:
         """Set the addresses of the other entries."""
         self._entries = tuple(addresses)
+        self._ring = None
 
     def widen_aperture(self) -> None:
         """Keep more links warm, because the warm ones have no free capacity."""
@@ -295,7 +308,9 @@
         if width >= len(self._handles):
             wanted = set(self._handles)
         else:
-            wanted = set(order_links(self._address, self._entries, self._handles)[:width])
+            if self._ring is None:
+                self._ring = order_links(self._address, self._entries, self._handles)
+            wanted = set(self._ring[:width])
         for handle in self._handles.values():
             warm = handle.address in wanted or bool(handle.ordered_tasks)
             if warm != handle.warm:
@@ -304,7 +319,10 @@
                 except LinkError:
                     # The link's reader detects the failure.
                     self._metrics.incr("entry.ping_unsent")
-        self._metrics.gauge("entry.links_warm", sum(each.warm for each in self._handles.values()))
+        warm_count = sum(each.warm for each in self._handles.values())
+        if warm_count != self._warm_count:
+            self._warm_count = warm_count
+            self._metrics.gauge("entry.links_warm", warm_count)
 
     def _healthy(self, service: str) -> list[SideHandle]:
         """Return the links to the accepting workers of a service that are not on probation."""
@@ -321,6 +339,7 @@
         same_data_centre = link.peer.data_centre == self._hello.data_centre
         handle = SideHandle(address, link, same_data_centre, self._clock.monotonic_ms())
         self._handles[address] = handle
+        self._ring = None
         try:
             while True:
                 self._handle(handle, await link.receive())
@@ -381,6 +400,7 @@
         handle.link.abort()
         if self._handles.get(handle.address) is handle:
             del self._handles[handle.address]
+            self._ring = None
         logger.info(
             "side process lost",
             extra={
--- a/src/currantbarrow/direct/peers.py
+++ b/src/currantbarrow/direct/peers.py
@@ -11,7 +11,7 @@
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.history import JobHistory
 from currantbarrow.direct.links import LinkConnector
-from currantbarrow.exceptions import LinkError, LinkTimeout
+from currantbarrow.exceptions import LinkError
 from currantbarrow.observe import logger
 from currantbarrow.protocol import Hello, Reply, RpcClient
 from currantbarrow.protocol.direct import (
@@ -37,8 +37,12 @@
 PING_INTERVAL_MIN_MS = 200.0
 PING_INTERVAL_MAX_MS = 400.0
 PING_INTERVAL_PER_PEER_MS = 20.0
-# Slightly more than three of the longest ping intervals, to tolerate a late message.
-PEER_TIMEOUT_MS = 1300.0
+# Interval of pings to a peer while there is nothing to report.
+KEEPALIVE_INTERVAL_MS = 3000.0
+# A peer is asked for an answer this long after its last one, and its link is closed if none arrives
+# in time. Together this is as long as callers wait before they resubmit a job.
+ANSWER_INTERVAL_MS = 500.0
+ANSWER_TIMEOUT_MS = 800.0
 
 
 class PeerListener(Protocol):
@@ -72,13 +76,36 @@
 class _PeerHandle:
     """Track the link that this entry opened to a peer."""
 
-    __slots__ = ("last_ping_ms", "link", "rpc")
+    __slots__ = ("answered_ms", "asked_ms", "last_ping_ms", "link", "reported", "rpc")
 
     def __init__(self, link: Link) -> None:
         self.link = link
         self.rpc = RpcClient(link)
         # The jobs accepted before this time were sent to the peer.
         self.last_ping_ms = -math.inf
+        # The configuration version and the draining flag in the last ping.
+        self.reported = (0, False)
+        self.answered_ms = -math.inf
+        # When the peer was asked for an answer that has not arrived.
+        self.asked_ms = math.inf
+
+    def is_silent(self, now_ms: float) -> bool:
+        """Return whether the peer has not answered in time."""
+        return now_ms - self.asked_ms >= ANSWER_TIMEOUT_MS
+
+    def record_ping(self, reported: tuple[int, bool], now_ms: float) -> bool:
+        """Record that a ping is sent, and return whether it asks for an answer."""
+        self.last_ping_ms = now_ms
+        self.reported = reported
+        asks = math.isinf(self.asked_ms) and now_ms - self.answered_ms >= ANSWER_INTERVAL_MS
+        if asks:
+            self.asked_ms = now_ms
+        return asks
+
+    def record_answer(self, now_ms: float) -> None:
+        """Record that the peer has answered."""
+        self.answered_ms = now_ms
+        self.asked_ms = math.inf
 
 
 class EntryPeers:
@@ -158,9 +185,14 @@
             self.ping_all()
 
     def ping_all(self) -> None:
-        """Ping all peers at once."""
+        """Ping the peers that have to learn of something or were not pinged for long."""
+        now_ms = self._clock.monotonic_ms()
         for peer in list(self._peers.values()):
-            self._ping(peer)
+            if peer.is_silent(now_ms):
+                logger.info("peer is silent", extra={"peer": peer.link.peer.name})
+                peer.link.abort()
+            else:
+                self._ping(peer)
 
     def stop(self) -> None:
         """Close all links."""
@@ -179,7 +211,9 @@
                 case EntryPing():
                     self._listener.handle_peer_ping(message)
                     version = self._share_configuration(link, message.configuration, version)
-                    link.post(PeerPing())
+                    if message.answer:
+                        link.post(PeerPing())
+                    self._request_configuration(message)
                 case ShowStanding():
                     self._background.spawn(self._answer_standing(link, message))
                 case StopJob():
@@ -189,17 +223,29 @@
                 case _:
                     self._metrics.incr("entry.unexpected_message")
 
-    def _ping(self, peer: _PeerHandle) -> None:
-        """Send the peer the jobs accepted since the last ping, and the configuration version."""
+    def _ping(self, peer: _PeerHandle, *, always: bool = False) -> None:
+        """Send the peer what has changed since the last ping, or a keep-alive if it is due."""
+        now_ms = self._clock.monotonic_ms()
         version, _ = self._listener.configuration()
+        reported = (version, self._listener.draining)
         taken = self._history.accepted_since(peer.last_ping_ms)
-        peer.last_ping_ms = self._clock.monotonic_ms()
+        is_due = now_ms - peer.last_ping_ms >= KEEPALIVE_INTERVAL_MS
+        if not (taken or is_due or always or reported != peer.reported):
+            return
+        answer = peer.record_ping(reported, now_ms)
         try:
-            peer.link.post(EntryPing(version, taken, self._address, self._listener.draining))
+            peer.link.post(EntryPing(version, taken, self._address, reported[1], answer))
         except LinkError:
             # The link's reader detects the failure; a new link sends the recent jobs again.
             self._metrics.incr("entry.ping_unsent")
 
+    def _request_configuration(self, ping: EntryPing) -> None:
+        """Ping a peer that has a newer configuration, so that it sends it."""
+        version, _ = self._listener.configuration()
+        peer = self._peers.get(ping.address)
+        if ping.configuration > version and peer is not None:
+            self._ping(peer, always=True)
+
     def _share_configuration(self, link: Link, peer_version: int, sent_version: int) -> int:
         """Send the configuration if the peer has an older one, and return the version last sent."""
         version, document = self._listener.configuration()
@@ -218,7 +264,7 @@
         self._peers[address] = peer
         logger.info("peer connected", extra={"address": address, "peer": link.peer.name})
         # A peer that was suspended needs to know which of its jobs were resubmitted here meanwhile.
-        self._ping(peer)
+        self._ping(peer, always=True)
         try:
             while True:
                 await self._handle_next(peer)
@@ -231,20 +277,14 @@
                 del self._peers[address]
 
     async def _handle_next(self, peer: _PeerHandle) -> None:
-        try:
-            async with asyncio.timeout(PEER_TIMEOUT_MS / 1000):
-                message = await peer.link.receive()
-        except TimeoutError as error:
-            raise LinkTimeout(
-                f"no message from {peer.link.peer.name} for {PEER_TIMEOUT_MS:.0f} ms"
-            ) from error
+        message = await peer.link.receive()
         match message:
             case ShareConfiguration():
                 self._listener.apply_configuration(message.document)
             case ShareHosts():
                 self._listener.add_processes(message.hosts)
             case PeerPing():
-                pass
+                peer.record_answer(self._clock.monotonic_ms())
             case Reply():
                 peer.rpc.handle_reply(message)
             case _:
--- a/src/currantbarrow/direct/session.py
+++ b/src/currantbarrow/direct/session.py
@@ -2,24 +2,47 @@
 
 from __future__ import annotations
 
-__all__ = ["EntryLease", "SideLiveness"]
+import enum
 
-# Interval of reports and pings. There are three in a lease, so one late message does not end it.
+__all__ = ["EntryLease", "LinkActivity", "SideLiveness"]
+
+# Interval of reports on links with runs. There are three in a lease, so one late message does not
+# end it.
 PING_INTERVAL_MS = 250.0
 # A side process stops the runs of an entry that has not acknowledged a report for this long. The
 # lease and the time to stop runs add up to less than the 1.3 s after which callers retry at
 # another entry.
 LEASE_MS = 800.0
-# Cold links have no orders and expect none soon, so they carry fewer pings. They are closed after
-# three missed pings; no run depends on them.
-COLD_PING_INTERVAL_MS = 1000.0
-COLD_TIMEOUT_MS = 3200.0
+# Links without runs carry fewer reports, and cold ones, which expect no orders soon, the fewest. No
+# run depends on them, so they are closed only after three missed reports.
+IDLE_PING_INTERVAL_MS = 500.0
+IDLE_TIMEOUT_MS = 1700.0
+COLD_PING_INTERVAL_MS = 4000.0
+COLD_TIMEOUT_MS = 12_800.0
+# The clock of one host runs at most this much faster than that of another.
+CLOCK_DRIFT_FACTOR = 1.02
 # The leases that a side process grants to its worker end at most this long after the process dies.
 WORKER_LEASE_MS = 1000.0
 # A worker's clock may run 2 % slow, and stopping a run takes up to 50 ms.
 WORKER_LEASE_MARGIN_MS = 120.0
 
 
+class LinkActivity(enum.Enum):
+    """Define how much a link between an entry and a side process is used."""
+
+    # Runs depend on the link.
+    BUSY = (PING_INTERVAL_MS, LEASE_MS)
+    # Orders may follow at any time.
+    IDLE = (IDLE_PING_INTERVAL_MS, IDLE_TIMEOUT_MS)
+    # A fresh report is required before orders.
+    COLD = (COLD_PING_INTERVAL_MS, COLD_TIMEOUT_MS)
+
+    def __init__(self, report_interval_ms: float, timeout_ms: float) -> None:
+        self.report_interval_ms = report_interval_ms
+        # The longest silence before the link is closed.
+        self.timeout_ms = timeout_ms
+
+
 class EntryLease:
     """Measure, on a side process's clock, the lease of one entry's orders.
 
@@ -27,6 +50,10 @@
     received. The orders are valid for one lease from the acknowledged stamp. The entry considers
     the side process lost one lease after it received that report, which is later than its stamp,
     so the orders have expired by then.
+
+    Links without runs carry few reports, so the entry adds the time since the newest one to its
+    stamp when it sends an order. The sum is behind the clock of the side process; the entry counts
+    the lease from the order then.
     """
 
     __slots__ = ("_renewed_ms",)
@@ -50,37 +77,48 @@
 class SideLiveness:
     """Track, on an entry's clock, whether a side process still reports to it."""
 
-    __slots__ = ("_reports_expected_ms", "last_report_ms", "stamp_ms")
+    __slots__ = ("_fresh_since_ms", "_reports_expected_ms", "last_report_ms", "stamp_ms")
 
     def __init__(self, now_ms: float) -> None:
         # Arrival of the newest report on this entry's clock, and its stamp on the sender's clock.
         self.last_report_ms = now_ms
         self.stamp_ms = 0.0
-        # When frequent reports were last requested, after a time on a cold link.
+        # Reports from before this time are outdated.
+        self._fresh_since_ms = 0.0
+        # When the entry last did something after which reports have to follow.
         self._reports_expected_ms = 0.0
 
-    def expect_reports(self, now_ms: float) -> None:
-        """Expect frequent reports from now on."""
+    def request_report(self, now_ms: float) -> None:
+        """Treat earlier reports as outdated, and expect a new one."""
+        self._fresh_since_ms = self._reports_expected_ms = now_ms
+
+    def record_order(self, now_ms: float) -> None:
+        """Expect reports, since an order was sent."""
         self._reports_expected_ms = now_ms
 
-    def has_fresh_report(self) -> bool:
-        """Return whether a report arrived since frequent reports were requested."""
-        return self.last_report_ms >= self._reports_expected_ms
+    def has_fresh_report(self, now_ms: float) -> bool:
+        """Return whether orders may follow from the newest report."""
+        # On a link without runs, a side process may be gone for longer before the link is closed.
+        return (
+            self.last_report_ms >= self._fresh_since_ms and now_ms - self.last_report_ms < LEASE_MS
+        )
+
+    def sender_clock_ms(self, now_ms: float) -> float:
+        """Return a time on the side process's clock that has certainly passed."""
+        return self.stamp_ms + (now_ms - self.last_report_ms) / CLOCK_DRIFT_FACTOR
 
     def record_report(self, stamp_ms: float, now_ms: float) -> None:
         """Record the arrival of a report and its stamp."""
         self.last_report_ms = now_ms
         self.stamp_ms = max(self.stamp_ms, stamp_ms)
 
-    def is_lost(self, now_ms: float, warm: bool = True) -> bool:
+    def is_lost(self, now_ms: float, activity: LinkActivity = LinkActivity.BUSY) -> bool:
         """Return whether the side process is considered lost.
 
-        Orders are sent only after a fresh report, so counting from the request for frequent
-        reports does not extend the lease of any order.
+        On a link with runs this is after the lease of all orders, wherever it is counted from.
         """
-        if not warm:
-            return now_ms - self.last_report_ms >= COLD_TIMEOUT_MS
-        return now_ms - max(self.last_report_ms, self._reports_expected_ms) >= LEASE_MS
+        silent_ms = now_ms - max(self.last_report_ms, self._reports_expected_ms)
+        return silent_ms >= activity.timeout_ms * CLOCK_DRIFT_FACTOR
 
     @staticmethod
     def runs_ended_after_ms() -> float:
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -12,12 +12,7 @@
 from currantbarrow.direct.registration import keep_registered
 from currantbarrow.direct.reporting import needs_prompt_report
 from currantbarrow.direct.runs import Run
-from currantbarrow.direct.session import (
-    COLD_PING_INTERVAL_MS,
-    COLD_TIMEOUT_MS,
-    PING_INTERVAL_MS,
-    EntryLease,
-)
+from currantbarrow.direct.session import PING_INTERVAL_MS, EntryLease, LinkActivity
 from currantbarrow.direct.worker import Announcement, WorkerControl
 from currantbarrow.exceptions import LinkError
 from currantbarrow.observe import logger
@@ -39,6 +34,8 @@
 __all__ = ["DirectSide", "DirectSideOptions", "SideSession"]
 
 TICK_INTERVAL_MS = 50.0
+# Interval while the worker has no runs.
+IDLE_TICK_INTERVAL_MS = 200.0
 # Ends are reported at once, apart from this delay, which combines those that occur together.
 END_REPORT_DELAY_MS = 2.0
 # Capacity changes are reported after this delay per warm link, so more entries get fewer reports.
@@ -85,6 +82,7 @@
 
     __slots__ = (
         "ends",
+        "infrequent",
         "last_order_sequence",
         "last_report_ms",
         "lease",
@@ -107,17 +105,23 @@
         self.reported_state: WorkerState | None = None
         # Whether the entry may send orders soon and needs changes of capacity.
         self.warm = True
+        # Whether the entry tolerates infrequent reports while it has no runs.
+        self.infrequent = False
+
+    def activity(self, busy: bool) -> LinkActivity:
+        """Return how much the link is used, given whether the entry has runs."""
+        if busy or not self.infrequent:
+            return LinkActivity.BUSY
+        return LinkActivity.IDLE if self.warm else LinkActivity.COLD
 
     def has_expired(self, now_ms: float, busy: bool) -> bool:
         """Return whether the entry has acknowledged no report for too long."""
-        if self.warm or busy:
-            return not self.lease.is_valid(now_ms)
-        return self.lease.age_ms(now_ms) >= COLD_TIMEOUT_MS
+        return self.lease.age_ms(now_ms) >= self.activity(busy).timeout_ms
 
-    def is_report_due(self, now_ms: float, busy: bool) -> bool:
-        """Return whether a periodic report to the entry is due."""
-        interval_ms = PING_INTERVAL_MS if self.warm or busy else COLD_PING_INTERVAL_MS
-        return now_ms - self.last_report_ms >= interval_ms - TICK_INTERVAL_MS
+    def is_report_due(self, now_ms: float, busy: bool, margin_ms: float) -> bool:
+        """Return whether a periodic report to the entry is due, or will be within a margin."""
+        interval_ms = self.activity(busy).report_interval_ms
+        return now_ms - self.last_report_ms >= interval_ms - margin_ms
 
 
 class DirectSide:
@@ -262,6 +266,7 @@
         match message:
             case SessionPing():
                 session.lease.renew(message.heard_ms)
+                session.infrequent = message.infrequent
                 self._set_warm(session, message.warm)
             case RunTasks():
                 self._handle_orders(session, message)
@@ -293,6 +298,8 @@
             run = Run(session, orders.job, orders.payload, order, now_ms)
             if rejection is None:
                 self.driver.submit(run)
+                # The entry expects frequent reports from its first order on.
+                self._schedule_report(session, PING_INTERVAL_MS)
             else:
                 self._reject_order(session, run, rejection, now_ms)
 
@@ -337,7 +344,8 @@
 
     async def _tick(self) -> None:
         while True:
-            await self._clock.sleep_ms(TICK_INTERVAL_MS)
+            interval_ms = TICK_INTERVAL_MS if self.driver.runs() else IDLE_TICK_INTERVAL_MS
+            await self._clock.sleep_ms(interval_ms)
             now_ms = self._clock.monotonic_ms()
             busy = {run.session for run in self.driver.runs()}
             for session in list(self._sessions):
@@ -352,7 +360,7 @@
                     self._metrics.incr("side.entry_silent")
                     session.link.abort()
                     self._close_session(session)
-                elif session.is_report_due(now_ms, session in busy):
+                elif session.is_report_due(now_ms, session in busy, interval_ms):
                     self._report(session)
             self.driver.tick()
             self.driver.start_waiting_runs()
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -91,6 +91,8 @@
     heard_ms: float
     # Whether the entry may send orders soon and needs a report at each change of free resources.
     warm: bool = True
+    # Whether the entry tolerates infrequent reports while it has no runs.
+    infrequent: bool = False
 
 
 class RunTasks(Message, frozen=True):
@@ -192,6 +194,8 @@
     address: str
     # Whether the sender ends as soon as its jobs have ended.
     draining: bool = False
+    # Whether the receiver answers with PeerPing.
+    answer: bool = True
 
 
 class PeerPing(Message, frozen=True):
