Let jobs wait for the first workers while an entry that has started discovers the fleet

Change: for two seconds after its start an entry accepts jobs although it knows no worker, and counts the side processes that do not report one yet as average ones (direct/discovery.py). A new, leaving or returning worker is reported after 2 ms. Conclusion: what cannot be known yet is no reason to refuse; jobs that wait in vain are refused before their objective.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from currantbarrow.direct.admission import Backlog, Refusal, ReleaseRate, check_admission
+from currantbarrow.direct.discovery import FleetDiscovery
 from currantbarrow.direct.estimates import RunTimeEstimator
 from currantbarrow.direct.fleet import SideFleet, SideHandle
 from currantbarrow.direct.history import JobHistory
@@ -82,6 +83,7 @@
         self._history = history
         self._release_rate = ReleaseRate()
         self._last_tick_ms = clock.monotonic_ms()
+        self._discovery = FleetDiscovery(clock.monotonic_ms())
         self._holdoff_until_ms = 0.0
         self._last_dispatch_ms = 0.0
         self._dispatch_timer: asyncio.TimerHandle | None = None
@@ -388,6 +390,8 @@
             return Refusal("no_worker", DEFAULT_RETRY_S, 0.0)
         largest = self.fleet.largest_capacity(job.queue.service)
         if largest is None:
+            if self._discovery.is_active(now_ms):
+                return None
             return Refusal("no_worker", DEFAULT_RETRY_S, 0.0)
         if any(not largest.covers(step.resources) for step in job.spec.steps):
             return Refusal("too_large", DEFAULT_RETRY_S, 0.0)
@@ -401,6 +405,7 @@
         service = job.queue.service
         rank = job.rank(now_ms)
         ahead_cores = oldest_ms = 0.0
+        discovering = self._discovery.is_active(now_ms)
         total_core_ms = job.waiting_core_ms()
         for other in self._waiting.values():
             if other is job or other.queue.service != service:
@@ -409,13 +414,17 @@
             if other.rank(now_ms) >= rank:
                 continue
             ahead_cores += other.waiting_cores()
-            if other.queue.name == job.queue.name and not other.started:
+            # Jobs that waited for the first workers say nothing about the wait of later ones.
+            if other.queue.name == job.queue.name and not other.started and not discovering:
                 oldest_ms = max(oldest_ms, now_ms - other.times.received_ms)
-        cores = self.fleet.accepting_cores(service) / self.entry_count
+        factor = self._discovery.capacity_factor(
+            now_ms, self.fleet.count_reporting(), self.fleet.known_sides
+        )
+        cores = factor * self.fleet.accepting_cores(service) / self.entry_count
         return Backlog(
             ahead_cores,
             job.waiting_cores(),
-            self.fleet.free_cores(service),
+            factor * self.fleet.free_cores(service),
             total_core_ms,
             cores,
             self._release_rate.per_s(cores),
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -10,7 +10,7 @@
 from currantbarrow.direct.driver import WorkerDriver
 from currantbarrow.direct.hosts import AnnouncementStore, HostDirectory
 from currantbarrow.direct.registration import keep_registered
-from currantbarrow.direct.reporting import needs_prompt_report
+from currantbarrow.direct.reporting import NO_DELAY_MS, needs_prompt_report, report_delay_ms
 from currantbarrow.direct.runs import Run
 from currantbarrow.direct.session import PING_INTERVAL_MS, EntryLease, LinkActivity
 from currantbarrow.direct.worker import Announcement, WorkerControl
@@ -36,10 +36,10 @@
 TICK_INTERVAL_MS = 50.0
 # Interval while the worker has no runs.
 IDLE_TICK_INTERVAL_MS = 200.0
-# Ends are reported at once, apart from this delay, which combines those that occur together.
-END_REPORT_DELAY_MS = 2.0
-# Capacity changes are reported after this delay per warm link, so more entries get fewer reports.
-CAPACITY_REPORT_DELAY_MS = 10.0
+# How long the last ends need to reach the entries.
+LAST_REPORTS_MS = 10.0
+# Poll interval while runs of another session or entry end.
+END_POLL_INTERVAL_MS = 2.0
 # Workers consider an announcement lost after one second without an answer.
 SAVE_TIMEOUT_MS = 700.0
 # Longer than an order for a job that moved to another entry can be delayed.
@@ -224,7 +224,7 @@
         while self.driver.runs() and self._clock.monotonic_ms() < until_ms:
             await self._clock.sleep_ms(TICK_INTERVAL_MS)
         # Allow the last ends to be reported before the links close.
-        await self._clock.sleep_ms(CAPACITY_REPORT_DELAY_MS)
+        await self._clock.sleep_ms(LAST_REPORTS_MS)
 
     async def stop(self) -> None:
         """Stop immediately and close all links."""
@@ -260,7 +260,7 @@
             run.session.link.peer.incarnation == incarnation and not run.reported
             for run in self.driver.runs()
         ):
-            await self._clock.sleep_ms(END_REPORT_DELAY_MS)
+            await self._clock.sleep_ms(END_POLL_INTERVAL_MS)
 
     def _handle(self, session: SideSession, message: Message) -> None:
         match message:
@@ -317,7 +317,7 @@
             },
         )
         session.ends.append(run.end_row(rejection, now_ms))
-        self._schedule_report(session, END_REPORT_DELAY_MS)
+        self._schedule_report(session, NO_DELAY_MS)
 
     def _cancel_runs(self, session: SideSession, job: str | None = None) -> None:
         """Cancel the runs of an entry, all of them or those of one job."""
@@ -338,7 +338,7 @@
         for run in runs:
             self.driver.cancel(run)
         while not all(run.reported for run in runs):
-            await self._clock.sleep_ms(END_REPORT_DELAY_MS)
+            await self._clock.sleep_ms(END_POLL_INTERVAL_MS)
         if not session.link.closed:
             session.link.post(ClearedJob(call.call_id))
 
@@ -392,15 +392,15 @@
             },
         )
         run.session.ends.append(run.end_row(end, now_ms))
-        self._schedule_report(run.session, END_REPORT_DELAY_MS)
+        self._schedule_report(run.session, NO_DELAY_MS)
 
     def _handle_worker_change(self) -> None:
         state = self.driver.state()
         warm = [session for session in self._sessions if session.warm]
-        delay_ms = CAPACITY_REPORT_DELAY_MS * max(1, len(warm))
         for session in warm:
-            if needs_prompt_report(session.reported_state, state):
-                self._schedule_report(session, delay_ms)
+            reported = session.reported_state
+            if needs_prompt_report(reported, state):
+                self._schedule_report(session, report_delay_ms(reported, state, len(warm)))
 
     def _schedule_report(self, session: SideSession, delay_ms: float) -> None:
         if session not in self._sessions:
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -496,7 +496,8 @@
 
         run_fleet(scenario, self.PLAN)
         # Each link carries a report and its acknowledgement: every 400 ms if warm, every 3.8 s if
-        # cold, given the tick of the side process. Entries exchange a ping and its answer every 3 s.
+        # cold, given the tick of the side process. Entries exchange a ping and its answer every
+        # 3 s.
         warm, cold, peers = 4 * WARM_LINKS, 4 * (32 - WARM_LINKS), 4 * 3
         bound = 10.0 * 2 * (warm / 0.4 + cold / 3.8 + peers / 3.0)
         assert messages[0] < 1.05 * bound
