Expect missing workers at the rate at which hosts start, instead of counting them as there

Change: workers that are missing after a start add to the rate at which cores become available, over 0.3 s; before the first worker only jobs wait that have 0.15 s to spare. Conclusion: a job that cannot wait for the first worker is refused at once again.

--- a/src/currantbarrow/direct/discovery.py
+++ b/src/currantbarrow/direct/discovery.py
@@ -1,4 +1,4 @@
-"""Estimate the capacity of the fleet while a process that has just started discovers it.
+"""Estimate the growth of capacity while a process that has just started discovers it.
 
 Designed for the return of a fleet after a loss of power or the restart of all processes. Callers
 resubmit their jobs as soon as the first entries accept connections, some tenths of a second before
@@ -12,26 +12,30 @@
 
 # Workers announce themselves every 1.5 s, and all processes of a fleet start within half a second.
 DISCOVERY_MS = 2000.0
+# The hosts of a fleet start within 0.3 s of one another, and so do the reports of their workers.
+SPREAD_MS = 300.0
+# The first workers report this long after the first entries accept connections.
+FIRST_WORKER_MS = 150.0
 
 
 class FleetDiscovery:
-    """Extrapolate the capacity of the fleet from the workers that are known so far."""
+    """Extrapolate the number of workers from those that are known so far."""
 
-    __slots__ = ("_ends_ms",)
+    __slots__ = ("_started_ms",)
 
     def __init__(self, started_ms: float) -> None:
-        self._ends_ms = started_ms + DISCOVERY_MS
+        self._started_ms = started_ms
 
     def is_active(self, now_ms: float) -> bool:
         """Return whether workers are still being discovered."""
-        return now_ms < self._ends_ms
+        return now_ms < self._started_ms + DISCOVERY_MS
 
-    def capacity_factor(self, now_ms: float, reporting: int, known: int) -> float:
-        """Return the ratio of the expected to the reported capacity.
+    def may_wait(self, now_ms: float, slack_ms: float) -> bool:
+        """Return whether a job can wait for the first worker and still be on time."""
+        return self.is_active(now_ms) and slack_ms >= FIRST_WORKER_MS
 
-        Side processes that are known but do not report a worker yet are expected to have average
-        ones.
-        """
+    def workers_per_s(self, now_ms: float, reporting: int, known: int) -> float:
+        """Return the rate at which known side processes are expected to report a worker."""
         if not self.is_active(now_ms) or not reporting:
-            return 1.0
-        return max(1.0, known / reporting)
+            return 0.0
+        return max(0, known - reporting) / SPREAD_MS * 1000
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -410,7 +410,7 @@
             return Refusal("no_worker", DEFAULT_RETRY_S, 0.0)
         largest = self.fleet.largest_capacity(job.queue.service)
         if largest is None:
-            if self._discovery.is_active(now_ms):
+            if self._discovery.may_wait(now_ms, job.times.latest_start_ms - now_ms):
                 return None
             return Refusal("no_worker", DEFAULT_RETRY_S, 0.0)
         if any(not largest.covers(step.resources) for step in job.spec.steps):
@@ -437,22 +437,24 @@
             # Jobs that waited for the first workers say nothing about the wait of later ones.
             if other.queue.name == job.queue.name and not other.started and not discovering:
                 oldest_ms = max(oldest_ms, now_ms - other.times.received_ms)
-        factor = self._discovery.capacity_factor(
-            now_ms, self.fleet.count_reporting(), self.fleet.known_sides
-        )
-        reported_cores = self.fleet.accepting_cores(service) / self.entry_count
-        cores = factor * reported_cores
+        cores = self.fleet.accepting_cores(service) / self.entry_count
         return Backlog(
             ahead_cores,
             job.waiting_cores(),
-            # Workers that do not report yet are expected to be idle, as after a loss of power.
-            self.fleet.free_cores(service) + cores - reported_cores,
+            self.fleet.free_cores(service),
             total_core_ms,
             cores,
-            self._release_rate.per_s(cores),
+            self._release_rate.per_s(cores) + self._discovered_per_s(cores, now_ms),
             oldest_ms,
         )
 
+    def _discovered_per_s(self, cores: float, now_ms: float) -> float:
+        """Return the cores per second of workers that are being discovered."""
+        assert self.fleet is not None
+        reporting = self.fleet.count_reporting()
+        rate_per_s = self._discovery.workers_per_s(now_ms, reporting, self.fleet.known_sides)
+        return rate_per_s * cores / reporting if rate_per_s else 0.0
+
     def _log_refusal(self, job: OpenJob, refusal: Refusal, now_ms: float) -> None:
         fields: dict[str, int] = {}
         if refusal.backlog is not None:
--- a/tests/test_direct_recovery.py
+++ b/tests/test_direct_recovery.py
@@ -8,7 +8,7 @@
 import pytest
 
 from currantbarrow.direct import discovery
-from currantbarrow.direct.discovery import DISCOVERY_MS, FleetDiscovery
+from currantbarrow.direct.discovery import DISCOVERY_MS, SPREAD_MS, FleetDiscovery
 from currantbarrow.direct.model import JobState, WorkQueue
 from currantbarrow.standins.direct_fleet import QUEUE, DirectFleet, DirectPlan
 from direct_scenarios import run_fleet
@@ -130,8 +130,9 @@
 
 
 class TestFleetDiscovery:
-    def test_capacity_is_extrapolated_only_while_workers_are_discovered(self) -> None:
+    def test_workers_are_expected_only_while_some_are_missing(self) -> None:
         fleet = FleetDiscovery(1000.0)
-        assert fleet.capacity_factor(1500.0, reporting=2, known=11) == 5.5
-        assert fleet.capacity_factor(1500.0, reporting=0, known=11) == 1.0
-        assert fleet.capacity_factor(1000.0 + DISCOVERY_MS, reporting=2, known=11) == 1.0
+        assert fleet.workers_per_s(1500.0, reporting=2, known=11) == 9 / SPREAD_MS * 1000
+        assert fleet.workers_per_s(1500.0, reporting=0, known=11) == 0.0
+        assert fleet.workers_per_s(1500.0, reporting=11, known=11) == 0.0
+        assert fleet.workers_per_s(1000.0 + DISCOVERY_MS, reporting=2, known=11) == 0.0
