Take back the discovery of the fleet after a start; report new workers at once as before it

More jobs are answered in the two seconds after the return, but most of them late: what comes back is some 840 core-seconds, the fleet has about 160 cores to spare, so each job that waits makes later ones late for seconds. Refusing the jobs that come before the first worker keeps the fleet fit for those that come after it. A new or leaving worker is still reported after 2 ms instead of 10 ms for each warm link, which is 0.35 s with 35 entries.

--- a/src/currantbarrow/direct/admission.py
+++ b/src/currantbarrow/direct/admission.py
@@ -42,8 +42,7 @@
     total_core_ms: float
     # This entry's share of the cores of the fleet.
     cores: float
-    # Cores per second released to this entry while the fleet is fully used, and those of workers
-    # that are being discovered.
+    # Cores per second released to this entry while the fleet is fully used.
     released_per_s: float
     # Waiting time of the oldest unstarted job of the same queue that is dispatched before this
     # one. Late jobs are excluded: they are dispatched last, so their waiting time says nothing
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from currantbarrow.direct.admission import Backlog, Refusal, ReleaseRate, check_admission
-from currantbarrow.direct.discovery import FleetDiscovery
 from currantbarrow.direct.estimates import RunTimeEstimator
 from currantbarrow.direct.fleet import SideFleet, SideHandle
 from currantbarrow.direct.history import JobHistory
@@ -83,14 +82,11 @@
         self._history = history
         self._release_rate = ReleaseRate()
         self._last_tick_ms = clock.monotonic_ms()
-        self._discovery = FleetDiscovery(clock.monotonic_ms())
         self._holdoff_until_ms = 0.0
         self._last_dispatch_ms = 0.0
         self._dispatch_timer: asyncio.TimerHandle | None = None
         # Jobs with tasks that have not been ordered; dispatch passes visit only these.
         self._waiting: dict[str, OpenJob] = {}
-        # Jobs accepted before any worker was known.
-        self._unchecked: list[OpenJob] = []
 
     # Submission.
 
@@ -110,8 +106,6 @@
             self._metrics.incr(f"entry.job_refused.{refusal.reason}")
             self._log_refusal(job, refusal, now_ms)
             return refusal
-        if self.fleet is not None and self.fleet.largest_capacity(queue.service) is None:
-            self._unchecked.append(job)
         self.jobs[spec.job_id] = job
         self._waiting[spec.job_id] = job
         self._history.record_accepted(spec.job_id)
@@ -380,7 +374,6 @@
             logger.warning(
                 "process was stalled", extra={"for_ms": round(stalled_ms), "jobs": len(self.jobs)}
             )
-        self._check_early_jobs(now_ms)
         for job in list(self._waiting.values()):
             if not job.started and job.times.should_be_refused(now_ms):
                 backlog = self._create_backlog(job, now_ms)
@@ -390,28 +383,11 @@
 
     # Admission.
 
-    def _check_early_jobs(self, now_ms: float) -> None:
-        """Refuse the jobs accepted before any worker was known for which there is no capacity."""
-        early = [job for job in self._unchecked if job.state is JobState.OPEN and not job.started]
-        self._unchecked = []
-        # In order of urgency, so that refused jobs do not count as work ahead of less urgent ones.
-        for job in sorted(early, key=lambda job: job.rank(now_ms)):
-            if self.fleet is None or self.fleet.largest_capacity(job.queue.service) is None:
-                self._unchecked.append(job)
-                continue
-            refusal = self._check_admission(job, now_ms)
-            if refusal is not None:
-                self._metrics.incr(f"entry.job_refused.{refusal.reason}")
-                self._log_refusal(job, refusal, now_ms)
-                self._end_job(job, JobState.REFUSED, refusal.reason, refusal.retry_after_s)
-
     def _check_admission(self, job: OpenJob, now_ms: float) -> Refusal | None:
         if self.fleet is None:
             return Refusal("no_worker", DEFAULT_RETRY_S, 0.0)
         largest = self.fleet.largest_capacity(job.queue.service)
         if largest is None:
-            if self._discovery.may_wait(now_ms, job.times.latest_start_ms - now_ms):
-                return None
             return Refusal("no_worker", DEFAULT_RETRY_S, 0.0)
         if any(not largest.covers(step.resources) for step in job.spec.steps):
             return Refusal("too_large", DEFAULT_RETRY_S, 0.0)
@@ -425,7 +401,6 @@
         service = job.queue.service
         rank = job.rank(now_ms)
         ahead_cores = oldest_ms = 0.0
-        discovering = self._discovery.is_active(now_ms)
         total_core_ms = job.waiting_core_ms()
         for other in self._waiting.values():
             if other is job or other.queue.service != service:
@@ -434,8 +409,7 @@
             if other.rank(now_ms) >= rank:
                 continue
             ahead_cores += other.waiting_cores()
-            # Jobs that waited for the first workers say nothing about the wait of later ones.
-            if other.queue.name == job.queue.name and not other.started and not discovering:
+            if other.queue.name == job.queue.name and not other.started:
                 oldest_ms = max(oldest_ms, now_ms - other.times.received_ms)
         cores = self.fleet.accepting_cores(service) / self.entry_count
         return Backlog(
@@ -444,17 +418,10 @@
             self.fleet.free_cores(service),
             total_core_ms,
             cores,
-            self._release_rate.per_s(cores) + self._discovered_per_s(cores, now_ms),
+            self._release_rate.per_s(cores),
             oldest_ms,
         )
 
-    def _discovered_per_s(self, cores: float, now_ms: float) -> float:
-        """Return the cores per second of workers that are being discovered."""
-        assert self.fleet is not None
-        reporting = self.fleet.count_reporting()
-        rate_per_s = self._discovery.workers_per_s(now_ms, reporting, self.fleet.known_sides)
-        return rate_per_s * cores / reporting if rate_per_s else 0.0
-
     def _log_refusal(self, job: OpenJob, refusal: Refusal, now_ms: float) -> None:
         fields: dict[str, int] = {}
         if refusal.backlog is not None:
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -214,11 +214,6 @@
         """Return the number of open links."""
         return len(self._handles)
 
-    @property
-    def known_sides(self) -> int:
-        """Return the number of known side processes, linked or not."""
-        return self._connector.known_addresses
-
     def handles(self) -> list[SideHandle]:
         """Return the open links on which a report was received recently."""
         now_ms = self._clock.monotonic_ms()
@@ -240,10 +235,6 @@
             self._metrics.incr("entry.links_widened")
             self._update_warm_links(now_ms)
 
-    def count_reporting(self) -> int:
-        """Return the number of side processes that report a worker."""
-        return sum(bool(handle.worker) for handle in self.handles())
-
     def accepting_cores(self, service: str) -> float:
         """Return the total cores of the healthy workers of a service."""
         return sum(
--- a/src/currantbarrow/direct/links.py
+++ b/src/currantbarrow/direct/links.py
@@ -41,11 +41,6 @@
         # The task that maintains the link to each address, connected or not.
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
 
-    @property
-    def known_addresses(self) -> int:
-        """Return the number of addresses, connected or not."""
-        return len(self._link_tasks)
-
     def add(self, address: str) -> None:
         """Connect to an address and keep reconnecting to it."""
         if address not in self._link_tasks:
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -197,8 +197,8 @@
         )
         await self.entries[name].start()
 
-    async def start_side(self, name: str, *, announcing: bool = True) -> None:
-        """Start the side process of a worker; without announcing, call `announce` later."""
+    async def start_side(self, name: str) -> None:
+        """Start the side process of a worker."""
         self._incarnations += 1
         options = DirectSideOptions(
             name,
@@ -221,14 +221,7 @@
         )
         self.sides[name] = side
         await side.start()
-        if announcing:
-            self._announcing[name] = asyncio.create_task(self._announce(name, side))
-
-    def announce(self, name: str) -> None:
-        """Announce a worker to its side process from now on."""
-        self._announcing[name] = asyncio.create_task(
-            self._announce(name, self.sides[name], at_once=True)
-        )
+        self._announcing[name] = asyncio.create_task(self._announce(name, side))
 
     async def kill_entry(self, name: str) -> None:
         """Crash an entry."""
@@ -236,9 +229,7 @@
 
     async def kill_side(self, name: str) -> None:
         """Crash a side process."""
-        announcing = self._announcing.pop(name, None)
-        if announcing is not None:
-            announcing.cancel()
+        self._announcing.pop(name).cancel()
         await self.sides.pop(name).stop()
 
     def block_timed_waits(self, name: str) -> None:
@@ -275,11 +266,9 @@
             return JobState.REFUSED
         return JobState.COMPLETED if outcome is Standing.COMPLETED else JobState.FAILED
 
-    async def _announce(self, name: str, side: DirectSide, *, at_once: bool = False) -> None:
+    async def _announce(self, name: str, side: DirectSide) -> None:
         while True:
-            if not at_once:
-                await asyncio.sleep(ANNOUNCE_MS / 1000)
-            at_once = False
+            await asyncio.sleep(ANNOUNCE_MS / 1000)
             await side.handle_announcement(self.workers[name].announcement())
 
     def _delay_ms(self, sender: Hello, receiver: Hello) -> float:
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -23,7 +23,12 @@
 from currantbarrow.direct.job import longest_chain_ms
 from currantbarrow.direct.model import Resources, StepSpec, WorkQueue
 from currantbarrow.direct.placement import WorkerOffer, choose_worker
-from currantbarrow.direct.reporting import needs_prompt_report
+from currantbarrow.direct.reporting import (
+    DELAY_PER_LINK_MS,
+    NO_DELAY_MS,
+    needs_prompt_report,
+    report_delay_ms,
+)
 from currantbarrow.direct.reservations import ResourceReservations
 from currantbarrow.direct.routing import Configuration
 from currantbarrow.direct.session import (
@@ -318,6 +323,15 @@
     def test_first_state_is_reported_promptly(self) -> None:
         assert needs_prompt_report(None, self.UNLOADED)
 
+    @pytest.mark.parametrize("change", [{"worker": "v"}, {"accepting": False}, {"on_trial": True}])
+    def test_new_or_leaving_worker_is_reported_without_the_delay_of_many_links(
+        self, change: dict[str, Any]
+    ) -> None:
+        changed = msgspec.structs.replace(self.UNLOADED, **change)
+        assert report_delay_ms(self.UNLOADED, changed, warm_links=35) == NO_DELAY_MS
+        released = msgspec.structs.replace(self.UNLOADED, free_cpu_millis=4000)
+        assert report_delay_ms(self.UNLOADED, released, warm_links=35) == 35 * DELAY_PER_LINK_MS
+
 
 class TestResourceReservations:
     def test_reservations_never_exceed_the_capacity(self) -> None:
