Open the links of an entry's subset first, and load without garbage collection

Change: of the side processes that an entry learns of together, those of its subset are dialed at once, the others 10 ms apart. Loading runs without garbage collection, and without statsd. Result: a test replays the start of an entry beside 32 side processes (16 links within 8 ms of virtual time, all within 0.3 s).

--- a/deploy/currantbarrow.py
+++ b/deploy/currantbarrow.py
@@ -1,5 +1,6 @@
 """Start a program of currantbarrow from the layout that the build creates."""
 
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -8,6 +9,9 @@
 # process.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+# Loading creates many objects and little garbage; the program enables collection afterwards.
+gc.disable()
+
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "target" / "app"))
 
 from currantbarrow.platform.programs import main
--- a/src/currantbarrow/direct/aperture.py
+++ b/src/currantbarrow/direct/aperture.py
@@ -5,6 +5,9 @@
 second. With 14 entries and 75 workers, keeping all links warm costs more than the tasks
 themselves. An entry therefore keeps a subset of the links warm, widens it when the workers in it
 are fully used, and narrows it again later.
+
+Opening a link takes some milliseconds of processor time. An entry that starts, as all do after a
+loss of power, opens the links of its subset first and the others one after the other.
 """
 
 from __future__ import annotations
@@ -13,7 +16,7 @@
 import hashlib
 from collections.abc import Iterable
 
-__all__ = ["Aperture", "order_links"]
+__all__ = ["Aperture", "connect_delays_ms", "order_links"]
 
 # In a fleet of up to this size all links are warm. With 14 entries and 75 workers, each worker is
 # in the subsets of about three entries.
@@ -26,6 +29,8 @@
 NARROW_DELAY_MS = 3000.0
 # After the delay, the subset shrinks at this rate.
 NARROW_LINKS_PER_S = 8.0
+# Interval at which links beyond the subset are opened.
+CONNECT_INTERVAL_MS = 10.0
 
 
 class Aperture:
@@ -73,6 +78,15 @@
     return ring[start:] + ring[:start]
 
 
+def connect_delays_ms(ring: list[str], new: set[str]) -> dict[str, float]:
+    """Return when to connect to each new side process, given the order of all of them."""
+    ordered = [address for address in ring if address in new]
+    return {
+        address: max(0, position - WARM_LINKS + 1) * CONNECT_INTERVAL_MS
+        for position, address in enumerate(ordered)
+    }
+
+
 # Cached because entries sort the same addresses several times a second.
 @functools.lru_cache(maxsize=4096)
 def _hash_address(address: str) -> bytes:
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Protocol
 
-from currantbarrow.direct.aperture import Aperture, order_links
+from currantbarrow.direct.aperture import Aperture, connect_delays_ms, order_links
 from currantbarrow.direct.job import JobTask, OpenJob
 from currantbarrow.direct.links import LinkConnector
 from currantbarrow.direct.model import Resources
@@ -196,18 +196,22 @@
         # after a change of the links or the entries.
         self._ring: list[str] | None = None
         self._warm_count = 0
+        # Side processes that this entry has not tried to connect to yet.
+        self._new_addresses: set[str] = set()
         # Lost links, with the time at which all runs ordered over them have certainly ended.
         self._lost_handles: list[tuple[SideHandle, float]] = []
 
-    @property
-    def add(self) -> Callable[[str], None]:
+    def add(self, address: str) -> None:
         """Connect to the side process at an address and keep reconnecting to it."""
-        return self._connector.add
+        if not self._new_addresses:
+            # Entries learn of many side processes at a time, and connect to their subset first.
+            asyncio.get_running_loop().call_soon(self._connect_new)
+        self._new_addresses.add(address)
 
-    @property
-    def remove(self) -> Callable[[str], None]:
+    def remove(self, address: str) -> None:
         """Close the link to the side process at an address."""
-        return self._connector.remove
+        self._new_addresses.discard(address)
+        self._connector.remove(address)
 
     @property
     def open_links(self) -> int:
@@ -300,8 +304,15 @@
 
     def stop(self) -> None:
         """Close all links."""
+        self._new_addresses.clear()
         self._connector.stop()
 
+    def _connect_new(self) -> None:
+        new, self._new_addresses = self._new_addresses, set()
+        ring = order_links(self._address, self._entries, {*self._connector.addresses, *new})
+        for address, delay_ms in connect_delays_ms(ring, new).items():
+            self._connector.add(address, delay_ms)
+
     def _update_warm_links(self, now_ms: float) -> None:
         """Keep the links in this entry's aperture and those with orders warm."""
         width = self._aperture.width(now_ms)
--- a/src/currantbarrow/direct/links.py
+++ b/src/currantbarrow/direct/links.py
@@ -41,10 +41,15 @@
         # The task that maintains the link to each address, connected or not.
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
 
-    def add(self, address: str) -> None:
-        """Connect to an address and keep reconnecting to it."""
+    @property
+    def addresses(self) -> list[str]:
+        """Return all addresses, connected or not."""
+        return list(self._link_tasks)
+
+    def add(self, address: str, delay_ms: float = 0.0) -> None:
+        """Connect to an address after a delay, and keep reconnecting to it."""
         if address not in self._link_tasks:
-            self._link_tasks[address] = self._background.spawn(self._maintain(address))
+            self._link_tasks[address] = self._background.spawn(self._maintain(address, delay_ms))
 
     def remove(self, address: str) -> None:
         """Close the link to an address and stop reconnecting to it."""
@@ -56,7 +61,9 @@
         """Close all links and stop reconnecting."""
         self._background.cancel_all()
 
-    async def _maintain(self, address: str) -> None:
+    async def _maintain(self, address: str, first_delay_ms: float) -> None:
+        if first_delay_ms:
+            await self._clock.sleep_ms(first_delay_ms)
         delay_ms = RECONNECT_BACKOFF_MIN_MS
         while True:
             try:
--- a/src/currantbarrow/direct/peers.py
+++ b/src/currantbarrow/direct/peers.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
 from typing import Protocol
 
 from currantbarrow.background import BackgroundTasks
@@ -135,15 +134,13 @@
         self._peers: dict[str, _PeerHandle] = {}
         self._background = BackgroundTasks(metrics)
 
-    @property
-    def add(self) -> Callable[[str], None]:
+    def add(self, address: str) -> None:
         """Connect to the entry at an address and keep reconnecting to it."""
-        return self._connector.add
+        self._connector.add(address)
 
-    @property
-    def remove(self) -> Callable[[str], None]:
+    def remove(self, address: str) -> None:
         """Close the link to the entry at an address."""
-        return self._connector.remove
+        self._connector.remove(address)
 
     async def request_release(self, address: str, job: str) -> JobStanding | None:
         """Have a peer release a job and return its answer, or None without one."""
--- a/src/currantbarrow/observe/metrics.py
+++ b/src/currantbarrow/observe/metrics.py
@@ -4,8 +4,6 @@
 
 import collections
 
-import statsd
-
 from currantbarrow.types import Clock
 
 __all__ = ["MetricsRegistry", "flush_to_statsd"]
@@ -42,6 +40,9 @@
     metrics: MetricsRegistry, address: str, prefix: str, clock: Clock
 ) -> None:
     """Send metrics to statsd every second, counters only if changed, batched into packets."""
+    # The platform's programs serve their metrics instead, and start sooner without this library.
+    import statsd
+
     host, _, port = address.rpartition(":")
     client = statsd.StatsClient(host, int(port), prefix=prefix)
     sent: collections.Counter[str] = collections.Counter()
--- a/src/currantbarrow/process.py
+++ b/src/currantbarrow/process.py
@@ -21,3 +21,4 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
+    gc.enable()
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -15,6 +15,7 @@
     WARM_LINKS,
     WIDEN_STEP_LINKS,
     Aperture,
+    connect_delays_ms,
     order_links,
 )
 from currantbarrow.direct.estimates import RunTimeEstimator
@@ -289,6 +290,18 @@
         assert aperture.width(now_ms + NARROW_DELAY_MS) >= len(self.SIDES)
         assert aperture.width(now_ms + NARROW_DELAY_MS + 10_000.0) == WARM_LINKS
 
+    def test_links_of_the_subset_are_opened_first(self) -> None:
+        ring = order_links("b", ["a", "b"], self.SIDES)
+        delays_ms = connect_delays_ms(ring, set(self.SIDES))
+        assert {delays_ms[address] for address in ring[:WARM_LINKS]} == {0.0}
+        others = [delays_ms[address] for address in ring[WARM_LINKS:]]
+        assert others == sorted(others)
+        assert others[0] > 0
+
+    def test_few_new_side_processes_are_linked_at_once(self) -> None:
+        new = set(self.SIDES[:WARM_LINKS])
+        assert set(connect_delays_ms(self.SIDES, new).values()) == {0.0}
+
     def test_brief_shortage_adds_few_links(self) -> None:
         aperture = Aperture()
         assert aperture.widen(len(self.SIDES), 10_000.0)
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -466,6 +466,22 @@
 
         run_fleet(scenario, self.PLAN)
 
+    def test_entry_that_starts_links_its_subset_before_the_other_side_processes(self) -> None:
+        """Replay the start of an entry, which takes processor time for each link."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            await fleet.kill_entry("entry-0")
+            await fleet.start_entry("entry-0")
+            entry = fleet.entries["entry-0"]
+            # Longer than a handshake and the first report, shorter than the first delay.
+            await asyncio.sleep(0.008)
+            assert len(entry.fleet.handles()) == WARM_LINKS
+            assert entry.is_ready()
+            await asyncio.sleep(0.3)
+            assert len(entry.fleet.handles()) == 32
+
+        run_fleet(scenario, self.PLAN)
+
     def test_burst_widens_the_aperture_until_the_load_ends(self) -> None:
         async def scenario(fleet: DirectFleet) -> None:
             await asyncio.sleep(2.0)
