Sum up the fleet once at admission, and count waiting tasks by step

Change: SideFleet.capacity sums up largest worker, healthy and free cores in one pass; a job counts its waiting tasks by step. No decision changes.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -9,7 +9,7 @@
 
 from currantbarrow.direct.admission import Backlog, Refusal, ReleaseRate, check_admission
 from currantbarrow.direct.estimates import RunTimeEstimator
-from currantbarrow.direct.fleet import SideFleet, SideHandle
+from currantbarrow.direct.fleet import FleetCapacity, SideFleet, SideHandle
 from currantbarrow.direct.history import JobHistory
 from currantbarrow.direct.job import JobTask, OpenJob, longest_chain_ms
 from currantbarrow.direct.model import JobSpec, JobState, Resources, WorkQueue
@@ -263,8 +263,7 @@
             return False
         job.started = True
         for task in tasks:
-            task.side = handle
-            job.unordered_count -= 1
+            job.mark_ordered(task, handle)
             handle.ordered_tasks[job.spec.job_id, task.step, task.index] = (job, task)
         self._metrics.incr("entry.tasks_sent", len(tasks))
         return True
@@ -291,15 +290,14 @@
     ) -> None:
         if task.side is not handle:
             return
-        task.side = None
-        job.unordered_count += 1
         if job.state is not JobState.OPEN:
+            task.side = None
             return
         now_ms = self._clock.monotonic_ms()
         if end is RunEnd.DONE:
-            job.unordered_count -= 1
             self._record_done(job, task, handle, ran_ms)
             return
+        job.mark_waiting(task)
         self._metrics.incr(f"entry.run_undone.{end.value}")
         if end is RunEnd.MOVED:
             self.move(job)
@@ -376,7 +374,9 @@
             )
         for job in list(self._waiting.values()):
             if not job.started and job.times.should_be_refused(now_ms):
-                backlog = self._create_backlog(job, now_ms)
+                assert self.fleet is not None
+                capacity = self.fleet.capacity(job.queue.service)
+                backlog = self._create_backlog(job, capacity, now_ms)
                 self._metrics.incr("entry.job_given_up")
                 self._end_job(job, JobState.REFUSED, "its time passed", backlog.retry_after_s())
         self.dispatch_waiting()
@@ -386,18 +386,16 @@
     def _check_admission(self, job: OpenJob, now_ms: float) -> Refusal | None:
         if self.fleet is None:
             return Refusal("no_worker", DEFAULT_RETRY_S, 0.0)
-        largest = self.fleet.largest_capacity(job.queue.service)
-        if largest is None:
+        capacity = self.fleet.capacity(job.queue.service)
+        if capacity.largest is None:
             return Refusal("no_worker", DEFAULT_RETRY_S, 0.0)
-        if any(not largest.covers(step.resources) for step in job.spec.steps):
+        if any(not capacity.largest.covers(step.resources) for step in job.spec.steps):
             return Refusal("too_large", DEFAULT_RETRY_S, 0.0)
-        return check_admission(
-            self._create_backlog(job, now_ms), job.times.latest_start_ms - now_ms
-        )
+        backlog = self._create_backlog(job, capacity, now_ms)
+        return check_admission(backlog, job.times.latest_start_ms - now_ms)
 
-    def _create_backlog(self, job: OpenJob, now_ms: float) -> Backlog:
+    def _create_backlog(self, job: OpenJob, capacity: FleetCapacity, now_ms: float) -> Backlog:
         """Return the work ahead of a job, assuming that all entries have equal backlogs."""
-        assert self.fleet is not None
         service = job.queue.service
         rank = job.rank(now_ms)
         ahead_cores = oldest_ms = 0.0
@@ -411,11 +409,11 @@
             ahead_cores += other.waiting_cores()
             if other.queue.name == job.queue.name and not other.started:
                 oldest_ms = max(oldest_ms, now_ms - other.times.received_ms)
-        cores = self.fleet.accepting_cores(service) / self.entry_count
+        cores = capacity.healthy_cores / self.entry_count
         return Backlog(
             ahead_cores,
             job.waiting_cores(),
-            self.fleet.free_cores(service),
+            capacity.free_cores,
             total_core_ms,
             cores,
             self._release_rate.per_s(cores),
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+import msgspec
+
 from currantbarrow.direct.aperture import Aperture, connect_delays_ms, order_links
 from currantbarrow.direct.job import JobTask, OpenJob
 from currantbarrow.direct.links import LinkConnector
@@ -28,7 +30,7 @@
 )
 from currantbarrow.types import Clock, Link, Metrics, Network
 
-__all__ = ["FleetListener", "SideFleet", "SideHandle"]
+__all__ = ["FleetCapacity", "FleetListener", "SideFleet", "SideHandle"]
 
 # A report is acknowledged once its stamp is newer than the last acknowledged one by this much. Side
 # processes report at least as often.
@@ -51,6 +53,16 @@
         """Handle a change of the available capacity."""
 
 
+class FleetCapacity(msgspec.Struct, frozen=True):
+    """Summarise the workers of a service."""
+
+    # The capacity of the largest worker, or None if no worker is known.
+    largest: Resources | None
+    # The cores of the workers that accept runs and are not on probation, in all and free ones.
+    healthy_cores: float
+    free_cores: float
+
+
 class SideHandle:
     """Track one link to a side process and the orders sent over it."""
 
@@ -239,28 +251,22 @@
             self._metrics.incr("entry.links_widened")
             self._update_warm_links(now_ms)
 
-    def accepting_cores(self, service: str) -> float:
-        """Return the total cores of the healthy workers of a service."""
-        return sum(
-            handle.report.state.capacity_cpu_millis / 1000
-            for handle in self._healthy(service)
-            if handle.report is not None
-        )
-
-    def free_cores(self, service: str) -> float:
-        """Return the free cores of the healthy workers of a service, as far as this entry knows."""
-        return sum(
-            max(0.0, handle.free_resources().cpu_millis / 1000) for handle in self._healthy(service)
-        )
-
-    def largest_capacity(self, service: str) -> Resources | None:
-        """Return the capacity of the largest worker of a service, or None if none is known."""
-        capacities = [
-            Resources(state.capacity_cpu_millis, state.capacity_memory_mb, state.capacity_gpus)
-            for state in (handle.report.state for handle in self.handles() if handle.report)
-            if state.service == service
-        ]
-        return max(capacities, key=lambda capacity: capacity.cpu_millis) if capacities else None
+    def capacity(self, service: str) -> FleetCapacity:
+        """Return the capacity of the workers of a service, as far as this entry knows."""
+        largest: Resources | None = None
+        healthy_cores = free_cores = 0.0
+        for handle in self.handles():
+            if handle.report is None or handle.report.state.service != service:
+                continue
+            state = handle.report.state
+            if largest is None or state.capacity_cpu_millis > largest.cpu_millis:
+                largest = Resources(
+                    state.capacity_cpu_millis, state.capacity_memory_mb, state.capacity_gpus
+                )
+            if state.accepting and not state.on_trial:
+                healthy_cores += state.capacity_cpu_millis / 1000
+                free_cores += max(0.0, handle.free_resources().cpu_millis / 1000)
+        return FleetCapacity(largest, healthy_cores, free_cores)
 
     def cancel_runs(self, job: OpenJob) -> None:
         """Cancel all runs of a job."""
@@ -335,17 +341,6 @@
             self._warm_count = warm_count
             self._metrics.gauge("entry.links_warm", warm_count)
 
-    def _healthy(self, service: str) -> list[SideHandle]:
-        """Return the links to the accepting workers of a service that are not on probation."""
-        return [
-            handle
-            for handle in self.handles()
-            if handle.report is not None
-            and handle.report.state.service == service
-            and handle.report.state.accepting
-            and not handle.report.state.on_trial
-        ]
-
     async def _serve(self, address: str, link: Link) -> None:
         same_data_centre = link.peer.data_centre == self._hello.data_centre
         handle = SideHandle(address, link, same_data_centre, self._clock.monotonic_ms())
--- a/src/currantbarrow/direct/job.py
+++ b/src/currantbarrow/direct/job.py
@@ -63,6 +63,7 @@
 
     __slots__ = (
         "_remaining",
+        "_waiting_counts",
         "ended",
         "expected_ms",
         "queue",
@@ -104,7 +105,8 @@
             for index in range(step.count)
         }
         self._remaining = [step.count for step in spec.steps]
-        # Tasks neither done nor ordered, whether or not the steps before them are complete.
+        # Tasks of each step neither done nor ordered, whether or not the steps before are complete.
+        self._waiting_counts = [step.count for step in spec.steps]
         self.unordered_count = len(self.tasks)
 
     def rank(self, now_ms: float) -> tuple[int, float]:
@@ -121,8 +123,20 @@
             if task.is_waiting and now_ms >= task.not_before_ms and self._is_ready(task.step)
         ]
 
+    def mark_ordered(self, task: JobTask, side: SideHandle) -> None:
+        """Mark a waiting task as ordered over a link."""
+        task.side = side
+        self.unordered_count -= 1
+        self._waiting_counts[task.step] -= 1
+
+    def mark_waiting(self, task: JobTask) -> None:
+        """Mark an ordered task as waiting again."""
+        task.side = None
+        self.unordered_count += 1
+        self._waiting_counts[task.step] += 1
+
     def finish_task(self, task: JobTask) -> None:
-        """Mark a task as done."""
+        """Mark an ordered task as done."""
         task.done = True
         task.side = None
         self._remaining[task.step] -= 1
@@ -138,22 +152,18 @@
 
     def waiting_core_ms(self) -> float:
         """Return the expected core-milliseconds of all waiting tasks."""
-        if not self.unordered_count:
-            return 0.0
         return sum(
-            self.spec.steps[task.step].resources.cpu_millis / 1000 * self.expected_ms[task.step]
-            for task in self.tasks.values()
-            if task.is_waiting
+            count * step.resources.cpu_millis / 1000 * expected_ms
+            for count, step, expected_ms in zip(
+                self._waiting_counts, self.spec.steps, self.expected_ms, strict=True
+            )
         )
 
     def waiting_cores(self) -> float:
         """Return the cores required by all waiting tasks."""
-        if not self.unordered_count:
-            return 0.0
         return sum(
-            self.spec.steps[task.step].resources.cpu_millis / 1000
-            for task in self.tasks.values()
-            if task.is_waiting
+            count * step.resources.cpu_millis / 1000
+            for count, step in zip(self._waiting_counts, self.spec.steps, strict=True)
         )
 
     def end(self, state: JobState, reason: str = "", retry_after_s: int = 0) -> None:
