Close all servers and connections of a stopping process at the same time

Cause (read-through): closers ran one after the other under one limit, so a handler that does not end could keep the links from being aborted, which then delay the exit by their closing handshakes. Change: all close at once; those that are late are cancelled, errors are logged. Conclusion: the order did not matter, as nothing is served any more at that point.

--- a/src/currantbarrow/platform/serving.py
+++ b/src/currantbarrow/platform/serving.py
@@ -41,19 +41,20 @@
 
 
 async def close_all(closers: list[Closer]) -> None:
-    """Close servers and connections in order, each as far as the time reserved for it permits."""
+    """Close servers and connections at the same time, within the time reserved for it."""
     limit_s = (DRAIN_RESERVE_MS - EXIT_RESERVE_MS) / 1000
-    closed = 0
-    try:
-        async with asyncio.timeout(limit_s):
-            for close in closers:
-                await close()
-                closed += 1
-    except TimeoutError:
+    closing = [asyncio.ensure_future(close()) for close in closers]
+    done, late = await asyncio.wait(closing, timeout=limit_s)
+    for task in late:
+        task.cancel()
+    if late:
         logger.warning(
             "connections not closed in time",
-            extra={"for_ms": round(limit_s * 1000), "closed": closed, "of": len(closers)},
+            extra={"for_ms": round(limit_s * 1000), "late": len(late), "of": len(closing)},
         )
+    for task in done:
+        if task.exception() is not None:
+            logger.error("connections not closed", exc_info=task.exception())
 
 
 def create_stop_event() -> asyncio.Event:
