Let jobs probe a fleet of which all workers are on probation

Change: workers on probation count as capacity if no other worker is left. Result: a test lets all workers fail and then work again: red before (all jobs refused from then on), green now.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -409,7 +409,7 @@
             ahead_cores += other.waiting_cores()
             if other.queue.name == job.queue.name and not other.started:
                 oldest_ms = max(oldest_ms, now_ms - other.times.received_ms)
-        cores = capacity.healthy_cores / self.entry_count
+        cores = capacity.cores / self.entry_count
         return Backlog(
             ahead_cores,
             job.waiting_cores(),
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -58,8 +58,9 @@
 
     # The capacity of the largest worker, or None if no worker is known.
     largest: Resources | None
-    # The cores of the workers that accept runs and are not on probation, in all and free ones.
-    healthy_cores: float
+    # The cores of the workers that accept runs, in all and free ones. Those on probation count only
+    # if all are: without jobs to probe them, none would ever leave it.
+    cores: float
     free_cores: float
 
 
@@ -254,7 +255,7 @@
     def capacity(self, service: str) -> FleetCapacity:
         """Return the capacity of the workers of a service, as far as this entry knows."""
         largest: Resources | None = None
-        healthy_cores = free_cores = 0.0
+        healthy_cores = free_cores = probation_cores = 0.0
         for handle in self.handles():
             if handle.report is None or handle.report.state.service != service:
                 continue
@@ -263,10 +264,12 @@
                 largest = Resources(
                     state.capacity_cpu_millis, state.capacity_memory_mb, state.capacity_gpus
                 )
-            if state.accepting and not state.on_trial:
+            if state.accepting and state.on_trial:
+                probation_cores += state.capacity_cpu_millis / 1000
+            elif state.accepting:
                 healthy_cores += state.capacity_cpu_millis / 1000
                 free_cores += max(0.0, handle.free_resources().cpu_millis / 1000)
-        return FleetCapacity(largest, healthy_cores, free_cores)
+        return FleetCapacity(largest, healthy_cores or probation_cores, free_cores)
 
     def cancel_runs(self, job: OpenJob) -> None:
         """Cancel all runs of a job."""
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -174,6 +174,38 @@
 
         run_fleet(scenario)
 
+    def test_fleet_of_workers_on_probation_is_probed_and_serves_again(self) -> None:
+        """Let all workers fail until each is on probation, and then work again."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            drivers = [side.driver for side in fleet.sides.values()]
+
+            def count_on_probation() -> int:
+                return sum(
+                    bool(each.instance and each.instance.health.on_probation) for each in drivers
+                )
+
+            async def submit_each_100_ms(count: int, first: int) -> list[JobState]:
+                jobs = []
+                for number in range(first, first + count):
+                    job = fleet.build_job(f"{number:016x}", 2, 200.0)
+                    entry = f"entry-{number % 3}"
+                    jobs.append(asyncio.create_task(fleet.submit(entry, job, 1500.0)))
+                    await asyncio.sleep(0.1)
+                return await asyncio.gather(*jobs)
+
+            for worker in fleet.workers.values():
+                worker.faults.fails = True
+            await submit_each_100_ms(60, 0)
+            assert count_on_probation() == len(drivers)
+            for worker in fleet.workers.values():
+                worker.faults.fails = False
+            await submit_each_100_ms(80, 100)
+            assert set(await submit_each_100_ms(10, 200)) == {JobState.COMPLETED}
+            assert count_on_probation() == 0
+
+        run_fleet(scenario)
+
     def test_worker_that_fails_every_task_is_soon_avoided(self) -> None:
         async def scenario(fleet: DirectFleet) -> None:
             fleet.workers["side-2"].faults.fails = True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,7 +21,10 @@
 CI_SEED = 3
 CI_SECONDS = 8.0
 # Seeds that failed in the past, with the fault that they found.
-REGRESSIONS = {116: "SIGHUP ended a process whose program was still loading"}
+REGRESSIONS = {
+    116: "SIGHUP ended a process whose program was still loading",
+    200: "workers that were all on probation were never probed, as every job was refused",
+}
 JOB = JobSpec(
     "0123456789abcdef",
     "50/1000",
