--- a/src/currantbarrow/direct/placement.py
+++ b/src/currantbarrow/direct/placement.py
@@ -20,10 +20,10 @@
 
 __all__ = ["WorkerOffer", "choose_worker"]
 
-# Hosts of different kinds differ in speed by a third; workers that are slower than the fastest ones
-# by more than this share have a fault.
+# Workers that are slower than the fastest one by more than this share get tasks only while no other
+# has room.
 SIMILAR_SLOWNESS_SHARE = 0.5
-# With two random candidates the fullest workers are avoided although all entries choose at once.
+# The better of two random candidates is rarely a full one, although all entries choose at once.
 CANDIDATES = 2
 
 
