Log on which proof runs are counted as lost, and runs that outlive it

Now a side process logs the age of the last renewal, what is left of the lease by its estimate of the worker's clock and the age of the reading; an entry logs each run lost or failed with the age of the last report and whether the link was lost, and why the runs of a lost link count as ended. A poll that lists a run counted as lost is a warning and a counter (side.run_outlived_lease). No decision changes.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -299,6 +299,17 @@
             return
         job.mark_waiting(task)
         self._metrics.incr(f"entry.run_undone.{end.value}")
+        if end in (RunEnd.LOST, RunEnd.FAILED):
+            self._log_job(
+                "run ended without a result",
+                job,
+                end.value,
+                task=task.index,
+                attempt=task.attempts,
+                worker=handle.worker,
+                report_age_ms=round(now_ms - handle.liveness.last_report_ms),
+                link_lost=handle.lost,
+            )
         if end is RunEnd.MOVED:
             self.move(job)
             return
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -136,11 +136,28 @@
             return
         now_ms = self._clock.monotonic_ms()
         if instance.silent and instance.have_leases_expired(now_ms):
-            for run in list(instance.runs.values()):
-                # Its capacity stays reserved until the worker lists the end.
-                self._report_end(run, RunEnd.LOST)
+            self._report_lost(instance, now_ms)
         self._stop_overdue(instance, now_ms)
 
+    def _report_lost(self, instance: WorkerInstance, now_ms: float) -> None:
+        """Report the runs of a silent worker whose leases have expired as lost."""
+        lost = [run for run in instance.runs.values() if not run.reported]
+        if not lost:
+            return
+        logger.info(
+            "leases of silent worker expired, runs counted as lost",
+            extra={
+                "worker": instance.worker,
+                "runs": len(lost),
+                "renewal_age_ms": round(instance.renewal_age_ms(now_ms)),
+                "lease_left_ms": round(instance.lease_left_ms(now_ms)),
+                "reading_age_ms": round(instance.reading_age_ms(now_ms)),
+            },
+        )
+        for run in lost:
+            # Its capacity stays reserved until the worker lists the end.
+            self._report_end(run, RunEnd.LOST)
+
     async def run(self) -> None:
         """Poll the worker while it has runs or unacknowledged ends, until cancelled."""
         while True:
@@ -352,6 +369,12 @@
         self, instance: WorkerInstance, run: Run, listed: bool, requested_ms: float
     ) -> None:
         """Resolve an unconfirmed start or stop from a poll that was sent at requested_ms."""
+        if listed and run.reported:
+            self._metrics.incr("side.run_outlived_lease")
+            logger.warning(
+                "run that was counted as lost still runs",
+                extra={"job": run.name.job, "task": run.name.index, "run": run.name.number},
+            )
         if run.phase is RunPhase.UNCONFIRMED and requested_ms >= run.unconfirmed_ms:
             if listed:
                 self._mark_started(run)
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -308,8 +308,7 @@
                     self._mark_lost(handle, "silent")
             self._update_warm_links(now_ms)
             for lost in [each for each in self._lost_handles if now_ms >= each[1]]:
-                self._lost_handles.remove(lost)
-                self._listener.runs_lost(lost[0])
+                self._settle_lost(lost, "lease expired")
 
     def stop(self) -> None:
         """Close all links."""
@@ -399,8 +398,25 @@
         self._metrics.incr("entry.side_up")
         # The first report with a worker confirms that all earlier orders there have ended.
         for lost in [each for each in self._lost_handles if each[0].address == handle.address]:
-            self._lost_handles.remove(lost)
-            self._listener.runs_lost(lost[0])
+            self._settle_lost(lost, "reported by the new link")
+
+    def _settle_lost(self, lost: tuple[SideHandle, float], reason: str) -> None:
+        """Count the runs ordered over a lost link as ended."""
+        self._lost_handles.remove(lost)
+        handle = lost[0]
+        if handle.ordered_tasks:
+            now_ms = self._clock.monotonic_ms()
+            logger.info(
+                "runs of lost side process have ended",
+                extra={
+                    "address": handle.address,
+                    "worker": handle.worker,
+                    "reason": reason,
+                    "runs": len(handle.ordered_tasks),
+                    "report_age_ms": round(now_ms - handle.liveness.last_report_ms),
+                },
+            )
+        self._listener.runs_lost(handle)
 
     def _mark_lost(self, handle: SideHandle, reason: str) -> None:
         if handle.lost:
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -38,6 +38,7 @@
         "_clock_read_ms",
         "_last_answer_ms",
         "_last_unanswered_ms",
+        "_lease_until_ms",
         "_renewed_ms",
         "_unanswered_calls",
         "_worker_clock_ms",
@@ -77,6 +78,8 @@
         self._worker_clock_ms = 0.0
         self._clock_read_ms = 0.0
         self._renewed_ms = 0.0
+        # The end of the lease on the worker's clock.
+        self._lease_until_ms = 0.0
 
     @property
     def worker(self) -> str:
@@ -95,7 +98,24 @@
     def lease_until_ms(self, now_ms: float) -> float:
         """Renew the lease and return its end on the worker's clock."""
         self._renewed_ms = now_ms
-        return self._worker_clock_ms + (now_ms - self._clock_read_ms) + self.lease_ms
+        self._lease_until_ms = self.clock_estimate_ms(now_ms) + self.lease_ms
+        return self._lease_until_ms
+
+    def clock_estimate_ms(self, now_ms: float) -> float:
+        """Return the estimated time on the worker's clock."""
+        return self._worker_clock_ms + (now_ms - self._clock_read_ms)
+
+    def lease_left_ms(self, now_ms: float) -> float:
+        """Return the time until the end of the lease on the worker's clock, as estimated."""
+        return self._lease_until_ms - self.clock_estimate_ms(now_ms)
+
+    def renewal_age_ms(self, now_ms: float) -> float:
+        """Return the time since the lease was last renewed."""
+        return now_ms - self._renewed_ms
+
+    def reading_age_ms(self, now_ms: float) -> float:
+        """Return the age of the reading that the estimate of the worker's clock rests on."""
+        return now_ms - self._clock_read_ms
 
     def have_leases_expired(self, now_ms: float) -> bool:
         """Return whether all leases granted so far have certainly expired."""
