--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -38,6 +38,8 @@
     cpu_millis: int = 16_000
     delay_ms: float = 0.5
     seed: int = 1
+    # The speed of the workers' clocks; workers promise at least 0.98.
+    worker_clock_rate: float = 1.0
 
 
 class MemoryDirectory:
@@ -164,7 +166,13 @@
         for number in range(self.plan.sides):
             name = f"side-{number}"
             resources = Resources(self.plan.cpu_millis, 64_000, 0)
-            self.workers[name] = MemoryWorker(f"worker-{number}", resources, self.runs, LEASE_MS)
+            self.workers[name] = MemoryWorker(
+                f"worker-{number}",
+                resources,
+                self.runs,
+                LEASE_MS,
+                clock_rate=self.plan.worker_clock_rate,
+            )
             self.workers[name].start_clock()
             await self.start_side(name)
         for number in range(self.plan.entries):
--- a/src/currantbarrow/standins/direct_worker.py
+++ b/src/currantbarrow/standins/direct_worker.py
@@ -5,6 +5,8 @@
 import asyncio
 import collections
 import random
+from collections.abc import Callable
+from typing import NoReturn
 
 import msgspec
 
@@ -74,6 +76,10 @@
     late_answers_ms: float = 0.0
     # The share of commands that are neither answered nor carried out.
     lost_share: float = 0.0
+    # The share of commands that are not answered and are carried out `late_ms` later.
+    late_share: float = 0.0
+    # The share of stops that are neither answered nor carried out.
+    lost_stop_share: float = 0.0
 
 
 class _ActiveRun(msgspec.Struct):
@@ -87,9 +93,19 @@
     """Simulate a worker in memory; the payload of a task gives its run time and CPU demand."""
 
     def __init__(
-        self, name: str, capacity: Resources, recorder: RunRecorder, lease_limit_ms: float
+        self,
+        name: str,
+        capacity: Resources,
+        recorder: RunRecorder,
+        lease_limit_ms: float,
+        *,
+        clock_rate: float = 1.0,
+        clock_start_ms: float = 0.0,
     ) -> None:
         self.name = name
+        # The worker's clock, relative to the time of the event loop.
+        self.clock_rate = clock_rate
+        self._clock_start_ms = clock_start_ms
         self.capacity = capacity
         self.faults = WorkerFaults()
         self.leaving = False
@@ -105,7 +121,7 @@
         self._ends: list[WorkerEnd] = []
         self._position = 0
         self._task: asyncio.Task[None] | None = None
-        self._late_start_tasks: set[asyncio.Task[None]] = set()
+        self._late_tasks: set[asyncio.Task[None]] = set()
         self._rng = random.Random(name)
 
     @property
@@ -130,8 +146,8 @@
         self._task = asyncio.create_task(self._advance())
 
     def stop_clock(self) -> None:
-        """Stop the clock, and cancel late starts."""
-        for task in [self._task, *self._late_start_tasks]:
+        """Stop the clock, and cancel late commands."""
+        for task in [self._task, *self._late_tasks]:
             if task is not None:
                 task.cancel()
 
@@ -142,18 +158,20 @@
         self._instance_number += 1
         self._runs, self._last_run_numbers, self._ends = {}, {}, []
         self._position = self._token = self._sequence = 0
+        self._lease_until_ms = 0.0
 
     async def start(
         self, worker: str, run: RunSpec, lease_until_ms: float, token: int, timeout_ms: float
     ) -> StartAnswer:
         """Start a run; raise WorkerSilent or WorkerReplaced."""
         await self._check_reachable(worker, timeout_ms)
-        if self.faults.late_starts > 0:
+        is_late = self.faults.late_starts > 0
+        if is_late:
             self.faults.late_starts -= 1
-            late = asyncio.create_task(self._start_late(worker, run, lease_until_ms, token))
-            self._late_start_tasks.add(late)
-            await asyncio.sleep(timeout_ms / 1000)
-            raise WorkerSilent("the start was delayed in transit")
+        if is_late or self._draw_late():
+            await self._carry_out_late(
+                worker, timeout_ms, lambda: self._start_run(run, lease_until_ms, token)
+            )
         verdict = self._start_run(run, lease_until_ms, token)
         if self.faults.lost_answers > 0:
             self.faults.lost_answers -= 1
@@ -165,15 +183,14 @@
     async def stop(self, worker: str, run: RunName, token: int, timeout_ms: float) -> bool:
         """Stop a run; return whether the fencing token is current."""
         await self._check_reachable(worker, timeout_ms)
-        if token < self._token:
-            return False
-        self._token = token
-        self._last_run_numbers[run.task] = max(run.number, self._last_run_numbers.get(run.task, 0))
-        running = self._runs.get(run.task)
-        if running is not None and running.name.number <= run.number:
-            running.stops_ms = self._now_ms() + STOP_DURATION_MS
+        if self._rng.random() < self.faults.lost_stop_share:
+            await asyncio.sleep(timeout_ms / 1000)
+            raise WorkerSilent("the stop was lost")
+        if self._draw_late():
+            await self._carry_out_late(worker, timeout_ms, lambda: self._stop_run(run, token))
+        current = self._stop_run(run, token)
         await self._delay_response(timeout_ms)
-        return True
+        return current
 
     async def poll(
         self,
@@ -188,12 +205,12 @@
         """Return current runs and ends, after a wait for an end; None if fenced."""
         self.polls += 1
         await self._check_reachable(worker, timeout_ms)
-        if token < self._token:
+        if self._draw_late():
+            await self._carry_out_late(
+                worker, timeout_ms, lambda: self._renew(acknowledged_end, lease_until_ms, token)
+            )
+        if not self._renew(acknowledged_end, lease_until_ms, token):
             return None
-        self._token = token
-        self._ends = [end for end in self._ends if end.position > acknowledged_end]
-        if lease_until_ms is not None:
-            self._extend_lease(lease_until_ms)
         until_ms = self._now_ms() + wait_ms
         while not self._ends and self._now_ms() < until_ms:
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
@@ -208,7 +225,8 @@
         if token < self._token:
             return StartVerdict.FENCED
         self._token = token
-        if lease_until_ms <= self._now_ms():
+        # The lease of the worker, if it ends later, covers the start as well.
+        if max(lease_until_ms, self._lease_until_ms) <= self._now_ms():
             return StartVerdict.LEASE_EXPIRED
         self._extend_lease(lease_until_ms)
         if run.name.number <= self._last_run_numbers.get(run.name.task, 0):
@@ -226,12 +244,44 @@
             self._recorder.over_capacity.append(self.worker)
         return StartVerdict.STARTED
 
-    async def _start_late(
-        self, worker: str, run: RunSpec, lease_until_ms: float, token: int
-    ) -> None:
-        await asyncio.sleep(self.faults.late_ms / 1000)
-        if worker == self.worker:
-            self._start_run(run, lease_until_ms, token)
+    def _stop_run(self, run: RunName, token: int) -> bool:
+        if token < self._token:
+            return False
+        self._token = token
+        self._last_run_numbers[run.task] = max(run.number, self._last_run_numbers.get(run.task, 0))
+        running = self._runs.get(run.task)
+        if running is not None and running.name.number <= run.number and not running.stops_ms:
+            running.stops_ms = self._now_ms() + STOP_DURATION_MS
+        return True
+
+    def _renew(self, acknowledged_end: int, lease_until_ms: float | None, token: int) -> bool:
+        if token < self._token:
+            return False
+        self._token = token
+        self._ends = [end for end in self._ends if end.position > acknowledged_end]
+        if lease_until_ms is not None:
+            self._extend_lease(lease_until_ms)
+        return True
+
+    def _draw_late(self) -> bool:
+        # No draw without the fault, so that it does not change the other draws.
+        return self.faults.late_share > 0 and self._rng.random() < self.faults.late_share
+
+    async def _carry_out_late(
+        self, worker: str, timeout_ms: float, command: Callable[[], object]
+    ) -> NoReturn:
+        """Schedule a command, and do not answer it."""
+
+        async def carry_out() -> None:
+            await asyncio.sleep(self.faults.late_ms / 1000)
+            if worker == self.worker:
+                command()
+
+        late = asyncio.create_task(carry_out())
+        self._late_tasks.add(late)
+        late.add_done_callback(self._late_tasks.discard)
+        await asyncio.sleep(timeout_ms / 1000)
+        raise WorkerSilent("the command was delayed in transit")
 
     async def _check_reachable(self, worker: str, timeout_ms: float) -> None:
         await asyncio.sleep(RESPONSE_DELAY_MS / 1000)
@@ -272,6 +322,5 @@
         self._position += 1
         self._ends.append(WorkerEnd(self._position, run.name, end))
 
-    @staticmethod
-    def _now_ms() -> float:
-        return asyncio.get_running_loop().time() * 1000
+    def _now_ms(self) -> float:
+        return self._clock_start_ms + asyncio.get_running_loop().time() * 1000 * self.clock_rate
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from known_red import read_known_red
+from known_red import known_texts, read_known_red
 from loopback import LoopbackThread, small_fleet_settings
 
 
@@ -20,6 +20,17 @@
     thread.stop()
 
 
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expect the listed tests to fail, and report those that pass.
+
+    Tests listed with quoted texts are red only sometimes, and compare the texts themselves.
+    """
+    listed = {entry.test for entry in read_known_red() if not known_texts(entry.test)}
+    for item in items:
+        if item.nodeid.partition("[")[0] in listed:
+            item.add_marker(pytest.mark.xfail(reason="known red", strict=True))
+
+
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     entries = read_known_red()
     if entries:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -17,10 +17,11 @@
 from aiohttp import web
 
 from currantbarrow.direct.model import Resources
+from currantbarrow.standins.direct_worker import MemoryWorker
 from soak.oracle import CheckedRunRecorder, Oracle
 from soak.proxy import Forwarder
 from soak.store import MemoryStore
-from soak.worker import SERVICE, HttpWorker, SkewedWorker
+from soak.worker import LEASE_LIMIT_MS, SERVICE, HttpWorker
 
 __all__ = ["Fleet", "Host", "Plan"]
 
@@ -278,10 +279,11 @@
             await self.start_process(host)
 
     async def _start_worker(self, host: Host) -> None:
-        worker = SkewedWorker(
+        worker = MemoryWorker(
             f"worker-{host.number}",
             WORKER_RESOURCES,
             self.runs,
+            LEASE_LIMIT_MS,
             clock_rate=self._rng.choice((0.98, 1.0, 1.02)),
             clock_start_ms=self._rng.uniform(0, 1e7),
         )
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -9,13 +9,12 @@
 import msgspec
 from aiohttp import web
 
-from currantbarrow.direct.model import Resources
 from currantbarrow.direct.worker import RunName, RunSpec, StartVerdict
 from currantbarrow.exceptions import WorkerReplaced, WorkerSilent
 from currantbarrow.protocol.direct import RunEnd
-from currantbarrow.standins.direct_worker import MemoryWorker, RunRecorder
+from currantbarrow.standins.direct_worker import MemoryWorker
 
-__all__ = ["HttpWorker", "SkewedWorker"]
+__all__ = ["LEASE_LIMIT_MS", "HttpWorker"]
 
 ANNOUNCE_INTERVAL_S = 0.5
 LEASE_LIMIT_MS = 1000.0
@@ -58,30 +57,10 @@
     wait_ms: float = 0.0
 
 
-class SkewedWorker(MemoryWorker):
-    """Worker whose monotonic clock has an offset and runs slightly slow or fast."""
-
-    def __init__(
-        self,
-        name: str,
-        capacity: Resources,
-        runs: RunRecorder,
-        *,
-        clock_rate: float,
-        clock_start_ms: float,
-    ) -> None:
-        super().__init__(name, capacity, runs, LEASE_LIMIT_MS)
-        self._clock_rate = clock_rate
-        self._clock_start_ms = clock_start_ms
-
-    def _now_ms(self) -> float:  # type: ignore[override]
-        return self._clock_start_ms + asyncio.get_running_loop().time() * 1000 * self._clock_rate
-
-
 class HttpWorker:
     """HTTP server of one worker, which also announces it to its side process."""
 
-    def __init__(self, worker: SkewedWorker, announce_address: str) -> None:
+    def __init__(self, worker: MemoryWorker, announce_address: str) -> None:
         self.worker = worker
         self._announce_url = f"http://{announce_address}/currantbarrow/instances/"
         self._announce_task: asyncio.Task[None] | None = None
--- /dev/null
+++ b/tests/test_direct_leases.py
@@ -0,0 +1,101 @@
+"""Test that a task is run again only once its earlier run has certainly ended."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
+from direct_scenarios import run_fleet
+
+LONG_RUN_MS = 3000.0
+# Long enough for the clocks of the workers to drift apart by a quarter of a lease.
+BUSY_S = 15.0
+
+
+async def keep_busy(fleet: DirectFleet, entry: str, seconds: float) -> None:
+    """Submit a job each 50 ms, so that side processes poll and start runs all the time."""
+    until_s = asyncio.get_running_loop().time() + seconds
+    jobs = []
+    number = 0
+    while asyncio.get_running_loop().time() < until_s:
+        number += 1
+        spec = fleet.build_job(f"{entry[-1]}{number:015x}", 4, 60.0)
+        jobs.append(asyncio.create_task(fleet.submit(entry, spec)))
+        await asyncio.sleep(0.05)
+    await asyncio.gather(*jobs)
+
+
+def submit_long_job(fleet: DirectFleet, tasks: int, key: str = "e") -> asyncio.Task[object]:
+    spec = fleet.build_job(key * 16, tasks, LONG_RUN_MS)
+    return asyncio.create_task(fleet.submit("entry-0", spec))
+
+
+class TestSilentWorker:
+    """Workers answer no command, and carry all out later."""
+
+    @staticmethod
+    async def delay_commands(
+        fleet: DirectFleet, late_ms: float, begin: Callable[[], object]
+    ) -> None:
+        workers = [fleet.workers[name] for name in ("side-0", "side-1")]
+        for worker in workers:
+            worker.faults.late_ms, worker.faults.late_share = late_ms, 1.0
+        begin()
+        await asyncio.sleep(3.0)
+        for worker in workers:
+            worker.faults.late_share = 0.0
+        await asyncio.sleep(5.0)
+
+    @pytest.mark.parametrize("late_ms", [1050, 1150, 1250, 1350])
+    def test_start_carried_out_late_by_a_slow_clock_does_not_run_beside_its_successor(
+        self, late_ms: float
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            await keep_busy(fleet, "entry-1", BUSY_S)
+            await self.delay_commands(fleet, late_ms, lambda: submit_long_job(fleet, 12))
+
+        run_fleet(scenario, DirectPlan(worker_clock_rate=0.98))
+
+    @pytest.mark.parametrize("late_ms", [1000, 1050, 1100, 1150])
+    def test_start_carried_out_late_after_long_polls_does_not_run_beside_its_successor(
+        self, late_ms: float
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            # Polls are answered at the end of their wait while no run ends.
+            submit_long_job(fleet, 4, "1")
+            await asyncio.sleep(1.0)
+            await self.delay_commands(fleet, late_ms, lambda: submit_long_job(fleet, 8))
+
+        run_fleet(scenario)
+
+
+class TestLostLink:
+    """An entry loses its link to a side process whose worker carries out no stop."""
+
+    @staticmethod
+    async def lose_link(
+        fleet: DirectFleet, meanwhile: Callable[[], Awaitable[None]] | None = None
+    ) -> None:
+        for worker in fleet.workers.values():
+            worker.faults.lost_stop_share = 1.0
+        submit_long_job(fleet, 8)
+        await asyncio.sleep(1.0)
+        for handle in fleet.entries["entry-0"].fleet.handles():
+            if handle.address in ("side-0:1", "side-1:1"):
+                assert handle.ordered_tasks
+                handle.link.abort()
+        if meanwhile is not None:
+            await meanwhile()
+        await asyncio.sleep(4.0)
+
+    def test_run_whose_stop_is_lost_does_not_run_beside_its_successor(self) -> None:
+        run_fleet(self.lose_link)
+
+    def test_starts_of_other_entries_do_not_prolong_a_run_whose_stop_is_lost(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            await self.lose_link(fleet, lambda: keep_busy(fleet, "entry-1", 2.0))
+
+        run_fleet(scenario)
