Compute leases from a lower bound of the worker's clock

Cause: the side process kept the highest estimate of the worker's clock and added the lease to it, but counted the lease's end from its own clock. The estimate was ahead by the drift since the first reading (0.24 s after 12 s of a clock that is 2 % slow), and by the time that an answer took, up to 200 ms for polls that wait. A command that was carried out late therefore came with a lease that outlived the count of 1.081 s. Change: a reading counts as the clock's value at the arrival of the answer, and grows at the slowest rate that workers promise. The end of a lease and its expiry come from this one lower bound (direct/leases.py), and a lease is never longer than what entries rely on. After 5 s without a reading the first poll does not wait. Why it works: the worker's clock is at least the bound, so it has passed the lease's end when the bound has.

--- a/src/currantbarrow/direct/commands.py
+++ b/src/currantbarrow/direct/commands.py
@@ -79,7 +79,7 @@
                 answer = await self._control.start(
                     instance.worker,
                     RunSpec(run.name, run.payload),
-                    instance.lease_until_ms(requested_ms),
+                    instance.lease.renew(requested_ms),
                     instance.token,
                     START_TIMEOUT_MS,
                 )
@@ -87,9 +87,10 @@
                 self._record_unanswered(instance, error)
                 raise
             self._record_answer(instance)
-            self._metrics.timing("side.start_answer_ms", self._clock.monotonic_ms() - requested_ms)
+            now_ms = self._clock.monotonic_ms()
+            self._metrics.timing("side.start_answer_ms", now_ms - requested_ms)
             if answer.clock_ms is not None:
-                instance.update_clock(answer.clock_ms, requested_ms)
+                instance.lease.record_reading(answer.clock_ms, now_ms)
             if run.stopping:
                 # The run was stopped meanwhile, and a start under a new number would revive it.
                 break
@@ -135,7 +136,7 @@
                 instance.worker,
                 instance.token,
                 acknowledged_end=applied_end,
-                lease_until_ms=instance.lease_until_ms(requested_ms) if renews else None,
+                lease_until_ms=instance.lease.renew(requested_ms) if renews else None,
                 wait_ms=wait_ms,
                 timeout_ms=wait_ms
                 + instance.timeout_ms(LOSSY_POLL_TIMEOUT_MS if lossy else POLL_TIMEOUT_MS),
@@ -151,13 +152,12 @@
             instance.token = self.next_token()
             return None
         instance.acknowledged_end = max(instance.acknowledged_end, applied_end)
-        instance.update_clock(result.clock_ms, requested_ms)
+        instance.lease.record_reading(result.clock_ms, self._clock.monotonic_ms())
         return result
 
     async def stop_stray_runs(self, instance: WorkerInstance) -> None:
         """Stop all runs that an earlier side process left on the worker; raise UpstreamError."""
         while True:
-            requested_ms = self._clock.monotonic_ms()
             result = await self._control.poll(
                 instance.worker,
                 instance.token,
@@ -169,8 +169,9 @@
             if result is None:
                 instance.token = self.next_token()
                 continue
-            instance.update_clock(result.clock_ms, requested_ms)
-            instance.record_answer(self._clock.monotonic_ms())
+            now_ms = self._clock.monotonic_ms()
+            instance.lease.record_reading(result.clock_ms, now_ms)
+            instance.record_answer(now_ms)
             if not result.running:
                 instance.applied_end = max((end.position for end in result.ends), default=0)
                 return
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -29,6 +29,8 @@
 # Poll interval while the start or stop of a run is unconfirmed.
 UNCONFIRMED_POLL_INTERVAL_MS = 10.0
 SILENT_POLL_INTERVAL_MS = 100.0
+# A worker's clock may have drifted by a tenth of the lease since an older reading.
+READING_MAX_AGE_MS = 5000.0
 # Number of ended instances whose names are kept, to ignore their delayed announcements.
 RETIRED_INSTANCES_KEPT = 64
 
@@ -135,7 +137,7 @@
         if instance is None or not instance.ready:
             return
         now_ms = self._clock.monotonic_ms()
-        if instance.silent and instance.have_leases_expired(now_ms):
+        if instance.silent and instance.lease.has_expired(now_ms):
             self._report_lost(instance, now_ms)
         self._stop_overdue(instance, now_ms)
 
@@ -149,9 +151,9 @@
             extra={
                 "worker": instance.worker,
                 "runs": len(lost),
-                "renewal_age_ms": round(instance.renewal_age_ms(now_ms)),
-                "lease_left_ms": round(instance.lease_left_ms(now_ms)),
-                "reading_age_ms": round(instance.reading_age_ms(now_ms)),
+                "renewal_age_ms": round(instance.lease.renewal_age_ms(now_ms)),
+                "lease_left_ms": round(instance.lease.left_ms(now_ms)),
+                "reading_age_ms": round(instance.lease.reading_age_ms(now_ms)),
             },
         )
         for run in lost:
@@ -171,7 +173,10 @@
             has_unconfirmed = any(
                 run.stopping or run.phase is RunPhase.UNCONFIRMED for run in instance.runs.values()
             )
-            answered = await self._poll(instance, at_once=has_unconfirmed or not instance.runs)
+            # A lease based on an old reading is short, and the start may come before a new one.
+            is_old = instance.lease.reading_age_ms(self._clock.monotonic_ms()) > READING_MAX_AGE_MS
+            at_once = has_unconfirmed or is_old or not instance.runs
+            answered = await self._poll(instance, at_once=at_once)
             if not answered:
                 await self._clock.sleep_ms(SILENT_POLL_INTERVAL_MS if instance.silent else 0.0)
             elif has_unconfirmed:
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from currantbarrow.direct.health import WorkerHealth
+from currantbarrow.direct.leases import WorkerLease
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.reservations import ResourceReservations
 from currantbarrow.direct.runs import Run, RunPhase
@@ -11,10 +12,6 @@
 
 __all__ = ["NO_WORKER", "WorkerInstance"]
 
-# A worker's clock may run up to 2 % slower than the clock of this process.
-CLOCK_DRIFT_FACTOR = 1.02
-# Time that a worker needs after the lease expires to kill its runs and report their ends.
-LEASE_EXPIRY_MARGIN_MS = 60.0
 # Single commands get lost on healthy workers too, so a worker is silent only after several of them
 # in a row, and this long after its last answer.
 SILENT_AFTER_CALLS = 3
@@ -35,19 +32,15 @@
     """Track the clock, the lease, the capacity and the runs of one worker instance."""
 
     __slots__ = (
-        "_clock_read_ms",
         "_last_answer_ms",
         "_last_unanswered_ms",
-        "_lease_until_ms",
-        "_renewed_ms",
         "_unanswered_calls",
-        "_worker_clock_ms",
         "acknowledged_end",
         "announcement",
         "applied_end",
         "ended",
         "health",
-        "lease_ms",
+        "lease",
         "ready",
         "reservations",
         "run_numbers",
@@ -59,7 +52,7 @@
     def __init__(self, announcement: Announcement, token: int, lease_ms: float) -> None:
         self.announcement = announcement
         self.token = token
-        self.lease_ms = lease_ms
+        self.lease = WorkerLease(lease_ms)
         self.reservations = ResourceReservations(announcement.capacity)
         self.health = WorkerHealth()
         self.runs: dict[tuple[str, int, int], Run] = {}
@@ -75,54 +68,12 @@
         self._unanswered_calls = 0
         self._last_answer_ms = 0.0
         self._last_unanswered_ms = -LOSSY_PERIOD_MS
-        self._worker_clock_ms = 0.0
-        self._clock_read_ms = 0.0
-        self._renewed_ms = 0.0
-        # The end of the lease on the worker's clock.
-        self._lease_until_ms = 0.0
 
     @property
     def worker(self) -> str:
         """Return the name of this worker instance."""
         return self.announcement.worker
 
-    def update_clock(self, clock_ms: float, requested_ms: float) -> None:
-        """Update the estimate of the worker's clock from the answer to a request."""
-        # The worker read its clock after the request was sent, so the estimate is never behind.
-        if (
-            clock_ms - (requested_ms - self._clock_read_ms) >= self._worker_clock_ms
-            or not self._worker_clock_ms
-        ):
-            self._worker_clock_ms, self._clock_read_ms = clock_ms, requested_ms
-
-    def lease_until_ms(self, now_ms: float) -> float:
-        """Renew the lease and return its end on the worker's clock."""
-        self._renewed_ms = now_ms
-        self._lease_until_ms = self.clock_estimate_ms(now_ms) + self.lease_ms
-        return self._lease_until_ms
-
-    def clock_estimate_ms(self, now_ms: float) -> float:
-        """Return the estimated time on the worker's clock."""
-        return self._worker_clock_ms + (now_ms - self._clock_read_ms)
-
-    def lease_left_ms(self, now_ms: float) -> float:
-        """Return the time until the end of the lease on the worker's clock, as estimated."""
-        return self._lease_until_ms - self.clock_estimate_ms(now_ms)
-
-    def renewal_age_ms(self, now_ms: float) -> float:
-        """Return the time since the lease was last renewed."""
-        return now_ms - self._renewed_ms
-
-    def reading_age_ms(self, now_ms: float) -> float:
-        """Return the age of the reading that the estimate of the worker's clock rests on."""
-        return now_ms - self._clock_read_ms
-
-    def have_leases_expired(self, now_ms: float) -> bool:
-        """Return whether all leases granted so far have certainly expired."""
-        return (
-            now_ms - self._renewed_ms > self.lease_ms * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN_MS
-        )
-
     def record_answer(self, now_ms: float) -> bool:
         """Record an answer; return whether the worker was silent before."""
         self._unanswered_calls = 0
--- a/tests/test_direct_leases.py
+++ b/tests/test_direct_leases.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from currantbarrow.direct.leases import LEASE_END_LIMIT_MS, WORKER_CLOCK_MIN_RATE, WorkerLease
+from currantbarrow.direct.model import JobState
 from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
 from direct_scenarios import run_fleet
 
@@ -33,6 +35,62 @@
     return asyncio.create_task(fleet.submit("entry-0", spec))
 
 
+class TestWorkerLease:
+    """Readings arrive every 100 ms for a minute, with answers that are delayed by up to 200 ms."""
+
+    @staticmethod
+    def read_clock(clock_rate: float) -> tuple[WorkerLease, float]:
+        """Return a lease after the readings, and the time of the last one."""
+        lease = WorkerLease(1000.0)
+        now_ms = 0.0
+        for number in range(600):
+            now_ms = number * 100.0
+            delay_ms = (0.5, 200.0, 3.0, 40.0)[number % 4]
+            lease.record_reading((now_ms - delay_ms) * clock_rate + 500.0, now_ms)
+        return lease, now_ms
+
+    @pytest.mark.parametrize("clock_rate", [WORKER_CLOCK_MIN_RATE, 0.99, 1.0])
+    @pytest.mark.parametrize("silent_ms", [0.0, 300.0, 5000.0])
+    def test_expired_lease_has_ended_on_the_workers_clock(
+        self, clock_rate: float, silent_ms: float
+    ) -> None:
+        lease, read_ms = self.read_clock(clock_rate)
+        renewed_ms = read_ms + silent_ms
+        until_ms = lease.renew(renewed_ms)
+        expired_ms = renewed_ms
+        while not lease.has_expired(expired_ms):
+            expired_ms += 1.0
+        assert expired_ms * clock_rate + 500.0 >= until_ms
+        assert expired_ms - renewed_ms <= LEASE_END_LIMIT_MS + 1.0
+
+    @pytest.mark.parametrize("clock_rate", [WORKER_CLOCK_MIN_RATE, 0.99, 1.0])
+    def test_lease_lasts_long_enough_to_be_renewed(self, clock_rate: float) -> None:
+        lease, read_ms = self.read_clock(clock_rate)
+        left_ms = lease.renew(read_ms + 5000.0) - ((read_ms + 5000.0) * clock_rate + 500.0)
+        # Polls renew it at least every 260 ms.
+        assert 3 * 260.0 < left_ms <= 1000.0
+
+    def test_instance_without_a_lease_has_no_runs_to_wait_for(self) -> None:
+        assert WorkerLease(1000.0).has_expired(0.0)
+
+
+class TestIdleWorker:
+    @pytest.mark.parametrize("idle_s", [10.0, 45.0, 70.0])
+    def test_runs_after_a_long_idle_time_are_not_ended_by_a_short_lease(
+        self, idle_s: float
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            await fleet.submit("entry-0", fleet.build_job("1" * 16, 4, 100.0))
+            await asyncio.sleep(idle_s)
+            before_s = asyncio.get_running_loop().time()
+            state = await fleet.submit("entry-0", fleet.build_job("2" * 16, 8, 800.0))
+            assert state is JobState.COMPLETED
+            assert len(fleet.runs.started) == 12
+            assert asyncio.get_running_loop().time() - before_s < 0.9
+
+        run_fleet(scenario)
+
+
 class TestSilentWorker:
     """Workers answer no command, and carry all out later."""
 
