Derive an entry's wait for a lost side process from what the side process may still renew

Cause: an entry counted the runs behind a lost link as ended 1.12 s after the loss, one lease and a margin. A side process that lost no more than the link goes on until its own count of 800 ms, stops the runs, and renews the worker's lease for another 250 ms while a stop is unconfirmed, because all runs share it. Change: the latest renewal is bounded by the lease of the entry's orders, not by the tick that notices its end (200 ms after it), and the entry waits from its newest report or order for that lease, that bound and the longest lease of a worker, 2.12 s in all (direct/leases.py, SideLiveness.runs_end_ms). A report on a new link proves the end sooner, as before. Clearing a job waits as long as side processes may take. Evidence: test_run_whose_stop_is_lost_does_not_run_beside_its_successor failed before and passes now.

--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -11,6 +11,7 @@
 
 from currantbarrow.direct.aperture import Aperture, connect_delays_ms, order_links
 from currantbarrow.direct.job import JobTask, OpenJob
+from currantbarrow.direct.leases import RUN_END_LIMIT_MS
 from currantbarrow.direct.links import LinkConnector
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.placement import WorkerOffer
@@ -36,8 +37,8 @@
 # processes report at least as often.
 ACKNOWLEDGE_AFTER_MS = 160.0
 CHECK_INTERVAL_MS = 100.0
-# How long side processes may take to end another entry's runs: one lease and a stop.
-CLEAR_TIMEOUT_MS = 1000.0
+# How long side processes may take to end another entry's runs and to confirm it.
+CLEAR_TIMEOUT_MS = RUN_END_LIMIT_MS + 100.0
 
 
 class FleetListener(Protocol):
@@ -436,5 +437,4 @@
             },
         )
         self._metrics.incr("entry.side_down")
-        ended_ms = self._clock.monotonic_ms() + SideLiveness.runs_ended_after_ms()
-        self._lost_handles.append((handle, ended_ms))
+        self._lost_handles.append((handle, handle.liveness.runs_end_ms()))
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -19,8 +19,6 @@
 # A worker that misses several timeouts may be slow rather than silent, so the timeout grows up to
 # this limit. Leases last one second, so later answers would not help.
 TIMEOUT_LIMIT_MS = 400.0
-# Stops are normally confirmed within milliseconds; several attempts fit into this time.
-STOP_CONFIRM_LIMIT_MS = 250.0
 # After a lost command, further losses are likely for some seconds.
 LOSSY_PERIOD_MS = 3000.0
 
@@ -99,17 +97,12 @@
         return now_ms - self._last_unanswered_ms < LOSSY_PERIOD_MS
 
     def may_renew_lease(self, now_ms: float) -> bool:
-        """Return whether the lease of the runs may be renewed.
+        """Return whether polls may renew the lease, which all runs share.
 
-        All runs share one lease. If a stop stays unconfirmed, letting the lease expire is the only
-        way to guarantee that the run has ended before the task runs elsewhere.
+        While a run is left that should have ended, letting the lease expire is the only way to
+        guarantee its end.
         """
-        return bool(self.runs) and not any(
-            run.stopping
-            and not run.stop_confirmed_ms
-            and now_ms - run.stop_requested_ms > STOP_CONFIRM_LIMIT_MS
-            for run in self.runs.values()
-        )
+        return bool(self.runs) and not any(run.is_overdue(now_ms) for run in self.runs.values())
 
     def assign_number(self, run: Run) -> RunName:
         """Assign the run a number higher than all that its task has used on this instance."""
--- a/src/currantbarrow/direct/leases.py
+++ b/src/currantbarrow/direct/leases.py
@@ -6,6 +6,8 @@
 
 __all__ = [
     "LEASE_END_LIMIT_MS",
+    "RUN_END_LIMIT_MS",
+    "STOP_CONFIRM_LIMIT_MS",
     "WORKER_CLOCK_MIN_RATE",
     "WORKER_LEASE_LIMIT_MS",
     "WorkerLease",
@@ -17,8 +19,14 @@
 WORKER_CLOCK_MIN_RATE = 0.98
 # Time that a worker needs after the lease expires to kill its runs and report their ends.
 LEASE_EXPIRY_MARGIN_MS = 60.0
+# How long leases are still renewed while a run that has to end is not confirmed as stopped. Stops
+# are normally confirmed within milliseconds, and several attempts fit into this time.
+STOP_CONFIRM_LIMIT_MS = 200.0
 # The longest time from the last renewal of a lease until all runs under it have ended.
 LEASE_END_LIMIT_MS = (WORKER_LEASE_LIMIT_MS + LEASE_EXPIRY_MARGIN_MS) / WORKER_CLOCK_MIN_RATE
+# The longest time from the moment at which a run has to end until it has ended. Callers resubmit
+# their jobs 1.3 s after they lose an entry, so it has to be shorter than that.
+RUN_END_LIMIT_MS = STOP_CONFIRM_LIMIT_MS + LEASE_END_LIMIT_MS
 
 
 class WorkerLease:
--- a/src/currantbarrow/direct/runs.py
+++ b/src/currantbarrow/direct/runs.py
@@ -5,6 +5,7 @@
 import enum
 from typing import TYPE_CHECKING
 
+from currantbarrow.direct.leases import STOP_CONFIRM_LIMIT_MS
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.worker import RunName
 from currantbarrow.protocol.direct import EndRow, RunEnd, TaskOrder
@@ -76,6 +77,13 @@
         """Return whether the worker is known to have started the run."""
         return self.started_ms > 0
 
+    def is_overdue(self, now_ms: float) -> bool:
+        """Return whether the run should have ended on the worker, and possibly has not."""
+        if self.phase is RunPhase.WAITING or self.stop_confirmed_ms:
+            return False
+        due_ms = self.stop_requested_ms if self.stopping else self.session.lease.expires_ms
+        return now_ms - due_ms > STOP_CONFIRM_LIMIT_MS
+
     def renumber(self, number: int) -> None:
         """Assign a higher run number."""
         self.name = RunName(self.name.job, self.name.step, self.name.index, number)
--- a/src/currantbarrow/direct/session.py
+++ b/src/currantbarrow/direct/session.py
@@ -4,6 +4,8 @@
 
 import enum
 
+from currantbarrow.direct.leases import RUN_END_LIMIT_MS
+
 __all__ = ["EntryLease", "LinkActivity", "SideLiveness"]
 
 # Interval of reports on links with runs. There are three in a lease, so one late message does not
@@ -21,10 +23,6 @@
 COLD_TIMEOUT_MS = 12_800.0
 # The clock of one host runs at most this much faster than that of another.
 CLOCK_DRIFT_FACTOR = 1.02
-# The leases that a side process grants to its worker end at most this long after the process dies.
-WORKER_LEASE_MS = 1000.0
-# A worker's clock may run 2 % slow, and stopping a run takes up to 50 ms.
-WORKER_LEASE_MARGIN_MS = 120.0
 
 
 class LinkActivity(enum.Enum):
@@ -69,6 +67,11 @@
         """Return whether runs of the entry may be started and kept running."""
         return now_ms - self._renewed_ms < LEASE_MS
 
+    @property
+    def expires_ms(self) -> float:
+        """Return when the lease expires if it is not renewed."""
+        return self._renewed_ms + LEASE_MS
+
     def age_ms(self, now_ms: float) -> float:
         """Return the time since the newest acknowledged stamp."""
         return now_ms - self._renewed_ms
@@ -120,7 +123,11 @@
         silent_ms = now_ms - max(self.last_report_ms, self._reports_expected_ms)
         return silent_ms >= activity.timeout_ms * CLOCK_DRIFT_FACTOR
 
-    @staticmethod
-    def runs_ended_after_ms() -> float:
-        """Return how long after the loss of a side process all runs on its worker have ended."""
-        return WORKER_LEASE_MS + WORKER_LEASE_MARGIN_MS
+    def runs_end_ms(self) -> float:
+        """Return when all runs of this entry have ended if no report arrives any more.
+
+        Acknowledgements and orders carry stamps of reports, so the lease of the orders was last
+        renewed before the newest report arrived or the newest order was sent.
+        """
+        renewed_ms = max(self.last_report_ms, self._reports_expected_ms)
+        return renewed_ms + (LEASE_MS + RUN_END_LIMIT_MS) * CLOCK_DRIFT_FACTOR
