Start nothing on a worker while a run there should have ended and possibly has not

Cause: all runs of a worker share one lease. Polls no longer renewed it while a stop was unconfirmed, but each start carried a lease as well, so the run to be stopped went on for as long as other entries sent orders. The same held for runs counted as lost: once the worker answered again, its lease was renewed, and a late start of a lost run was covered by it. Change: a run counted as lost, or not confirmed as stopped in time, keeps the worker from getting starts as well as renewals (Run.is_overdue); a lost run is stopped by name once the worker answers.

--- a/src/currantbarrow/direct/commands.py
+++ b/src/currantbarrow/direct/commands.py
@@ -91,8 +91,8 @@
             self._metrics.timing("side.start_answer_ms", now_ms - requested_ms)
             if answer.clock_ms is not None:
                 instance.lease.record_reading(answer.clock_ms, now_ms)
-            if run.stopping:
-                # The run was stopped meanwhile, and a start under a new number would revive it.
+            if run.stopping or run.reported or not instance.may_renew_lease(now_ms):
+                # Another start would revive the run, or prolong one that should have ended.
                 break
             if answer.verdict is StartVerdict.FENCED:
                 instance.token = self.next_token()
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -192,6 +192,8 @@
             and not self.draining
             and not instance.announcement.leaving
             and not instance.silent
+            # A start would prolong the runs that should have ended.
+            and not instance.has_overdue_runs(self._clock.monotonic_ms())
         )
 
     def _may_start(self, instance: WorkerInstance, run: Run, now_ms: float) -> bool:
@@ -374,12 +376,15 @@
         self, instance: WorkerInstance, run: Run, listed: bool, requested_ms: float
     ) -> None:
         """Resolve an unconfirmed start or stop from a poll that was sent at requested_ms."""
-        if listed and run.reported:
-            self._metrics.incr("side.run_outlived_lease")
-            logger.warning(
-                "run that was counted as lost still runs",
-                extra={"job": run.name.job, "task": run.name.index, "run": run.name.number},
-            )
+        if run.reported and not run.stopping:
+            if listed:
+                self._metrics.incr("side.run_outlived_lease")
+                logger.warning(
+                    "run that was counted as lost still runs",
+                    extra={"job": run.name.job, "task": run.name.index, "run": run.name.number},
+                )
+            # No run starts here before the worker has listed its end or confirmed a stop.
+            self.cancel(run)
         if run.phase is RunPhase.UNCONFIRMED and requested_ms >= run.unconfirmed_ms:
             if listed:
                 self._mark_started(run)
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -96,13 +96,16 @@
         """Return whether commands were lost recently."""
         return now_ms - self._last_unanswered_ms < LOSSY_PERIOD_MS
 
-    def may_renew_lease(self, now_ms: float) -> bool:
-        """Return whether polls may renew the lease, which all runs share.
+    def has_overdue_runs(self, now_ms: float) -> bool:
+        """Return whether a run is left that should have ended.
 
-        While a run is left that should have ended, letting the lease expire is the only way to
-        guarantee its end.
+        Letting the lease expire, which all runs share, is then the only way to guarantee its end.
         """
-        return bool(self.runs) and not any(run.is_overdue(now_ms) for run in self.runs.values())
+        return any(run.is_overdue(now_ms) for run in self.runs.values())
+
+    def may_renew_lease(self, now_ms: float) -> bool:
+        """Return whether a command may renew the lease of the runs."""
+        return bool(self.runs) and not self.has_overdue_runs(now_ms)
 
     def assign_number(self, run: Run) -> RunName:
         """Assign the run a number higher than all that its task has used on this instance."""
--- a/src/currantbarrow/direct/runs.py
+++ b/src/currantbarrow/direct/runs.py
@@ -81,6 +81,9 @@
         """Return whether the run should have ended on the worker, and possibly has not."""
         if self.phase is RunPhase.WAITING or self.stop_confirmed_ms:
             return False
+        if self.reported:
+            # It was counted as lost, and the task may run elsewhere.
+            return True
         due_ms = self.stop_requested_ms if self.stopping else self.session.lease.expires_ms
         return now_ms - due_ms > STOP_CONFIRM_LIMIT_MS
 
--- a/tests/test_direct_leases.py
+++ b/tests/test_direct_leases.py
@@ -130,6 +130,26 @@
         run_fleet(scenario)
 
 
+class TestRecoveredWorker:
+    """A worker answers again after its runs were counted as lost, but loses stops."""
+
+    @pytest.mark.parametrize("late_ms", [1800, 2200, 2600])
+    def test_late_start_of_a_lost_run_is_not_covered_by_the_lease_of_later_runs(
+        self, late_ms: float
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            faults = [worker.faults for worker in fleet.workers.values()][:2]
+            for each in faults:
+                each.late_ms, each.late_share, each.lost_stop_share = late_ms, 1.0, 1.0
+            submit_long_job(fleet, 12)
+            await asyncio.sleep(1.5)
+            for each in faults:
+                each.late_share = 0.0
+            await keep_busy(fleet, "entry-1", 3.0)
+
+        run_fleet(scenario)
+
+
 class TestLostLink:
     """An entry loses its link to a side process whose worker carries out no stop."""
 
