Extrapolate a worker's clock by a clock that stops while the host is suspended

Cause: the lower bound of the worker's clock grew with CLOCK_BOOTTIME, which counts the time of a suspension. The worker's clock is a steady one and may not count it, so after a suspension the bound was ahead by its length, and late commands came with leases longer by as much. Change: Clock.steady_ms (CLOCK_MONOTONIC) for worker leases; leases between hosts keep the clock that counts suspensions. If the worker was not suspended, the bound is only lower. Evidence: test_start_carried_out_late_after_a_suspension_does_not_run_beside_its_successor fails with the former clock in all three cases.

--- a/src/currantbarrow/direct/commands.py
+++ b/src/currantbarrow/direct/commands.py
@@ -79,7 +79,7 @@
                 answer = await self._control.start(
                     instance.worker,
                     RunSpec(run.name, run.payload),
-                    instance.lease.renew(requested_ms),
+                    instance.lease.renew(self._clock.steady_ms()),
                     instance.token,
                     START_TIMEOUT_MS,
                 )
@@ -90,7 +90,7 @@
             now_ms = self._clock.monotonic_ms()
             self._metrics.timing("side.start_answer_ms", now_ms - requested_ms)
             if answer.clock_ms is not None:
-                instance.lease.record_reading(answer.clock_ms, now_ms)
+                instance.lease.record_reading(answer.clock_ms, self._clock.steady_ms())
             if run.stopping or run.reported or not instance.may_renew_lease(now_ms):
                 # Another start would revive the run, or prolong one that should have ended.
                 break
@@ -136,7 +136,7 @@
                 instance.worker,
                 instance.token,
                 acknowledged_end=applied_end,
-                lease_until_ms=instance.lease.renew(requested_ms) if renews else None,
+                lease_until_ms=instance.lease.renew(self._clock.steady_ms()) if renews else None,
                 wait_ms=wait_ms,
                 timeout_ms=wait_ms
                 + instance.timeout_ms(LOSSY_POLL_TIMEOUT_MS if lossy else POLL_TIMEOUT_MS),
@@ -152,7 +152,7 @@
             instance.token = self.next_token()
             return None
         instance.acknowledged_end = max(instance.acknowledged_end, applied_end)
-        instance.lease.record_reading(result.clock_ms, self._clock.monotonic_ms())
+        instance.lease.record_reading(result.clock_ms, self._clock.steady_ms())
         return result
 
     async def stop_stray_runs(self, instance: WorkerInstance) -> None:
@@ -169,9 +169,8 @@
             if result is None:
                 instance.token = self.next_token()
                 continue
-            now_ms = self._clock.monotonic_ms()
-            instance.lease.record_reading(result.clock_ms, now_ms)
-            instance.record_answer(now_ms)
+            instance.lease.record_reading(result.clock_ms, self._clock.steady_ms())
+            instance.record_answer(self._clock.monotonic_ms())
             if not result.running:
                 instance.applied_end = max((end.position for end in result.ends), default=0)
                 return
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -137,15 +137,16 @@
         if instance is None or not instance.ready:
             return
         now_ms = self._clock.monotonic_ms()
-        if instance.silent and instance.lease.has_expired(now_ms):
-            self._report_lost(instance, now_ms)
+        if instance.silent and instance.lease.has_expired(self._clock.steady_ms()):
+            self._report_lost(instance)
         self._stop_overdue(instance, now_ms)
 
-    def _report_lost(self, instance: WorkerInstance, now_ms: float) -> None:
+    def _report_lost(self, instance: WorkerInstance) -> None:
         """Report the runs of a silent worker whose leases have expired as lost."""
         lost = [run for run in instance.runs.values() if not run.reported]
         if not lost:
             return
+        now_ms = self._clock.steady_ms()
         logger.info(
             "leases of silent worker expired, runs counted as lost",
             extra={
@@ -174,7 +175,7 @@
                 run.stopping or run.phase is RunPhase.UNCONFIRMED for run in instance.runs.values()
             )
             # A lease based on an old reading is short, and the start may come before a new one.
-            is_old = instance.lease.reading_age_ms(self._clock.monotonic_ms()) > READING_MAX_AGE_MS
+            is_old = instance.lease.reading_age_ms(self._clock.steady_ms()) > READING_MAX_AGE_MS
             at_once = has_unconfirmed or is_old or not instance.runs
             answered = await self._poll(instance, at_once=at_once)
             if not answered:
--- a/src/currantbarrow/direct/leases.py
+++ b/src/currantbarrow/direct/leases.py
@@ -35,7 +35,8 @@
     A command may be executed seconds after it was sent, so its lease has to end by the worker's
     clock. The worker read its clock before its answer arrived, and the clock runs at least at the
     minimum rate. Both the end of a lease and its expiry are computed from this lower bound of the
-    clock, so a wrong bound would shorten leases instead of prolonging them.
+    clock, so a wrong bound would shorten leases instead of prolonging them. Times of this process
+    are those of a clock that stops while the host is suspended, as the worker's clock may.
     """
 
     __slots__ = ("_clock_ms", "_duration_ms", "_read_ms", "_renewed_ms", "_until_ms")
--- a/src/currantbarrow/observe/clock.py
+++ b/src/currantbarrow/observe/clock.py
@@ -23,6 +23,10 @@
         # CLOCK_MONOTONIC stops while a host is suspended, but leases must expire then too.
         return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
+    def steady_ms(self) -> float:
+        """Return a monotonic time in milliseconds that stops while the host is suspended."""
+        return time.monotonic() * 1000
+
     def wall_ms(self) -> int:
         """Return the time since the epoch in milliseconds."""
         return time.time_ns() // 1_000_000
--- a/src/currantbarrow/standins/direct_worker.py
+++ b/src/currantbarrow/standins/direct_worker.py
@@ -105,7 +105,7 @@
         self.name = name
         # The worker's clock, relative to the time of the event loop.
         self.clock_rate = clock_rate
-        self._clock_start_ms = clock_start_ms
+        self.clock_start_ms = clock_start_ms
         self.capacity = capacity
         self.faults = WorkerFaults()
         self.leaving = False
@@ -323,4 +323,4 @@
         self._ends.append(WorkerEnd(self._position, run.name, end))
 
     def _now_ms(self) -> float:
-        return self._clock_start_ms + asyncio.get_running_loop().time() * 1000 * self.clock_rate
+        return self.clock_start_ms + asyncio.get_running_loop().time() * 1000 * self.clock_rate
--- a/src/currantbarrow/standins/fleet.py
+++ b/src/currantbarrow/standins/fleet.py
@@ -40,10 +40,16 @@
 
     def __init__(self, skew_ms: float = 0.0) -> None:
         self.skew_ms = skew_ms
+        # How long the host has been suspended in all.
+        self.suspended_ms = 0.0
         self.running = asyncio.Event()
         self.running.set()
 
     def monotonic_ms(self) -> float:
+        """Return the loop's time in milliseconds, and the time for which the host was suspended."""
+        return self.steady_ms() + self.suspended_ms
+
+    def steady_ms(self) -> float:
         """Return the loop's time in milliseconds."""
         return asyncio.get_running_loop().time() * 1000
 
--- a/src/currantbarrow/types.py
+++ b/src/currantbarrow/types.py
@@ -26,7 +26,10 @@
     """Provide time and delays; tests replace it to simulate time and pauses."""
 
     def monotonic_ms(self) -> float:
-        """Return a monotonic time in milliseconds."""
+        """Return a monotonic time in milliseconds that advances while the host is suspended."""
+
+    def steady_ms(self) -> float:
+        """Return a monotonic time in milliseconds that stops while the host is suspended."""
 
     def wall_ms(self) -> int:
         """Return the time since the epoch in milliseconds."""
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -51,6 +51,9 @@
     def monotonic_ms(self) -> float:
         return self.now_ms
 
+    def steady_ms(self) -> float:
+        return self.now_ms
+
     def wall_ms(self) -> int:
         return int(self.now_ms)
 
--- a/tests/test_direct_leases.py
+++ b/tests/test_direct_leases.py
@@ -129,6 +129,19 @@
 
         run_fleet(scenario)
 
+    @pytest.mark.parametrize("late_ms", [1150, 1500, 1900])
+    def test_start_carried_out_late_after_a_suspension_does_not_run_beside_its_successor(
+        self, late_ms: float
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            await keep_busy(fleet, "entry-1", 1.0)
+            # The clocks of the workers stand still while their hosts are suspended.
+            fleet.clock.suspended_ms += 1000.0
+            await keep_busy(fleet, "entry-2", 2.0)
+            await self.delay_commands(fleet, late_ms, lambda: submit_long_job(fleet, 12))
+
+        run_fleet(scenario)
+
 
 class TestRecoveredWorker:
     """A worker answers again after its runs were counted as lost, but loses stops."""
