Confirm that a job is cleared only after a restarted side process has its worker

A task ran twice at the same time if a side process restarted shortly before another entry took over the task's job: asked to stop the job's runs, it confirmed at once that there were none, because it had no worker yet. Runs that its predecessor had started went on until their leases expired, up to 1.08 s after its end, or until the worker was taken over.

The side process now confirms only once it has taken over a worker, which stops all runs left on it, or once all leases that its predecessor can have granted have expired since it listens on its address; so a worker that is gone for good doesn't delay the takeover of jobs beyond that.

--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -48,6 +48,8 @@
     ) -> None:
         self.instance: WorkerInstance | None = None
         self.draining = False
+        # Whether this process has taken over a worker and stopped the runs left on it.
+        self.has_taken_over = False
         self._commands = WorkerCommands(control, clock, metrics, self._handle_silence_change)
         self._clock = clock
         self._metrics = metrics
@@ -226,6 +228,7 @@
             self._end_instance(self.instance, "worker replaced")
         instance.ready = True
         self.instance = instance
+        self.has_taken_over = True
         self._work_available.set()
         logger.info(
             "worker ready",
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -44,6 +44,10 @@
 SAVE_TIMEOUT_MS = 700.0
 # Longer than an order for a job that moved to another entry can be delayed.
 CLEARED_JOB_RETENTION_MS = 10_000.0
+# A worker's clock runs at least at this rate.
+SLOWEST_CLOCK_RATE = 0.98
+# Time that a worker needs after its lease expires to kill its runs.
+LEASE_EXPIRY_MARGIN_MS = 60.0
 REJECTION_REASONS = {
     RunEnd.MOVED: "job moved",
     RunEnd.CANCELLED: "job cancelled",
@@ -150,6 +154,8 @@
         self._background = BackgroundTasks(metrics)
         self._sessions: list[SideSession] = []
         self._cleared_jobs: dict[str, _ClearedJobRecord] = {}
+        # When the leases that an earlier process granted to the worker have expired.
+        self._stray_runs_until_ms = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self.driver = WorkerDriver(
             control,
@@ -169,6 +175,12 @@
             data_centre=self.options.data_centre,
         )
         self.address = await self._network.listen(self.options.listener_address, hello, self._serve)
+        # An earlier process has ended, or this one could not listen on its address.
+        self._stray_runs_until_ms = (
+            self._clock.monotonic_ms()
+            + self.options.worker_lease_ms / SLOWEST_CLOCK_RATE
+            + LEASE_EXPIRY_MARGIN_MS
+        )
         row = HostRow(
             Role.SIDE.value,
             self.options.link_address,
@@ -337,11 +349,18 @@
         ]
         for run in runs:
             self.driver.cancel(run)
-        while not all(run.reported for run in runs):
+        while self._may_have_stray_runs() or not all(run.reported for run in runs):
             await self._clock.sleep_ms(END_POLL_INTERVAL_MS)
         if not session.link.closed:
             session.link.post(ClearedJob(call.call_id))
 
+    def _may_have_stray_runs(self) -> bool:
+        """Return whether runs that an earlier process ordered may still run on the worker."""
+        return (
+            not self.driver.has_taken_over
+            and self._clock.monotonic_ms() < self._stray_runs_until_ms
+        )
+
     async def _tick(self) -> None:
         while True:
             interval_ms = TICK_INTERVAL_MS if self.driver.runs() else IDLE_TICK_INTERVAL_MS
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -27,6 +27,8 @@
 LEASE_MS = 1000.0
 ANNOUNCE_MS = 500.0
 SETTLE_S = 1.5
+# Shorter than a command needs to a worker.
+LINKS_CLOSED_S = 0.0005
 QUEUE = WorkQueue("work", "host", "/jobs/", "work", 0, 60.0, 1.6, 3, 0.0)
 
 
@@ -82,19 +84,21 @@
 
 
 class MemoryAnnouncements:
-    """Store a worker's last announcement in memory."""
+    """Store a worker's last announcement in memory; while it is down, it has none."""
 
     def __init__(self) -> None:
+        self.down = False
         self._stored: Announcement | None = None
 
     async def save(self, announcement: Announcement) -> bool:
-        """Store an announcement."""
-        self._stored = announcement
-        return True
+        """Store an announcement; return whether it is stored."""
+        if not self.down:
+            self._stored = announcement
+        return not self.down
 
     async def load(self) -> Announcement | None:
         """Return the stored announcement, if any."""
-        return self._stored
+        return None if self.down else self._stored
 
 
 class MemoryConfigurations:
@@ -238,7 +242,11 @@
     async def kill_side(self, name: str) -> None:
         """Crash a side process."""
         self._announcing.pop(name).cancel()
-        await self.sides.pop(name).stop()
+        side = self.sides.pop(name)
+        await side.stop()
+        # Unlike a crash, the closing of the links begins stops of runs; none is carried out yet.
+        await asyncio.sleep(LINKS_CLOSED_S)
+        side.driver.stop()
 
     def block_timed_waits(self, name: str) -> None:
         """Block the timed waits of an entry; its clock still advances."""
