Count the runs on a worker that shuts down as ended only on proof

Tasks ran twice at the same time if a worker reported its shutdown and went on for a while: the side process counted all its runs as lost as soon as the report came, and their entries ran the tasks again. A worker ends only when it receives the answer to its report, or some seconds later if it doesn't.

Now the side process accepts no further runs, stops those on the worker, and reports each when its stop is confirmed, when the worker lists its end or when its lease has expired; then it ends the instance.

Two tests failed before with tasks running twice: a worker that ends 2 s after its report, with and without lost stops. In a third, which failed for the same reason, the worker also gets no new run.

--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.commands import WorkerCommands
 from currantbarrow.direct.instance import NO_WORKER, WorkerInstance
@@ -29,6 +31,8 @@
 # Poll interval while the start or stop of a run is unconfirmed.
 UNCONFIRMED_POLL_INTERVAL_MS = 10.0
 SILENT_POLL_INTERVAL_MS = 100.0
+# Interval of checks whether the runs on a worker that shuts down have ended.
+DEPARTURE_CHECK_INTERVAL_MS = 10.0
 # Number of ended instances whose names are kept, to ignore their delayed announcements.
 RETIRED_INSTANCES_KEPT = 64
 
@@ -74,9 +78,14 @@
             self._background.spawn(self._take_over(announcement))
 
     def handle_departure(self, worker: str) -> None:
-        """End the worker instance that reported its shutdown."""
-        if self.instance is not None and self.instance.worker == worker:
-            self._end_instance(self.instance, "worker shut down")
+        """Stop the runs on the worker instance that reported its shutdown, then end it."""
+        instance = self.instance
+        if instance is None or instance.worker != worker:
+            return
+        logger.info("worker is shutting down", extra={"worker": worker, "runs": len(instance.runs)})
+        instance.announcement = msgspec.structs.replace(instance.announcement, leaving=True)
+        self._on_change()
+        self._background.spawn(self._finish_departure(instance))
 
     def state(self) -> WorkerState:
         """Return the state of the worker for reports to entries."""
@@ -212,6 +221,17 @@
             self.start_waiting_runs()
             self._on_change()
 
+    async def _finish_departure(self, instance: WorkerInstance) -> None:
+        """Stop all runs on a worker instance, and end it once they have ended."""
+        # The worker may run them until it receives the answer to its report, or some seconds more.
+        while not instance.ended:
+            for run in list(instance.runs.values()):
+                self.cancel(run, RunEnd.LOST)
+            if all(run.reported for run in instance.runs.values()):
+                self._end_instance(instance, "worker shut down")
+            else:
+                await self._clock.sleep_ms(DEPARTURE_CHECK_INTERVAL_MS)
+
     async def _take_over(self, announcement: Announcement) -> None:
         """Take over a new worker instance, after stopping runs that were left on it."""
         worker = announcement.worker
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -248,6 +248,14 @@
         await asyncio.sleep(LINKS_CLOSED_S)
         side.driver.stop()
 
+    async def shut_down_worker(self, name: str, ends_after_ms: float) -> None:
+        """Report the shutdown of a worker, and end it later; a new instance follows at once."""
+        self._announcing.pop(name).cancel()
+        self.sides[name].driver.handle_departure(self.workers[name].worker)
+        await asyncio.sleep(ends_after_ms / 1000)
+        self.workers[name].crash()
+        self._announcing[name] = asyncio.create_task(self._announce(name, self.sides[name]))
+
     def block_timed_waits(self, name: str) -> None:
         """Block the timed waits of an entry; its clock still advances."""
         self._clocks[name].running.clear()
--- a/tests/test_direct_worker_changes.py
+++ b/tests/test_direct_worker_changes.py
@@ -64,3 +64,40 @@
             assert asyncio.get_running_loop().time() - start_s < 0.1
 
         run_fleet(scenario)
+
+
+class TestDepartedWorker:
+    def test_runs_of_a_worker_that_ends_late_are_not_repeated_before(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            job = submit_long_job(fleet, "entry-0", 12)
+            await asyncio.sleep(0.5)
+            # The answer to its report is lost, so it ends seconds later.
+            await fleet.shut_down_worker("side-0", ends_after_ms=2000.0)
+            assert await job == "completed"
+
+        run_fleet(scenario)
+
+    def test_runs_of_a_departed_worker_that_loses_stops_are_not_repeated_before(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            job = submit_long_job(fleet, "entry-0", 12)
+            await asyncio.sleep(0.5)
+            fleet.workers["side-0"].faults.lost_stop_share = 1.0
+            await fleet.shut_down_worker("side-0", ends_after_ms=2000.0)
+            assert await job == "completed"
+
+        run_fleet(scenario)
+
+    def test_departed_worker_gets_no_new_runs(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            job = submit_long_job(fleet, "entry-0", 12)
+            await asyncio.sleep(0.5)
+            departing = asyncio.create_task(fleet.shut_down_worker("side-0", ends_after_ms=2000.0))
+            await asyncio.sleep(0.001)
+            before = len(fleet.runs.started)
+            await departing
+            assert await job == "completed"
+            started = [worker for _, worker in fleet.runs.started[before:]]
+            assert started
+            assert "worker-0.1" not in started
+
+        run_fleet(scenario)
