Ignore orders that a side process reads from a link after it has closed it

A task ran twice at the same time if an entry lost its link to a side process while orders were in transit, and connected again. The side process ended the runs of the earlier link and reported on the new one, on which the entry counted those orders as ended and gave the tasks to other workers; but it still read the earlier link, and started the runs when the orders came. The same holds for a link that the side process closes itself because the entry acknowledges no reports: orders that it had already received were carried out, and since their session was gone, nothing reported or stopped their runs.

A closed session now ignores all messages, and the earlier link is aborted when a new one opens.

Both tests failed before: one with tasks running twice after orders that took 300 ms, the other with a start from a link that had been aborted.

--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -85,6 +85,7 @@
     """Track the link to one entry, its lease and its unreported ends."""
 
     __slots__ = (
+        "closed",
         "ends",
         "infrequent",
         "last_order_sequence",
@@ -99,6 +100,7 @@
 
     def __init__(self, link: Link, now_ms: float) -> None:
         self.link = link
+        self.closed = False
         self.lease = EntryLease(now_ms)
         self.last_order_sequence = 0
         self.ends: list[EndRow] = []
@@ -267,6 +269,7 @@
         """
         for session in list(self._sessions):
             if session.link.peer.incarnation == incarnation:
+                session.link.abort()
                 self._close_session(session)
         while any(
             run.session.link.peer.incarnation == incarnation and not run.reported
@@ -275,6 +278,14 @@
             await self._clock.sleep_ms(END_POLL_INTERVAL_MS)
 
     def _handle(self, session: SideSession, message: Message) -> None:
+        if session.closed:
+            # The link still delivers what it had received. Runs ordered now would not be reported,
+            # and the entry may already count them as ended.
+            logger.info(
+                "message on closed link ignored",
+                extra={"entry": session.link.peer.name, "type": type(message).__name__},
+            )
+            return
         match message:
             case SessionPing():
                 session.lease.renew(message.heard_ms)
@@ -392,6 +403,7 @@
         if session not in self._sessions:
             return
         self._sessions.remove(session)
+        session.closed = True
         if session.report_timer is not None:
             session.report_timer.cancel()
         self._cancel_runs(session)
--- a/tests/test_direct_worker_changes.py
+++ b/tests/test_direct_worker_changes.py
@@ -4,8 +4,21 @@
 
 import asyncio
 
-from currantbarrow.direct.model import JobState
-from currantbarrow.standins.direct_fleet import DirectFleet
+from currantbarrow.direct.model import JobState, Resources
+from currantbarrow.direct.session import LEASE_MS
+from currantbarrow.direct.side import DirectSide, DirectSideOptions
+from currantbarrow.observe import MetricsRegistry
+from currantbarrow.protocol import Hello, Message, Role
+from currantbarrow.protocol.direct import RunTasks, TaskOrder
+from currantbarrow.standins.direct_fleet import (
+    DirectFleet,
+    MemoryAnnouncements,
+    MemoryDirectory,
+)
+from currantbarrow.standins.direct_worker import MemoryWorker, RunRecorder
+from currantbarrow.standins.fleet import LoopClock
+from currantbarrow.standins.virtual import run_virtual
+from currantbarrow.types import Link, LinkHandler
 from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
 
 LONG_RUN_MS = 3000.0
@@ -101,3 +114,98 @@
             assert "worker-0.1" not in started
 
         run_fleet(scenario)
+
+
+class BufferedLink:
+    """Represent an entry's link that still delivers received messages after it was aborted."""
+
+    def __init__(self) -> None:
+        self.peer = Hello(Role.ENTRY, "entry-0", "entry-0.1")
+        self.closed = False
+        self.received: asyncio.Queue[Message] = asyncio.Queue()
+
+    def post(self, message: Message) -> None:
+        """Ignore a message."""
+
+    async def receive(self) -> Message:
+        """Return the next message."""
+        return await self.received.get()
+
+    async def close(self) -> None:
+        """Close the link."""
+        self.closed = True
+
+    def abort(self) -> None:
+        """Close the link."""
+        self.closed = True
+
+
+class OneListenerNetwork:
+    """Represent the network of a side process that connects to nobody."""
+
+    def __init__(self) -> None:
+        self.handlers: list[LinkHandler] = []
+
+    async def connect(self, address: str, hello: Hello) -> Link:
+        """Fail, since there is nothing to connect to."""
+        raise AssertionError(address)
+
+    async def listen(self, address: str, hello: Hello, handler: LinkHandler) -> str:
+        """Keep the handler of links."""
+        self.handlers.append(handler)
+        return address
+
+    async def stop(self) -> None:
+        """Do nothing, as no link is open."""
+
+
+class TestClosedLinks:
+    def test_order_that_was_received_before_the_link_was_aborted_is_not_carried_out(self) -> None:
+        async def scenario() -> None:
+            recorder, network, clock = RunRecorder(), OneListenerNetwork(), LoopClock()
+            worker = MemoryWorker("worker-0", Resources(8000, 8000, 0), recorder, 1000.0)
+            worker.start_clock()
+            side = DirectSide(
+                DirectSideOptions("side-0", "side-0.1", "a", "a", "one", (), 1000.0, 100.0),
+                worker,
+                clock=clock,
+                network=network,
+                metrics=MetricsRegistry(),
+                directory=MemoryDirectory(),
+                announcements=MemoryAnnouncements(),
+            )
+            await side.start()
+            await side.handle_announcement(worker.announcement())
+            await asyncio.sleep(0.1)
+            link = BufferedLink()
+            serving = asyncio.ensure_future(network.handlers[0](link))
+            for index in range(2):
+                order = TaskOrder(0, index, 1, 1000, 64, 0, 3000.0, 500.0)
+                orders = RunTasks(clock.monotonic_ms(), index + 1, "e" * 16, "3000/1000", [order])
+                link.received.put_nowait(orders)
+                # No report is acknowledged, so the link is aborted before the second order.
+                await asyncio.sleep((LEASE_MS + 200.0) / 1000)
+                assert link.closed
+            assert len(recorder.started) == 1
+            assert recorder.running == {}
+            serving.cancel()
+            await side.stop()
+            worker.stop_clock()
+
+        run_virtual(scenario())
+
+    def test_order_on_an_earlier_link_is_not_carried_out_after_the_new_one_reported(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            for name in fleet.sides:
+                fleet.fabric.delay("entry-0", name, 300.0)
+            job = submit_long_job(fleet, "entry-0", 12)
+            await asyncio.sleep(0.1)
+            for handle in fleet.entries["entry-0"].fleet.handles():
+                if handle.address in ("side-0:1", "side-1:1"):
+                    assert handle.ordered_tasks
+                    handle.link.abort()
+            for name in fleet.sides:
+                fleet.fabric.delay("entry-0", name, 0.0)
+            assert await job == "completed"
+
+        run_fleet(scenario)
