Take over one worker at a time

A task ran twice at the same time after a side process had taken over the same worker twice. A late announcement of another worker, which came while the takeover was in progress, made it forget the name of the worker that it was taking over, so the worker's next announcement began a second takeover. The second one fenced a start of the first and ended its instance as replaced by itself: the run was reported as lost and ran elsewhere. The start was then repeated under a higher token, outside any instance, and ran until its lease expired, a second later.

Takeovers now follow one another, and one whose worker was taken over or has ended meanwhile does nothing more. That also excludes that a worker is replaced by its predecessor, whose answer to an earlier request arrives later; no test shows that case.

--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -64,6 +64,7 @@
         self._work_available = asyncio.Event()
         self._retired_instances: list[str] = []
         self._taking_over = ""
+        self._take_over_lock = asyncio.Lock()
 
     def handle_announcement(self, announcement: Announcement) -> None:
         """Apply an announcement, or take over the worker instance if it is new."""
@@ -233,7 +234,21 @@
                 await self._clock.sleep_ms(DEPARTURE_CHECK_INTERVAL_MS)
 
     async def _take_over(self, announcement: Announcement) -> None:
-        """Take over a new worker instance, after stopping runs that were left on it."""
+        """Take over a new worker instance, unless another takeover has settled it meanwhile."""
+        # A takeover that overlaps with another one may fence and end the instance that the other
+        # has just made ready, or replace a worker by its predecessor, which answered earlier.
+        async with self._take_over_lock:
+            try:
+                if self.instance is not None and self.instance.worker == announcement.worker:
+                    self._apply_announcement(self.instance, announcement)
+                elif announcement.worker not in self._retired_instances:
+                    await self._begin_instance(announcement)
+            finally:
+                if self._taking_over == announcement.worker:
+                    self._taking_over = ""
+
+    async def _begin_instance(self, announcement: Announcement) -> None:
+        """Begin a new worker instance, after stopping runs that were left on it."""
         worker = announcement.worker
         instance = WorkerInstance(announcement, self._commands.next_token(), self._lease_ms)
         try:
@@ -242,8 +257,6 @@
             # The next announcement triggers a new attempt.
             logger.info("worker not reachable", extra={"worker": worker, "error": str(error)})
             return
-        finally:
-            self._taking_over = ""
         if self.instance is not None:
             self._end_instance(self.instance, "worker replaced")
         instance.ready = True
--- a/tests/test_direct_worker_changes.py
+++ b/tests/test_direct_worker_changes.py
@@ -116,6 +116,36 @@
         run_fleet(scenario)
 
 
+class TestAnnouncements:
+    def test_late_announcement_of_another_worker_does_not_make_a_worker_taken_over_twice(
+        self,
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            worker = fleet.workers["side-0"]
+            worker.crash()
+            late = worker.announcement()
+            worker.crash()
+            fleet.stored_announcements["side-0"].down = True
+            await fleet.kill_side("side-0")
+            await fleet.start_side("side-0")
+            # The order arrives between the two takeovers, of which the second fences its start.
+            worker.faults.late_answers_ms = 55.0
+            for announcement in (worker.announcement(), late, worker.announcement()):
+                await fleet.sides["side-0"].handle_announcement(announcement)
+                await asyncio.sleep(0.02)
+            entry = fleet.entries["entry-0"]
+            while not any(
+                handle.address == "side-0:1" and handle.worker for handle in entry.fleet.handles()
+            ):
+                await asyncio.sleep(0.0001)
+            job = submit_long_job(fleet, "entry-0", 12)
+            await asyncio.sleep(0.5)
+            worker.faults.late_answers_ms = 0.0
+            assert await job == "completed"
+
+        run_fleet(scenario)
+
+
 class BufferedLink:
     """Represent an entry's link that still delivers received messages after it was aborted."""
 
