--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.commands import WorkerCommands
 from currantbarrow.direct.instance import NO_WORKER, WorkerInstance
@@ -31,6 +33,8 @@
 SILENT_POLL_INTERVAL_MS = 100.0
 # A worker's clock may have drifted by a tenth of the lease since an older reading.
 READING_MAX_AGE_MS = 5000.0
+# Interval of checks whether the runs on a worker that shuts down have ended.
+DEPARTURE_CHECK_INTERVAL_MS = 10.0
 # Number of ended instances whose names are kept, to ignore their delayed announcements.
 RETIRED_INSTANCES_KEPT = 64
 
@@ -50,6 +54,8 @@
     ) -> None:
         self.instance: WorkerInstance | None = None
         self.draining = False
+        # Whether this process has taken over a worker and stopped the runs left on it.
+        self.has_taken_over = False
         self._commands = WorkerCommands(control, clock, metrics, self._handle_silence_change)
         self._clock = clock
         self._metrics = metrics
@@ -60,6 +66,7 @@
         self._work_available = asyncio.Event()
         self._retired_instances: list[str] = []
         self._taking_over = ""
+        self._take_over_lock = asyncio.Lock()
 
     def handle_announcement(self, announcement: Announcement) -> None:
         """Apply an announcement, or take over the worker instance if it is new."""
@@ -74,9 +81,14 @@
             self._background.spawn(self._take_over(announcement))
 
     def handle_departure(self, worker: str) -> None:
-        """End the worker instance that reported its shutdown."""
-        if self.instance is not None and self.instance.worker == worker:
-            self._end_instance(self.instance, "worker shut down")
+        """Stop the runs on the worker instance that reported its shutdown, then end it."""
+        instance = self.instance
+        if instance is None or instance.worker != worker:
+            return
+        logger.info("worker is shutting down", extra={"worker": worker, "runs": len(instance.runs)})
+        instance.announcement = msgspec.structs.replace(instance.announcement, leaving=True)
+        self._on_change()
+        self._background.spawn(self._finish_departure(instance))
 
     def state(self) -> WorkerState:
         """Return the state of the worker for reports to entries."""
@@ -218,8 +230,33 @@
             self.start_waiting_runs()
             self._on_change()
 
+    async def _finish_departure(self, instance: WorkerInstance) -> None:
+        """Stop all runs on a worker instance, and end it once they have ended."""
+        # The worker may run them until it receives the answer to its report, or some seconds more.
+        while not instance.ended:
+            for run in list(instance.runs.values()):
+                self.cancel(run, RunEnd.LOST)
+            if all(run.reported for run in instance.runs.values()):
+                self._end_instance(instance, "worker shut down")
+            else:
+                await self._clock.sleep_ms(DEPARTURE_CHECK_INTERVAL_MS)
+
     async def _take_over(self, announcement: Announcement) -> None:
-        """Take over a new worker instance, after stopping runs that were left on it."""
+        """Take over a new worker instance, unless another takeover has settled it meanwhile."""
+        # A takeover that overlaps with another one may fence and end the instance that the other
+        # has just made ready, or replace a worker by its predecessor, which answered earlier.
+        async with self._take_over_lock:
+            try:
+                if self.instance is not None and self.instance.worker == announcement.worker:
+                    self._apply_announcement(self.instance, announcement)
+                elif announcement.worker not in self._retired_instances:
+                    await self._begin_instance(announcement)
+            finally:
+                if self._taking_over == announcement.worker:
+                    self._taking_over = ""
+
+    async def _begin_instance(self, announcement: Announcement) -> None:
+        """Begin a new worker instance, after stopping runs that were left on it."""
         worker = announcement.worker
         instance = WorkerInstance(announcement, self._commands.next_token(), self._lease_ms)
         try:
@@ -228,12 +265,11 @@
             # The next announcement triggers a new attempt.
             logger.info("worker not reachable", extra={"worker": worker, "error": str(error)})
             return
-        finally:
-            self._taking_over = ""
         if self.instance is not None:
             self._end_instance(self.instance, "worker replaced")
         instance.ready = True
         self.instance = instance
+        self.has_taken_over = True
         self._work_available.set()
         logger.info(
             "worker ready",
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -9,6 +9,7 @@
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.driver import WorkerDriver
 from currantbarrow.direct.hosts import AnnouncementStore, HostDirectory
+from currantbarrow.direct.leases import LEASE_END_LIMIT_MS
 from currantbarrow.direct.registration import keep_registered
 from currantbarrow.direct.reporting import NO_DELAY_MS, needs_prompt_report, report_delay_ms
 from currantbarrow.direct.runs import Run
@@ -81,6 +82,7 @@
     """Track the link to one entry, its lease and its unreported ends."""
 
     __slots__ = (
+        "closed",
         "ends",
         "infrequent",
         "last_order_sequence",
@@ -95,6 +97,7 @@
 
     def __init__(self, link: Link, now_ms: float) -> None:
         self.link = link
+        self.closed = False
         self.lease = EntryLease(now_ms)
         self.last_order_sequence = 0
         self.ends: list[EndRow] = []
@@ -150,6 +153,8 @@
         self._background = BackgroundTasks(metrics)
         self._sessions: list[SideSession] = []
         self._cleared_jobs: dict[str, _ClearedJobRecord] = {}
+        # When the leases that an earlier process granted to the worker have expired.
+        self._stray_runs_until_ms = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self.driver = WorkerDriver(
             control,
@@ -169,6 +174,8 @@
             data_centre=self.options.data_centre,
         )
         self.address = await self._network.listen(self.options.listener_address, hello, self._serve)
+        # An earlier process has ended, or this one could not listen on its address.
+        self._stray_runs_until_ms = self._clock.monotonic_ms() + LEASE_END_LIMIT_MS
         row = HostRow(
             Role.SIDE.value,
             self.options.link_address,
@@ -255,6 +262,7 @@
         """
         for session in list(self._sessions):
             if session.link.peer.incarnation == incarnation:
+                session.link.abort()
                 self._close_session(session)
         while any(
             run.session.link.peer.incarnation == incarnation and not run.reported
@@ -263,6 +271,14 @@
             await self._clock.sleep_ms(END_POLL_INTERVAL_MS)
 
     def _handle(self, session: SideSession, message: Message) -> None:
+        if session.closed:
+            # The link still delivers what it had received. Runs ordered now would not be reported,
+            # and the entry may already count them as ended.
+            logger.info(
+                "message on closed link ignored",
+                extra={"entry": session.link.peer.name, "type": type(message).__name__},
+            )
+            return
         match message:
             case SessionPing():
                 session.lease.renew(message.heard_ms)
@@ -337,11 +353,18 @@
         ]
         for run in runs:
             self.driver.cancel(run)
-        while not all(run.reported for run in runs):
+        while self._may_have_stray_runs() or not all(run.reported for run in runs):
             await self._clock.sleep_ms(END_POLL_INTERVAL_MS)
         if not session.link.closed:
             session.link.post(ClearedJob(call.call_id))
 
+    def _may_have_stray_runs(self) -> bool:
+        """Return whether runs that an earlier process ordered may still run on the worker."""
+        return (
+            not self.driver.has_taken_over
+            and self._clock.monotonic_ms() < self._stray_runs_until_ms
+        )
+
     async def _tick(self) -> None:
         while True:
             interval_ms = TICK_INTERVAL_MS if self.driver.runs() else IDLE_TICK_INTERVAL_MS
@@ -373,6 +396,7 @@
         if session not in self._sessions:
             return
         self._sessions.remove(session)
+        session.closed = True
         if session.report_timer is not None:
             session.report_timer.cancel()
         self._cancel_runs(session)
