Stop runs that a poll lists although this side process did not order them

Cause: all runs of a worker share its lease. A run that reached the worker through a command of a former takeover was ignored in polls, and the runs of others prolonged it. Change: such a run is stopped by name, logged and counted; a start is not repeated for an instance that has ended. Evidence: test_run_that_was_not_ordered_does_not_share_the_lease_of_others fails without the change.

--- a/src/currantbarrow/direct/commands.py
+++ b/src/currantbarrow/direct/commands.py
@@ -14,6 +14,7 @@
 from currantbarrow.direct.runs import Run
 from currantbarrow.direct.worker import (
     PollResult,
+    RunName,
     RunSpec,
     StartAnswer,
     StartVerdict,
@@ -91,7 +92,8 @@
             self._metrics.timing("side.start_answer_ms", now_ms - requested_ms)
             if answer.clock_ms is not None:
                 instance.lease.record_reading(answer.clock_ms, self._clock.steady_ms())
-            if run.stopping or run.reported or not instance.may_renew_lease(now_ms):
+            is_obsolete = run.stopping or run.reported or instance.ended
+            if is_obsolete or not instance.may_renew_lease(now_ms):
                 # Another start would revive the run, or prolong one that should have ended.
                 break
             if answer.verdict is StartVerdict.FENCED:
@@ -103,13 +105,13 @@
                 break
         return answer
 
-    async def stop(self, instance: WorkerInstance, run: Run) -> None:
+    async def stop(self, instance: WorkerInstance, name: RunName) -> None:
         """Stop a run, and retry until the worker confirms it; raise WorkerReplaced."""
         pause_ms = RETRY_BACKOFF_MIN_MS
         while not instance.ended:
             try:
                 timeout_ms = instance.timeout_ms(STOP_TIMEOUT_MS)
-                if await self._control.stop(instance.worker, run.name, instance.token, timeout_ms):
+                if await self._control.stop(instance.worker, name, instance.token, timeout_ms):
                     self._record_answer(instance)
                     return
                 instance.token = self.next_token()
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -14,6 +14,7 @@
 from currantbarrow.direct.worker import (
     Announcement,
     PollResult,
+    RunName,
     StartAnswer,
     StartVerdict,
     WorkerControl,
@@ -353,7 +354,7 @@
 
     async def _stop(self, instance: WorkerInstance, run: Run) -> None:
         try:
-            await self._commands.stop(instance, run)
+            await self._commands.stop(instance, run.name)
         except WorkerReplaced:
             self._end_instance(instance, "another instance answered")
             return
@@ -407,8 +408,24 @@
         running = set(result.running)
         for run in list(instance.runs.values()):
             self._reconcile(instance, run, run.name in running, requested_ms)
+        for name in running:
+            if name.number > instance.run_numbers.get(name.task, 0):
+                instance.run_numbers[name.task] = name.number
+                self._background.spawn(self._stop_stray(instance, name))
         self.start_waiting_runs()
 
+    async def _stop_stray(self, instance: WorkerInstance, name: RunName) -> None:
+        """Stop a run that was not ordered through this instance, and would share its lease."""
+        self._metrics.incr("side.stray_run")
+        logger.warning(
+            "stopping run that was not ordered",
+            extra={"worker": instance.worker, "job": name.job, "task": name.index},
+        )
+        try:
+            await self._commands.stop(instance, name)
+        except WorkerReplaced:
+            self._end_instance(instance, "another instance answered")
+
     def _reconcile(
         self, instance: WorkerInstance, run: Run, listed: bool, requested_ms: float
     ) -> None:
--- a/tests/test_direct_worker_changes.py
+++ b/tests/test_direct_worker_changes.py
@@ -7,6 +7,7 @@
 from currantbarrow.direct.model import JobState, Resources
 from currantbarrow.direct.session import LEASE_MS
 from currantbarrow.direct.side import DirectSide, DirectSideOptions
+from currantbarrow.direct.worker import RunName, RunSpec
 from currantbarrow.observe import MetricsRegistry
 from currantbarrow.protocol import Hello, Message, Role
 from currantbarrow.protocol.direct import RunTasks, TaskOrder
@@ -146,6 +147,23 @@
         run_fleet(scenario)
 
 
+class TestStrayRuns:
+    def test_run_that_was_not_ordered_does_not_share_the_lease_of_others(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            worker, instance = fleet.workers["side-0"], fleet.sides["side-0"].driver.instance
+            assert instance is not None
+            submit_long_job(fleet, "entry-0", 16)
+            await asyncio.sleep(0.5)
+            stray = RunSpec(RunName("f" * 16, 0, 0, 1), f"{LONG_RUN_MS}/1000")
+            until_ms = asyncio.get_running_loop().time() * 1000 + 1000.0
+            await worker.start(worker.worker, stray, until_ms, instance.token, 100.0)
+            assert stray.name.task in fleet.runs.running
+            await asyncio.sleep(0.5)
+            assert stray.name.task not in fleet.runs.running
+
+        run_fleet(scenario)
+
+
 class BufferedLink:
     """Represent an entry's link that still delivers received messages after it was aborted."""
 
