Let a job that is taken over wait for the leases behind side processes that could not be asked

Cause: an entry that takes over a job asks the side processes that it is linked to. A call that failed at once ended the wait as well. Change: the entry waits until the leases behind recently lost links have expired, and as long as side processes may take to end runs if one did not confirm.

--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -11,7 +11,7 @@
 
 from currantbarrow.direct.aperture import Aperture, connect_delays_ms, order_links
 from currantbarrow.direct.job import JobTask, OpenJob
-from currantbarrow.direct.leases import RUN_END_LIMIT_MS
+from currantbarrow.direct.leases import LEASE_END_LIMIT_MS, RUN_END_LIMIT_MS
 from currantbarrow.direct.links import LinkConnector
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.placement import WorkerOffer
@@ -65,6 +65,15 @@
     free_cores: float
 
 
+class _LostLink(msgspec.Struct, frozen=True):
+    """Describe a lost link, over which runs were ordered that may not have ended yet."""
+
+    handle: SideHandle
+    lost_ms: float
+    # When all runs ordered over it have certainly ended.
+    runs_end_ms: float
+
+
 class SideHandle:
     """Track one link to a side process and the orders sent over it."""
 
@@ -212,8 +221,7 @@
         self._warm_count = 0
         # Side processes that this entry has not tried to connect to yet.
         self._new_addresses: set[str] = set()
-        # Lost links, with the time at which all runs ordered over them have certainly ended.
-        self._lost_handles: list[tuple[SideHandle, float]] = []
+        self._lost_links: list[_LostLink] = []
 
     def add(self, address: str) -> None:
         """Connect to the side process at an address and keep reconnecting to it."""
@@ -286,8 +294,10 @@
     async def clear_job(self, job: str, *, cancelled: bool = False) -> bool:
         """Stop other entries' runs of a job, and have their later orders for it rejected.
 
-        Return whether all linked side processes confirmed it.
+        Return whether all linked side processes confirmed it. The runs have ended either way,
+        unless an unreachable entry still orders them from a side process that is unreachable, too.
         """
+        began_ms = self._clock.monotonic_ms()
         replies = await asyncio.gather(
             *(
                 handle.rpc.call(
@@ -297,7 +307,16 @@
             ),
             return_exceptions=True,
         )
-        return not any(isinstance(reply, BaseException) for reply in replies)
+        confirmed = not any(isinstance(reply, BaseException) for reply in replies)
+        # Side processes that ended recently were not asked. No one renews the leases of their
+        # workers.
+        ended_ms = [lost.lost_ms + LEASE_END_LIMIT_MS for lost in self._lost_links]
+        if not confirmed:
+            ended_ms.append(began_ms + CLEAR_TIMEOUT_MS)
+        wait_ms = max(ended_ms, default=0.0) - self._clock.monotonic_ms()
+        if wait_ms > 0 and not cancelled:
+            await self._clock.sleep_ms(wait_ms)
+        return confirmed
 
     async def run(self) -> None:
         """Close links that are lost and update the warm ones, until cancelled."""
@@ -308,7 +327,7 @@
                 if handle.is_lost(now_ms):
                     self._mark_lost(handle, "silent")
             self._update_warm_links(now_ms)
-            for lost in [each for each in self._lost_handles if now_ms >= each[1]]:
+            for lost in [each for each in self._lost_links if now_ms >= each.runs_end_ms]:
                 self._settle_lost(lost, "lease expired")
 
     def stop(self) -> None:
@@ -398,13 +417,13 @@
         )
         self._metrics.incr("entry.side_up")
         # The first report with a worker confirms that all earlier orders there have ended.
-        for lost in [each for each in self._lost_handles if each[0].address == handle.address]:
+        for lost in [each for each in self._lost_links if each.handle.address == handle.address]:
             self._settle_lost(lost, "reported by the new link")
 
-    def _settle_lost(self, lost: tuple[SideHandle, float], reason: str) -> None:
+    def _settle_lost(self, lost: _LostLink, reason: str) -> None:
         """Count the runs ordered over a lost link as ended."""
-        self._lost_handles.remove(lost)
-        handle = lost[0]
+        self._lost_links.remove(lost)
+        handle = lost.handle
         if handle.ordered_tasks:
             now_ms = self._clock.monotonic_ms()
             logger.info(
@@ -437,4 +456,5 @@
             },
         )
         self._metrics.incr("entry.side_down")
-        self._lost_handles.append((handle, handle.liveness.runs_end_ms()))
+        now_ms = self._clock.monotonic_ms()
+        self._lost_links.append(_LostLink(handle, now_ms, handle.liveness.runs_end_ms()))
--- a/tests/test_direct_worker_changes.py
+++ b/tests/test_direct_worker_changes.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
 
 from currantbarrow.direct.model import JobState, Resources
 from currantbarrow.direct.session import LEASE_MS
@@ -80,6 +83,48 @@
         run_fleet(scenario)
 
 
+class TestClearedJob:
+    """An entry dies without notice, and its job is resubmitted to another one."""
+
+    @staticmethod
+    async def resubmit(fleet: DirectFleet, meanwhile: Callable[[], Awaitable[None]]) -> None:
+        first = submit_long_job(fleet, "entry-0", 8)
+        await asyncio.sleep(0.5)
+        for name in fleet.sides:
+            fleet.fabric.cut("entry-0", name)
+        await fleet.kill_entry("entry-0")
+        resubmitted = asyncio.create_task(asyncio.sleep(RESUBMIT_AFTER_S))
+        await meanwhile()
+        await resubmitted
+        again = submit_long_job(fleet, "entry-1", 8)
+        assert await again is JobState.COMPLETED
+        first.cancel()
+
+    @pytest.mark.parametrize("killed_after_s", [0.5, 0.6, 0.7])
+    def test_job_waits_for_the_leases_of_a_side_process_that_can_not_be_asked(
+        self, killed_after_s: float
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            async def kill_sides() -> None:
+                await asyncio.sleep(killed_after_s)
+                for name in ("side-0", "side-1"):
+                    await fleet.kill_side(name)
+
+            await self.resubmit(fleet, kill_sides)
+
+        run_fleet(scenario)
+
+    def test_job_waits_for_leases_while_stops_are_lost(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            async def lose_stops() -> None:
+                for worker in fleet.workers.values():
+                    worker.faults.lost_stop_share = 1.0
+
+            await self.resubmit(fleet, lose_stops)
+
+        run_fleet(scenario)
+
+
 class TestDepartedWorker:
     def test_runs_of_a_worker_that_ends_late_are_not_repeated_before(self) -> None:
         async def scenario(fleet: DirectFleet) -> None:
