Test random troubles of direct dispatch in virtual time

The incident was missed since late commands were played as single starts, at delays and clock rates that hid the fault, and never beside restarts, lost stops and lost links. A seeded test now brings all of these upon a fleet, several at the same time, with workers' clocks at 0.98 to 1.0, for 15 s of virtual time a seed.

--- /dev/null
+++ b/tests/test_direct_random.py
@@ -0,0 +1,214 @@
+"""Test random troubles of direct dispatch in virtual time: no task runs twice at once."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from currantbarrow.direct.model import JobSpec
+from currantbarrow.direct.worker import Announcement
+from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
+from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
+
+SEEDS = range(8)
+TROUBLE_S = 15.0
+CALM_S = 8.0
+# Callers give up on an entry that vanished without closing its connections.
+CALLER_DEADLINE_S = 1.5
+RUN_TIMES_MS = (100.0, 600.0, 1500.0, 3000.0)
+# Commands are carried out late within these times, most of them about when a lease expires.
+LATE_MS = ((300.0, 4000.0), (900.0, 1700.0), (900.0, 1700.0))
+
+
+class Callers:
+    """Submit jobs, and submit them elsewhere when their entry is gone."""
+
+    def __init__(self, fleet: DirectFleet, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._rng = rng
+        self._calls: dict[asyncio.Task[object], tuple[str, str]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, until_s: float) -> None:
+        """Submit jobs until a time of the event loop."""
+        number = 0
+        while asyncio.get_running_loop().time() < until_s:
+            number += 1
+            count, run_ms = self._rng.randint(1, 6), self._rng.choice(RUN_TIMES_MS)
+            spec = self._fleet.build_job(f"{number:016x}", count, run_ms)
+            self._tasks.add(asyncio.create_task(self._submit(spec)))
+            await asyncio.sleep(self._rng.uniform(0.05, 0.25))
+
+    def disconnect(self, entry: str, *, ended: bool = False) -> None:
+        """Break the calls at an entry, which cancels their jobs unless it has ended."""
+        for call, (at_entry, job) in list(self._calls.items()):
+            if at_entry == entry:
+                call.cancel()
+                if not ended:
+                    dispatcher = self._fleet.entries[entry].dispatcher
+                    if job in dispatcher.jobs:
+                        dispatcher.cancel(dispatcher.jobs[job], "caller disconnected")
+
+    def stop(self) -> None:
+        """Give up all calls."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _submit(self, spec: JobSpec) -> None:
+        while True:
+            entry = self._rng.choice(list(self._fleet.entries))
+            call: asyncio.Task[object] = asyncio.create_task(self._fleet.submit(entry, spec))
+            self._calls[call] = entry, spec.job_id
+            await asyncio.wait({call})
+            del self._calls[call]
+            if not call.cancelled():
+                return
+            await asyncio.sleep(RESUBMIT_AFTER_S)
+
+
+class Troubles:
+    """Bring troubles of all kinds upon a fleet, several at the same time."""
+
+    def __init__(self, fleet: DirectFleet, callers: Callers, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._callers = callers
+        self._rng = rng
+        self._restarting: set[str] = set()
+        self._former: dict[str, list[Announcement]] = {name: [] for name in fleet.workers}
+
+    async def run(self, until_s: float) -> None:
+        """Begin troubles until a time of the event loop, and wait for their ends."""
+        kinds: list[Callable[[], Awaitable[None]]] = [
+            self._restart_entry,
+            self._lose_entry,
+            self._reset_callers,
+            self._restart_side,
+            self._crash_worker,
+            self._shut_down_worker,
+            self._announce_late,
+            self._delay_commands,
+            self._delay_commands,
+            self._lose_stops,
+            self._abort_link,
+            self._cut_link,
+            self._delay_link,
+            self._lose_announcements,
+        ]
+        running = []
+        while asyncio.get_running_loop().time() < until_s:
+            await asyncio.sleep(self._rng.uniform(0.1, 0.9))
+            running.append(asyncio.ensure_future(self._rng.choice(kinds)()))
+        await asyncio.gather(*running)
+
+    def _draw_side(self) -> str:
+        return self._rng.choice(list(self._fleet.workers))
+
+    def _draw_entry(self) -> str:
+        return self._rng.choice(list(self._fleet.entries))
+
+    async def _restart_entry(self) -> None:
+        if len(self._fleet.entries) > 1:
+            name = self._draw_entry()
+            self._callers.disconnect(name, ended=True)
+            await self._fleet.kill_entry(name)
+            await asyncio.sleep(self._rng.choice((0.3, 1.0, 3.0)))
+            await self._fleet.start_entry(name)
+
+    async def _lose_entry(self) -> None:
+        """Power an entry's host off: nobody learns of it by a closed connection."""
+        if len(self._fleet.entries) > 1:
+            name = self._draw_entry()
+            self._fleet.fabric.silence(self._fleet.entries[name].options.incarnation)
+            await self._fleet.kill_entry(name)
+            await asyncio.sleep(CALLER_DEADLINE_S)
+            self._callers.disconnect(name, ended=True)
+            await self._fleet.start_entry(name)
+
+    async def _reset_callers(self) -> None:
+        self._callers.disconnect(self._draw_entry())
+
+    async def _restart_side(self) -> None:
+        name = self._draw_side()
+        if name in self._fleet.sides and name not in self._restarting:
+            self._restarting.add(name)
+            await self._fleet.kill_side(name)
+            await asyncio.sleep(self._rng.choice((0.001, 0.1, 0.7, 2.0)))
+            await self._fleet.start_side(name)
+            self._restarting.discard(name)
+
+    async def _crash_worker(self) -> None:
+        name = self._draw_side()
+        self._former[name].append(self._fleet.workers[name].announcement())
+        self._fleet.workers[name].crash()
+
+    async def _shut_down_worker(self) -> None:
+        name = self._draw_side()
+        if name in self._fleet.sides and name not in self._restarting:
+            self._restarting.add(name)
+            self._former[name].append(self._fleet.workers[name].announcement())
+            await self._fleet.shut_down_worker(name, self._rng.choice((2.0, 100.0, 1500.0)))
+            self._restarting.discard(name)
+
+    async def _announce_late(self) -> None:
+        name = self._draw_side()
+        if name in self._fleet.sides and self._former[name]:
+            await self._fleet.sides[name].handle_announcement(self._rng.choice(self._former[name]))
+
+    async def _delay_commands(self) -> None:
+        faults = self._fleet.workers[self._draw_side()].faults
+        faults.late_ms = self._rng.uniform(*self._rng.choice(LATE_MS))
+        faults.late_share = self._rng.choice((0.3, 1.0, 1.0))
+        await asyncio.sleep(self._rng.uniform(0.3, 3.0))
+        faults.late_share = 0.0
+
+    async def _lose_stops(self) -> None:
+        faults = self._fleet.workers[self._draw_side()].faults
+        faults.lost_stop_share = self._rng.choice((0.3, 1.0))
+        await asyncio.sleep(self._rng.uniform(0.3, 3.0))
+        faults.lost_stop_share = 0.0
+
+    async def _abort_link(self) -> None:
+        address = f"{self._draw_side()}:1"
+        for handle in self._fleet.entries[self._draw_entry()].fleet.handles():
+            if handle.address == address:
+                handle.link.abort()
+
+    async def _cut_link(self) -> None:
+        entry, side = self._draw_entry(), self._draw_side()
+        self._fleet.fabric.cut(entry, side)
+        await asyncio.sleep(self._rng.uniform(0.3, 4.0))
+        self._fleet.fabric.restore(entry, side)
+
+    async def _delay_link(self) -> None:
+        entry, side = self._draw_entry(), self._draw_side()
+        self._fleet.fabric.delay(entry, side, self._rng.choice((50.0, 300.0)))
+        await asyncio.sleep(self._rng.uniform(0.3, 4.0))
+        self._fleet.fabric.delay(entry, side, 0.0)
+
+    async def _lose_announcements(self) -> None:
+        stored = self._fleet.stored_announcements[self._draw_side()]
+        stored.down = True
+        await asyncio.sleep(self._rng.uniform(0.3, 4.0))
+        stored.down = False
+
+
+class TestRandomTroubles:
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_no_task_runs_twice_at_once(self, seed: int) -> None:
+        rng = random.Random(seed)
+
+        async def scenario(fleet: DirectFleet) -> None:
+            for worker in fleet.workers.values():
+                worker.faults.lost_share = rng.choice((0.0, 0.05))
+            until_s = asyncio.get_running_loop().time() + TROUBLE_S
+            callers = Callers(fleet, rng)
+            troubles = Troubles(fleet, callers, rng)
+            await asyncio.gather(callers.run(until_s), troubles.run(until_s))
+            await asyncio.sleep(CALM_S)
+            callers.stop()
+
+        clock_rate = rng.choice((0.98, 0.99, 1.0))
+        run_fleet(scenario, DirectPlan(seed=seed, worker_clock_rate=clock_rate))
