Number the attempts of a job that an entry accepts again after those that it used before

What callers saw: a task can run on two workers at once after its job ended at an entry (its caller left) and was submitted there again. An entry counted attempts from 1 each time. A side process reports the end of a run by job, task and attempt, so the report that run 1 had been stopped, still on its way when the job was accepted again and ordered over the same link, was taken for the end of the new run 1: the task was ordered elsewhere while the new run was running. Also, the end of another attempt removed the order of the newer one from the link's record. Its own end was then dropped as late, and the job stayed open until the link was lost.

The history now keeps the highest attempt number of each job that ended here, and the next acceptance counts from it; the rule for jobs that a peer has accepted is in the same place. An end with another attempt number leaves the record as it is.

Evidence, virtual time, reports that take 20 ms: a job cancelled and submitted again 40, 50, 60 or 70 ms later ran twice at once in all four cases before; none does now. With the numbers but without the second change all four jobs hang until the scenario times out.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -91,7 +91,7 @@
     # Submission.
 
     def submit(
-        self, spec: JobSpec, queue: WorkQueue, caller_timeout_ms: float, attempts: int = 0
+        self, spec: JobSpec, queue: WorkQueue, caller_timeout_ms: float
     ) -> OpenJob | Refusal:
         """Accept a job, or return the reason for refusing it."""
         now_ms = self._clock.monotonic_ms()
@@ -100,6 +100,8 @@
         ]
         chain_ms = longest_chain_ms(spec.steps, expected_ms)
         times = create_times(now_ms, chain_ms, queue.stretch, queue.target_ms, caller_timeout_ms)
+        # Reports may still list ends of the job's earlier runs, which differ by attempt number.
+        attempts = self._history.attempts_used(spec.job_id)
         job = OpenJob(spec, queue, times, expected_ms, attempts)
         refusal = self._check_admission(job, now_ms)
         if refusal is not None:
@@ -134,10 +136,12 @@
 
     def run_ended(self, handle: SideHandle, row: EndRow) -> None:
         """Handle the end of a run."""
-        entry = handle.ordered_tasks.pop((row.job, row.step, row.index), None)
+        key = (row.job, row.step, row.index)
+        entry = handle.ordered_tasks.get(key)
         if entry is None or entry[1].attempts != row.attempt:
             self._metrics.incr("entry.late_result")
             return
+        del handle.ordered_tasks[key]
         self._settle_run(*entry, handle, row.end, row.ran_ms)
 
     def runs_lost(self, handle: SideHandle) -> None:
@@ -351,6 +355,8 @@
             self.fleet.cancel_runs(job)
         self._waiting.pop(job.spec.job_id, None)
         self.jobs.pop(job.spec.job_id, None)
+        if job.started:
+            self._history.record_attempts(job.spec.job_id, job.highest_attempt())
         if STANDING_BY_STATE[state] is not Standing.UNKNOWN:
             self._history.record_ended(job.spec.job_id, STANDING_BY_STATE[state])
         job.end(state, reason, retry_after_s)
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -38,9 +38,6 @@
 
 __all__ = ["DirectEntry", "DirectEntryOptions"]
 
-# Attempts of a job taken over from another entry are counted from here, so that their numbers
-# differ from those that the other entry has used. It is not a limit on attempts.
-TAKEOVER_ATTEMPT_OFFSET = 50
 EXPIRY_INTERVAL_MS = 1000.0
 # Callers resubmit a job 1.3 s after a failure. A peer that accepted a job later than this entry by
 # more than half of that received the resubmission.
@@ -201,18 +198,16 @@
             return ended
         if self.draining and not self._accepts_while_draining():
             return Refusal("draining", 1, 0.0)
-        attempts = 0
         address = self.history.accepting_peer(spec.job_id)
         if address:
             standing = await self._take_over(spec.job_id, address)
             if standing in (Standing.COMPLETED, Standing.FAILED):
                 return standing
-            attempts = TAKEOVER_ATTEMPT_OFFSET
             # The job may have been submitted here meanwhile.
             job = self.dispatcher.jobs.get(spec.job_id)
             if job is not None:
                 return job
-        return self.dispatcher.submit(spec, queue, caller_timeout_ms, attempts)
+        return self.dispatcher.submit(spec, queue, caller_timeout_ms)
 
     async def cancel(self, job_id: str) -> bool:
         """Cancel a job here or at a peer; return whether it was known."""
--- a/src/currantbarrow/direct/history.py
+++ b/src/currantbarrow/direct/history.py
@@ -14,6 +14,9 @@
 RETENTION_MS = 60_000.0
 # Jobs accepted within this time are reported to a peer whose link was down.
 RECENT_JOBS_MS = 10_000.0
+# Attempts of a job that a peer has accepted are counted from here, so that their numbers differ
+# from those that the peer has used. It is not a limit on attempts.
+PEER_ATTEMPTS = 50
 
 ValueT = TypeVar("ValueT")
 
@@ -48,7 +51,7 @@
 class JobHistory:
     """Record the outcomes of jobs at this entry, and the entries that have accepted jobs."""
 
-    __slots__ = ("_accepted", "_cleared", "_clock", "_ended", "_peer_jobs")
+    __slots__ = ("_accepted", "_attempts", "_cleared", "_clock", "_ended", "_peer_jobs")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -56,6 +59,8 @@
         # The address of the entry that accepted a job.
         self._peer_jobs: _JobRecords[str] = _JobRecords()
         self._cleared: _JobRecords[bool] = _JobRecords()
+        # The highest attempt number that this entry has used for a job that ended here.
+        self._attempts: _JobRecords[int] = _JobRecords()
         self._accepted: collections.deque[tuple[str, float]] = collections.deque()
 
     def record_accepted(self, job: str) -> None:
@@ -71,6 +76,15 @@
         """Return the outcome of a job at this entry, UNKNOWN if there is none."""
         return self._ended.get(job, Standing.UNKNOWN)
 
+    def record_attempts(self, job: str, attempts: int) -> None:
+        """Record the highest attempt number that this entry has used for a job."""
+        self._attempts.set(job, attempts, self._clock.monotonic_ms())
+
+    def attempts_used(self, job: str) -> int:
+        """Return the highest attempt number that earlier runs of a job may have."""
+        own = self._attempts.get(job, 0)
+        return own + PEER_ATTEMPTS if self.accepting_peer(job) else own
+
     def record_cleared(self, job: str) -> None:
         """Record that side processes reject orders for a job from all entries but this one."""
         self._cleared.set(job, True, self._clock.monotonic_ms())
@@ -107,3 +121,4 @@
         self._ended.expire(now_ms)
         self._peer_jobs.expire(now_ms)
         self._cleared.expire(now_ms)
+        self._attempts.expire(now_ms)
--- a/src/currantbarrow/direct/job.py
+++ b/src/currantbarrow/direct/job.py
@@ -150,6 +150,10 @@
         """Return the tasks that were ordered and have not ended."""
         return [task for task in self.tasks.values() if task.side is not None]
 
+    def highest_attempt(self) -> int:
+        """Return the highest attempt number of any task."""
+        return max((task.attempts for task in self.tasks.values()), default=0)
+
     def waiting_core_ms(self) -> float:
         """Return the expected core-milliseconds of all waiting tasks."""
         return sum(
