Let a job that is submitted again wait for the runs left of it at its entry

What callers saw: a task can run on two workers at once after its job ended at an entry (its caller left, or it moved) and was submitted again, there or at another entry. The entry forgot a job when it ended, although its runs go on until the worker has carried out their stops, or until their lease expires if the stops are lost or the link to the side process is. The same entry ordered the tasks again at once; another entry that asked for the job's release was told at once that the job was cancelled or unknown, so it ordered them as well.

An entry now keeps an ended job until each of its orders is reported as ended, or counted as lost. A release waits as it does for an open job, and answers that the job is open while runs are left, so the other entry has them stopped by the side processes. A submission that waits gives way if the job is cancelled meanwhile or submitted to another entry, since it would otherwise run at both.

Jobs that are new here don't wait.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from currantbarrow.direct.admission import Backlog, Refusal, ReleaseRate, check_admission
+from currantbarrow.direct.ending import EndingJobs
 from currantbarrow.direct.estimates import RunTimeEstimator
 from currantbarrow.direct.fleet import FleetCapacity, SideFleet, SideHandle
 from currantbarrow.direct.history import JobHistory
@@ -73,6 +74,7 @@
     ) -> None:
         self.fleet: SideFleet | None = None
         self.jobs: dict[str, OpenJob] = {}
+        self.ending = EndingJobs(clock)
         # The number of entries that share the workers, including this one.
         self.entry_count = 1
         self.run_time_estimator = RunTimeEstimator()
@@ -355,6 +357,7 @@
             self.fleet.cancel_runs(job)
         self._waiting.pop(job.spec.job_id, None)
         self.jobs.pop(job.spec.job_id, None)
+        self.ending.add(job)
         if job.started:
             self._history.record_attempts(job.spec.job_id, job.highest_attempt())
         if STANDING_BY_STATE[state] is not Standing.UNKNOWN:
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -23,6 +23,7 @@
 from currantbarrow.direct.model import JobSpec, WorkQueue
 from currantbarrow.direct.peers import EntryPeers
 from currantbarrow.direct.routing import Configuration
+from currantbarrow.direct.submissions import PendingSubmissions
 from currantbarrow.exceptions import ConfigurationError, LinkError
 from currantbarrow.observe import logger
 from currantbarrow.protocol import Hello, Role
@@ -42,9 +43,11 @@
 # Callers resubmit a job 1.3 s after a failure. A peer that accepted a job later than this entry by
 # more than half of that received the resubmission.
 RESUBMISSION_MIN_AGE_MS = 650.0
-RELEASE_POLL_INTERVAL_MS = 5.0
 # How long to wait for the runs of a job to stop when another entry requests its release.
 RELEASE_TIMEOUT_MS = 700.0
+# How long a job that ended here and is submitted again waits for its earlier runs to end. Those of
+# a lost side process are certain to have ended sooner.
+EARLIER_RUNS_TIMEOUT_MS = 3000.0
 # Time to leave the directory after a drain that took all the time it may take.
 WITHDRAW_MIN_MS = 50.0
 DRAIN_POLL_INTERVAL_MS = 50.0
@@ -99,6 +102,7 @@
         self._processes: dict[str, HostRow] = {}
         # The addresses of entries that end as soon as their jobs have ended.
         self._draining_entries: set[str] = set()
+        self._submissions = PendingSubmissions(clock)
         self._background = BackgroundTasks(metrics)
         self._tasks: list[asyncio.Task[None]] = []
         self._drain_began_ms = 0.0
@@ -198,19 +202,18 @@
             return ended
         if self.draining and not self._accepts_while_draining():
             return Refusal("draining", 1, 0.0)
-        address = self.history.accepting_peer(spec.job_id)
-        if address:
-            standing = await self._take_over(spec.job_id, address)
-            if standing in (Standing.COMPLETED, Standing.FAILED):
-                return standing
-            # The job may have been submitted here meanwhile.
-            job = self.dispatcher.jobs.get(spec.job_id)
-            if job is not None:
-                return job
+        answer = await self._end_earlier_runs(spec.job_id)
+        # The job may have been submitted here meanwhile.
+        job = self.dispatcher.jobs.get(spec.job_id)
+        if job is not None:
+            return job
+        if answer is not None:
+            return answer
         return self.dispatcher.submit(spec, queue, caller_timeout_ms)
 
     async def cancel(self, job_id: str) -> bool:
         """Cancel a job here or at a peer; return whether it was known."""
+        self._submissions.withdraw(job_id)
         job = self.dispatcher.jobs.get(job_id)
         if job is not None:
             self.dispatcher.cancel(job, "cancelled by its caller")
@@ -229,6 +232,22 @@
             Standing.OPEN if job_id in self.dispatcher.jobs else self.history.final_standing(job_id)
         )
 
+    async def _end_earlier_runs(self, job_id: str) -> Refusal | Standing | None:
+        """Wait until earlier runs of a job have ended; return why it can't be accepted, if so."""
+        with self._submissions.hold(job_id) as submission:
+            address = self.history.accepting_peer(job_id)
+            if address:
+                standing = await self._take_over(job_id, address)
+                if standing in (Standing.COMPLETED, Standing.FAILED):
+                    return standing
+            have_ended = await self.dispatcher.ending.wait_for_runs(job_id, EARLIER_RUNS_TIMEOUT_MS)
+        if have_ended and not submission.withdrawn:
+            return None
+        reason = "withdrawn" if submission.withdrawn else "earlier_runs"
+        self._metrics.incr(f"entry.job_refused.{reason}")
+        logger.info("job refused", extra={"job": job_id, "reason": reason})
+        return Refusal(reason, 1, 0.0)
+
     async def _take_over(self, job_id: str, address: str) -> Standing:
         """Make another entry release a job that its caller has resubmitted here."""
         self._metrics.incr("entry.job_sent_again")
@@ -296,22 +315,24 @@
     async def _release(self, job_id: str) -> Standing:
         """Stop and release a job if it is open, and return its standing.
 
-        The runs have up to RELEASE_TIMEOUT_MS to stop; the standing is OPEN if some are left then.
+        The runs of a job that may be run again have up to RELEASE_TIMEOUT_MS to stop; the standing
+        is OPEN if some are left then.
         """
+        self._submissions.withdraw(job_id)
         open_job = self.dispatcher.jobs.get(job_id)
-        if open_job is None:
-            return self.history.final_standing(job_id)
-        self.dispatcher.move(open_job)
-        until_ms = self._clock.monotonic_ms() + RELEASE_TIMEOUT_MS
-        while open_job.ordered_tasks():
-            if self._clock.monotonic_ms() > until_ms:
-                return Standing.OPEN
-            await self._clock.sleep_ms(RELEASE_POLL_INTERVAL_MS)
-        return Standing.UNKNOWN
+        if open_job is not None:
+            self.dispatcher.move(open_job)
+        standing = self.history.final_standing(job_id)
+        if standing in (Standing.COMPLETED, Standing.FAILED):
+            return standing
+        if not await self.dispatcher.ending.wait_for_runs(job_id, RELEASE_TIMEOUT_MS):
+            return Standing.OPEN
+        return standing
 
     def stop_job(self, job_id: str) -> Standing:
         """Cancel a job, and return its standing before."""
         standing = self.standing_of(job_id)
+        self._submissions.withdraw(job_id)
         if job_id in self.dispatcher.jobs:
             self.dispatcher.cancel(self.dispatcher.jobs[job_id], "cancelled through another entry")
         return standing
@@ -322,6 +343,7 @@
         self.history.record_peer_jobs(ping.address, ping.taken)
         now_ms = self._clock.monotonic_ms()
         for row in ping.taken:
+            self._submissions.withdraw(row.job, row.age_ms + RESUBMISSION_MIN_AGE_MS)
             job = self.dispatcher.jobs.get(row.job)
             if (
                 job is not None
@@ -407,6 +429,7 @@
         while True:
             await self._clock.sleep_ms(EXPIRY_INTERVAL_MS)
             self.history.expire()
+            self.dispatcher.ending.expire()
             self._metrics.gauge("entry.open_jobs", len(self.dispatcher.jobs))
 
     def _drained_for_ms(self) -> float:
--- a/src/currantbarrow/direct/job.py
+++ b/src/currantbarrow/direct/job.py
@@ -150,6 +150,10 @@
         """Return the tasks that were ordered and have not ended."""
         return [task for task in self.tasks.values() if task.side is not None]
 
+    def has_ordered_tasks(self) -> bool:
+        """Return whether any task was ordered and has not ended."""
+        return any(task.side is not None for task in self.tasks.values())
+
     def highest_attempt(self) -> int:
         """Return the highest attempt number of any task."""
         return max((task.attempts for task in self.tasks.values()), default=0)
