Keep telling peers about open jobs, however long they last

What callers saw: a job that lasts can run at two entries at once when its caller submits it again to another one, until the first entry learns of it and stops its runs. Entries reported only jobs accepted in the last 10 s to a peer with a new link, so a peer that had just started, or whose link had been down, didn't know of older open ones; and a peer forgot any job 60 s after its acceptance. Both assume that callers submit a job again within seconds of the first submission; they do so within seconds of losing the entry, at any time while it is open.

Open jobs are now reported every 10 s with their age, so they are among those that a new link reports, and peers keep them. As an entry may have given up a job just after it reported it again, the newest acceptance counts.

Evidence, virtual time: a job of 30 s and a peer restarted after 11 s, and a job of 120 s submitted again after 63 s, both ran twice at once before; neither does now.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -358,10 +358,8 @@
         self._waiting.pop(job.spec.job_id, None)
         self.jobs.pop(job.spec.job_id, None)
         self.ending.add(job)
-        if job.started:
-            self._history.record_attempts(job.spec.job_id, job.highest_attempt())
-        if STANDING_BY_STATE[state] is not Standing.UNKNOWN:
-            self._history.record_ended(job.spec.job_id, STANDING_BY_STATE[state])
+        attempts = job.highest_attempt() if job.started else 0
+        self._history.record_ended(job.spec.job_id, STANDING_BY_STATE[state], attempts)
         job.end(state, reason, retry_after_s)
         took_ms = now_ms - job.times.received_ms
         self._metrics.incr(f"entry.job_ended.{state.value}")
--- a/src/currantbarrow/direct/history.py
+++ b/src/currantbarrow/direct/history.py
@@ -5,6 +5,8 @@
 import collections
 from typing import Generic, TypeVar
 
+import msgspec
+
 from currantbarrow.protocol.direct import Standing, TakenRow
 from currantbarrow.types import Clock
 
@@ -12,7 +14,8 @@
 
 # Callers resubmit a job within seconds, so records are not needed for longer.
 RETENTION_MS = 60_000.0
-# Jobs accepted within this time are reported to a peer whose link was down.
+# Jobs accepted within this time are reported to a peer whose link was down. Open jobs are reported
+# again at this interval, so that peers also know of those that last for long.
 RECENT_JOBS_MS = 10_000.0
 # Attempts of a job that a peer has accepted are counted from here, so that their numbers differ
 # from those that the peer has used. It is not a limit on attempts.
@@ -21,6 +24,13 @@
 ValueT = TypeVar("ValueT")
 
 
+class _Acceptance(msgspec.Struct, frozen=True):
+    """Describe the acceptance of a job at an entry."""
+
+    address: str
+    accepted_ms: float
+
+
 class _JobRecords(Generic[ValueT]):
     """Keep one value per job for the retention time."""
 
@@ -51,35 +61,40 @@
 class JobHistory:
     """Record the outcomes of jobs at this entry, and the entries that have accepted jobs."""
 
-    __slots__ = ("_accepted", "_attempts", "_cleared", "_clock", "_ended", "_peer_jobs")
+    __slots__ = ("_accepted", "_attempts", "_cleared", "_clock", "_ended", "_open", "_peer_jobs")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._ended: _JobRecords[Standing] = _JobRecords()
-        # The address of the entry that accepted a job.
-        self._peer_jobs: _JobRecords[str] = _JobRecords()
+        # The last acceptance of a job at another entry.
+        self._peer_jobs: _JobRecords[_Acceptance | None] = _JobRecords()
         self._cleared: _JobRecords[bool] = _JobRecords()
         # The highest attempt number that this entry has used for a job that ended here.
         self._attempts: _JobRecords[int] = _JobRecords()
-        self._accepted: collections.deque[tuple[str, float]] = collections.deque()
+        # When the open jobs were accepted.
+        self._open: dict[str, float] = {}
+        # Jobs, when they were accepted, and since when they are to be reported, oldest first.
+        self._accepted: collections.deque[tuple[str, float, float]] = collections.deque()
 
     def record_accepted(self, job: str) -> None:
         """Record that this entry has accepted a job."""
-        self._accepted.append((job, self._clock.monotonic_ms()))
+        now_ms = self._clock.monotonic_ms()
+        self._open[job] = now_ms
+        self._accepted.append((job, now_ms, now_ms))
         self._ended.remove(job)
 
-    def record_ended(self, job: str, standing: Standing) -> None:
-        """Record the outcome of a job at this entry."""
-        self._ended.set(job, standing, self._clock.monotonic_ms())
+    def record_ended(self, job: str, standing: Standing, attempts: int = 0) -> None:
+        """Record the outcome of a job at this entry, and the highest attempt number used for it."""
+        now_ms = self._clock.monotonic_ms()
+        self._open.pop(job, None)
+        self._ended.set(job, standing, now_ms)
+        if attempts:
+            self._attempts.set(job, attempts, now_ms)
 
     def final_standing(self, job: str) -> Standing:
         """Return the outcome of a job at this entry, UNKNOWN if there is none."""
         return self._ended.get(job, Standing.UNKNOWN)
 
-    def record_attempts(self, job: str, attempts: int) -> None:
-        """Record the highest attempt number that this entry has used for a job."""
-        self._attempts.set(job, attempts, self._clock.monotonic_ms())
-
     def attempts_used(self, job: str) -> int:
         """Return the highest attempt number that earlier runs of a job may have."""
         own = self._attempts.get(job, 0)
@@ -97,18 +112,25 @@
         """Record that another entry has accepted jobs."""
         now_ms = self._clock.monotonic_ms()
         for row in rows:
-            self._peer_jobs.set(row.job, address, now_ms)
+            known = self._peer_jobs.get(row.job, None)
+            acceptance = _Acceptance(address, now_ms - row.age_ms)
+            if known is None or known.accepted_ms <= acceptance.accepted_ms:
+                self._peer_jobs.set(row.job, acceptance, now_ms)
+            elif known.address == address:
+                self._peer_jobs.set(row.job, known, now_ms)
+            # Otherwise another entry has taken over the job since.
 
     def accepting_peer(self, job: str) -> str:
         """Return the address of another entry that has accepted a job, or an empty string."""
-        return self._peer_jobs.get(job, "")
+        acceptance = self._peer_jobs.get(job, None)
+        return acceptance.address if acceptance is not None else ""
 
     def accepted_since(self, since_ms: float) -> list[TakenRow]:
-        """Return the jobs accepted here since a time, as far as they are retained."""
+        """Return the jobs to report to a peer that was last reported to at a time."""
         now_ms = self._clock.monotonic_ms()
         rows = []
-        for job, accepted_ms in reversed(self._accepted):
-            if accepted_ms < since_ms:
+        for job, accepted_ms, report_from_ms in reversed(self._accepted):
+            if report_from_ms < since_ms:
                 break
             rows.append(TakenRow(job, now_ms - accepted_ms))
         return rows
@@ -116,8 +138,10 @@
     def expire(self) -> None:
         """Remove records past their retention time."""
         now_ms = self._clock.monotonic_ms()
-        while self._accepted and now_ms - self._accepted[0][1] > RECENT_JOBS_MS:
-            self._accepted.popleft()
+        while self._accepted and now_ms - self._accepted[0][2] > RECENT_JOBS_MS:
+            job, accepted_ms, _ = self._accepted.popleft()
+            if self._open.get(job) == accepted_ms:
+                self._accepted.append((job, accepted_ms, now_ms))
         self._ended.expire(now_ms)
         self._peer_jobs.expire(now_ms)
         self._cleared.expire(now_ms)
--- a/tests/test_direct_resubmission.py
+++ b/tests/test_direct_resubmission.py
@@ -6,8 +6,12 @@
 
 import pytest
 
+from currantbarrow.direct.history import RECENT_JOBS_MS, RETENTION_MS, JobHistory
 from currantbarrow.direct.model import JobSpec, JobState
+from currantbarrow.protocol.direct import Standing, TakenRow
 from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
+from currantbarrow.standins.fleet import LoopClock
+from currantbarrow.standins.virtual import run_virtual
 from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
 
 JOB = "a" * 16
@@ -161,3 +165,66 @@
             assert await waiting in (JobState.REFUSED, JobState.MOVED)
 
         run_fleet(scenario)
+
+
+class TestLongJobs:
+    """A job is open for longer than entries report or keep its acceptance."""
+
+    @staticmethod
+    async def submit_again(fleet: DirectFleet, spec: JobSpec) -> None:
+        again = submit(fleet, "entry-1", spec)
+        await asyncio.sleep(2.0)
+        assert len(fleet.runs.running) == 4
+        end_job(fleet, "entry-1", JobState.CANCELLED)
+        assert await again == JobState.CANCELLED
+
+    def test_entry_that_starts_later_learns_of_an_open_job(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            spec = fleet.build_job(JOB, 4, 3 * RECENT_JOBS_MS)
+            first = submit(fleet, "entry-0", spec)
+            await asyncio.sleep(RECENT_JOBS_MS / 1000 + 1.0)
+            await fleet.kill_entry("entry-1")
+            await fleet.start_entry("entry-1")
+            await asyncio.sleep(1.0)
+            await self.submit_again(fleet, spec)
+            assert await first == JobState.MOVED
+
+        run_fleet(scenario)
+
+    def test_entries_do_not_forget_that_a_job_is_open_elsewhere(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            spec = fleet.build_job(JOB, 4, 2 * RETENTION_MS)
+            first = submit(fleet, "entry-0", spec)
+            await asyncio.sleep(RETENTION_MS / 1000 + 3.0)
+            await self.submit_again(fleet, spec)
+            assert await first == JobState.MOVED
+
+        run_fleet(scenario)
+
+
+class TestReportedJobs:
+    def test_open_job_is_reported_again_with_its_age_until_it_ends(self) -> None:
+        async def scenario() -> None:
+            history = JobHistory(LoopClock())
+            history.record_accepted(JOB)
+            await asyncio.sleep(RECENT_JOBS_MS / 1000 + 1.0)
+            history.expire()
+            [row] = history.accepted_since(1.0)
+            assert row.job == JOB
+            assert row.age_ms == pytest.approx(RECENT_JOBS_MS + 1000.0)
+            history.record_ended(JOB, Standing.COMPLETED)
+            await asyncio.sleep(RECENT_JOBS_MS / 1000 + 1.0)
+            history.expire()
+            assert history.accepted_since(1.0) == []
+
+        run_virtual(scenario())
+
+    def test_repeated_report_does_not_hide_a_later_acceptance(self) -> None:
+        async def scenario() -> None:
+            history = JobHistory(LoopClock())
+            history.record_peer_jobs("first", [TakenRow(JOB, 9000.0)])
+            history.record_peer_jobs("later", [TakenRow(JOB, 100.0)])
+            history.record_peer_jobs("first", [TakenRow(JOB, 9200.0)])
+            assert history.accepting_peer(JOB) == "later"
+
+        run_virtual(scenario())
