Ask an entry that has runs left for the release of its job again until they have ended

What callers saw: a task can run on two workers at once when its job moves to another entry while neither entry reaches a side process whose worker carries out no stop. The new entry was told that the job still had runs, had them stopped by the side processes that it has links to, and ordered the tasks without asking the old entry again, although that one knows when its runs behind the lost link have certainly ended.

The new entry now repeats its request, which is answered as soon as no runs are left, up to three times; that is longer than an entry takes to count the runs of a lost side process as ended. If runs are left even then, the job is refused. After a stop that all side processes confirm, the second request is answered at once.

Evidence, virtual time: the new test ran tasks twice at once before; it doesn't now.

--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -45,6 +45,9 @@
 RESUBMISSION_MIN_AGE_MS = 650.0
 # How long to wait for the runs of a job to stop when another entry requests its release.
 RELEASE_TIMEOUT_MS = 700.0
+# How often another entry is asked for a release while it still has runs. One that has lost its link
+# to a side process knows within three of these waits that they have ended.
+RELEASE_REQUESTS = 4
 # How long a job that ended here and is submitted again waits for its earlier runs to end. Those of
 # a lost side process are certain to have ended sooner.
 EARLIER_RUNS_TIMEOUT_MS = 3000.0
@@ -234,13 +237,16 @@
 
     async def _end_earlier_runs(self, job_id: str) -> Refusal | Standing | None:
         """Wait until earlier runs of a job have ended; return why it can't be accepted, if so."""
+        standing = Standing.UNKNOWN
         with self._submissions.hold(job_id) as submission:
             address = self.history.accepting_peer(job_id)
             if address:
                 standing = await self._take_over(job_id, address)
                 if standing in (Standing.COMPLETED, Standing.FAILED):
                     return standing
-            have_ended = await self.dispatcher.ending.wait_for_runs(job_id, EARLIER_RUNS_TIMEOUT_MS)
+            have_ended = standing is not Standing.OPEN and (
+                await self.dispatcher.ending.wait_for_runs(job_id, EARLIER_RUNS_TIMEOUT_MS)
+            )
         if have_ended and not submission.withdrawn:
             return None
         reason = "withdrawn" if submission.withdrawn else "earlier_runs"
@@ -249,7 +255,10 @@
         return Refusal(reason, 1, 0.0)
 
     async def _take_over(self, job_id: str, address: str) -> Standing:
-        """Make another entry release a job that its caller has resubmitted here."""
+        """Make another entry release a job that its caller has resubmitted here.
+
+        Return its outcome there, if it has one, or OPEN if runs that the entry ordered are left.
+        """
         self._metrics.incr("entry.job_sent_again")
         answer = await self.peers.request_release(address, job_id)
         logger.info(
@@ -262,7 +271,12 @@
             # That entry is unreachable or still has runs, which the side processes stop; or it has
             # cleared the job, so they reject the orders of this entry.
             await self._clear_job(job_id)
-        return Standing.UNKNOWN
+        # Side processes that this entry has no link to were not asked to stop the runs.
+        for _ in range(RELEASE_REQUESTS - 1):
+            if answer is None or answer.standing is not Standing.OPEN:
+                break
+            answer = await self.peers.request_release(address, job_id)
+        return answer.standing if answer is not None else Standing.UNKNOWN
 
     async def _clear_job(self, job_id: str, *, cancelled: bool = False) -> bool:
         """Have side processes stop other entries' runs of a job; return whether all confirmed."""
--- a/tests/test_direct_resubmission.py
+++ b/tests/test_direct_resubmission.py
@@ -166,6 +166,25 @@
 
         run_fleet(scenario)
 
+    def test_new_run_waits_for_one_behind_links_that_both_entries_have_lost(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            for side in ("side-0", "side-1"):
+                fleet.workers[side].faults.lost_stop_share = 1.0
+            spec = fleet.build_job(JOB, 4, 4 * RUN_MS)
+            first = submit(fleet, "entry-0", spec)
+            await asyncio.sleep(RUNNING_S)
+            for side in ("side-0", "side-1"):
+                fleet.fabric.cut("entry-1", side)
+            # Longer than any lease, so that entry 1 waits for none behind its lost links.
+            await asyncio.sleep(4.0)
+            for side in ("side-0", "side-1"):
+                fleet.fabric.cut("entry-0", side)
+            again = submit(fleet, "entry-1", spec)
+            assert await first == JobState.MOVED
+            assert await again == JobState.COMPLETED
+
+        run_fleet(scenario)
+
 
 class TestLongJobs:
     """A job is open for longer than entries report or keep its acceptance."""
