Ask side processes to clear a job again if their link was lost before they could

Cause: a request to clear a job that was lost with its link was not repeated, and the new entry ordered the job while the side process still ran it for an entry that could not be reached. Change: after the wait, links that have not confirmed, or were opened meanwhile, are asked.

--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -298,25 +298,40 @@
         unless an unreachable entry still orders them from a side process that is unreachable, too.
         """
         began_ms = self._clock.monotonic_ms()
+        asked = self.handles()
+        confirmed = await self._ask_to_clear(asked, job, cancelled)
+        if cancelled:
+            return len(confirmed) == len(asked)
+        # Side processes that ended recently were not asked. No one renews the leases of their
+        # workers.
+        ended_ms = [lost.lost_ms + LEASE_END_LIMIT_MS for lost in self._lost_links]
+        if len(confirmed) < len(asked):
+            ended_ms.append(began_ms + CLEAR_TIMEOUT_MS)
+        wait_ms = max(ended_ms, default=0.0) - self._clock.monotonic_ms()
+        if wait_ms > 0:
+            await self._clock.sleep_ms(wait_ms)
+        # Links that were lost before the call arrived may have been opened again.
+        unasked = [handle for handle in self.handles() if handle not in confirmed]
+        return len(await self._ask_to_clear(unasked, job, cancelled)) == len(unasked)
+
+    async def _ask_to_clear(
+        self, handles: list[SideHandle], job: str, cancelled: bool
+    ) -> set[SideHandle]:
+        """Send a request to clear a job, and return the links over which it was confirmed."""
         replies = await asyncio.gather(
             *(
                 handle.rpc.call(
                     lambda call_id: ClearJob(call_id, job, cancelled), ClearedJob, CLEAR_TIMEOUT_MS
                 )
-                for handle in self.handles()
+                for handle in handles
             ),
             return_exceptions=True,
         )
-        confirmed = not any(isinstance(reply, BaseException) for reply in replies)
-        # Side processes that ended recently were not asked. No one renews the leases of their
-        # workers.
-        ended_ms = [lost.lost_ms + LEASE_END_LIMIT_MS for lost in self._lost_links]
-        if not confirmed:
-            ended_ms.append(began_ms + CLEAR_TIMEOUT_MS)
-        wait_ms = max(ended_ms, default=0.0) - self._clock.monotonic_ms()
-        if wait_ms > 0 and not cancelled:
-            await self._clock.sleep_ms(wait_ms)
-        return confirmed
+        return {
+            handle
+            for handle, reply in zip(handles, replies, strict=True)
+            if not isinstance(reply, BaseException)
+        }
 
     async def run(self) -> None:
         """Close links that are lost and update the warm ones, until cancelled."""
