Do not ask a restarted entry for the release of its predecessor's jobs, nor say of them that they did not run

Cause: an entry that restarted at the same address answered that it did not know the job, so the new entry neither cleared it nor waited, although runs that its predecessor had ordered were left. And a job that was refused after an earlier submission got 503 (did not run), although tasks of it may have run. Change: acceptances are kept with the incarnation of the entry, and only that one is asked. A refusal after earlier runs is answered with 502, upon which callers submit again. Left: if the job comes back to the restarted entry itself within 2.1 s, after a cut from its side processes that hid the restart, and stops are lost, two runs are possible; nobody tells that entry of the job.

--- a/src/currantbarrow/direct/admission.py
+++ b/src/currantbarrow/direct/admission.py
@@ -70,6 +70,8 @@
     retry_after_s: int
     wait_ms: float
     backlog: Backlog | None = None
+    # Whether tasks of the job may have run after an earlier submission.
+    may_have_run: bool = False
 
 
 class ReleaseRate:
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -17,7 +17,7 @@
 from currantbarrow.direct.admission import Refusal
 from currantbarrow.direct.dispatcher import JobDispatcher
 from currantbarrow.direct.fleet import SideFleet
-from currantbarrow.direct.history import JobHistory
+from currantbarrow.direct.history import Acceptance, JobHistory
 from currantbarrow.direct.hosts import ConfigurationSource, HostDirectory
 from currantbarrow.direct.job import OpenJob
 from currantbarrow.direct.model import JobSpec, WorkQueue
@@ -212,7 +212,10 @@
             return job
         if answer is not None:
             return answer
-        return self.dispatcher.submit(spec, queue, caller_timeout_ms)
+        outcome = self.dispatcher.submit(spec, queue, caller_timeout_ms)
+        if isinstance(outcome, Refusal) and self.history.attempts_used(spec.job_id):
+            return msgspec.structs.replace(outcome, may_have_run=True)
+        return outcome
 
     async def cancel(self, job_id: str) -> bool:
         """Cancel a job here or at a peer; return whether it was known."""
@@ -224,7 +227,7 @@
         if self.history.final_standing(job_id) is not Standing.UNKNOWN:
             return True
         known = await self.peers.stop_job(job_id)
-        if not known and self.history.accepting_peer(job_id):
+        if not known and self.history.accepted_elsewhere(job_id):
             # The peer that has the job is unreachable, so the side processes stop its runs.
             known = await self._clear_job(job_id, cancelled=True)
         return known
@@ -239,9 +242,9 @@
         """Wait until earlier runs of a job have ended; return why it can't be accepted, if so."""
         standing = Standing.UNKNOWN
         with self._submissions.hold(job_id) as submission:
-            address = self.history.accepting_peer(job_id)
-            if address:
-                standing = await self._take_over(job_id, address)
+            acceptance = self.history.accepted_elsewhere(job_id)
+            if acceptance is not None:
+                standing = await self._take_over(job_id, acceptance)
                 if standing in (Standing.COMPLETED, Standing.FAILED):
                     return standing
             have_ended = standing is not Standing.OPEN and (
@@ -252,18 +255,22 @@
         reason = "withdrawn" if submission.withdrawn else "earlier_runs"
         self._metrics.incr(f"entry.job_refused.{reason}")
         logger.info("job refused", extra={"job": job_id, "reason": reason})
-        return Refusal(reason, 1, 0.0)
+        return Refusal(reason, 1, 0.0, may_have_run=True)
 
-    async def _take_over(self, job_id: str, address: str) -> Standing:
+    async def _take_over(self, job_id: str, acceptance: Acceptance) -> Standing:
         """Make another entry release a job that its caller has resubmitted here.
 
         Return its outcome there, if it has one, or OPEN if runs that the entry ordered are left.
         """
         self._metrics.incr("entry.job_sent_again")
-        answer = await self.peers.request_release(address, job_id)
+        answer = await self.peers.request_release(acceptance, job_id)
         logger.info(
             "job resubmitted here",
-            extra={"job": job_id, "address": address, "standing": answer and answer.standing.value},
+            extra={
+                "job": job_id,
+                "address": acceptance.address,
+                "standing": answer and answer.standing.value,
+            },
         )
         if answer is not None and answer.standing in (Standing.COMPLETED, Standing.FAILED):
             return answer.standing
@@ -275,7 +282,7 @@
         for _ in range(RELEASE_REQUESTS - 1):
             if answer is None or answer.standing is not Standing.OPEN:
                 break
-            answer = await self.peers.request_release(address, job_id)
+            answer = await self.peers.request_release(acceptance, job_id)
         return answer.standing if answer is not None else Standing.UNKNOWN
 
     async def _clear_job(self, job_id: str, *, cancelled: bool = False) -> bool:
@@ -351,10 +358,10 @@
             self.dispatcher.cancel(self.dispatcher.jobs[job_id], "cancelled through another entry")
         return standing
 
-    def handle_peer_ping(self, ping: EntryPing) -> None:
+    def handle_peer_ping(self, ping: EntryPing, incarnation: str) -> None:
         """Record the jobs that a peer accepted, and release those resubmitted to it."""
         self._set_draining(ping.address, ping.draining)
-        self.history.record_peer_jobs(ping.address, ping.taken)
+        self.history.record_peer_jobs(ping.address, incarnation, ping.taken)
         now_ms = self._clock.monotonic_ms()
         for row in ping.taken:
             self._submissions.withdraw(row.job, row.age_ms + RESUBMISSION_MIN_AGE_MS)
--- a/src/currantbarrow/direct/history.py
+++ b/src/currantbarrow/direct/history.py
@@ -10,7 +10,7 @@
 from currantbarrow.protocol.direct import Standing, TakenRow
 from currantbarrow.types import Clock
 
-__all__ = ["JobHistory"]
+__all__ = ["Acceptance", "JobHistory"]
 
 # Callers resubmit a job within seconds, so records are not needed for longer.
 RETENTION_MS = 60_000.0
@@ -24,10 +24,12 @@
 ValueT = TypeVar("ValueT")
 
 
-class _Acceptance(msgspec.Struct, frozen=True):
+class Acceptance(msgspec.Struct, frozen=True):
     """Describe the acceptance of a job at an entry."""
 
     address: str
+    # A process that has restarted at the address does not know the jobs of the former one.
+    incarnation: str
     accepted_ms: float
 
 
@@ -67,7 +69,7 @@
         self._clock = clock
         self._ended: _JobRecords[Standing] = _JobRecords()
         # The last acceptance of a job at another entry.
-        self._peer_jobs: _JobRecords[_Acceptance | None] = _JobRecords()
+        self._peer_jobs: _JobRecords[Acceptance | None] = _JobRecords()
         self._cleared: _JobRecords[bool] = _JobRecords()
         # The highest attempt number that this entry has used for a job that ended here.
         self._attempts: _JobRecords[int] = _JobRecords()
@@ -98,7 +100,7 @@
     def attempts_used(self, job: str) -> int:
         """Return the highest attempt number that earlier runs of a job may have."""
         own = self._attempts.get(job, 0)
-        return own + PEER_ATTEMPTS if self.accepting_peer(job) else own
+        return own + PEER_ATTEMPTS if self.accepted_elsewhere(job) else own
 
     def record_cleared(self, job: str) -> None:
         """Record that side processes reject orders for a job from all entries but this one."""
@@ -108,22 +110,21 @@
         """Return whether this entry has recently cleared a job at the side processes."""
         return self._cleared.get(job, False)
 
-    def record_peer_jobs(self, address: str, rows: list[TakenRow]) -> None:
+    def record_peer_jobs(self, address: str, incarnation: str, rows: list[TakenRow]) -> None:
         """Record that another entry has accepted jobs."""
         now_ms = self._clock.monotonic_ms()
         for row in rows:
             known = self._peer_jobs.get(row.job, None)
-            acceptance = _Acceptance(address, now_ms - row.age_ms)
+            acceptance = Acceptance(address, incarnation, now_ms - row.age_ms)
             if known is None or known.accepted_ms <= acceptance.accepted_ms:
                 self._peer_jobs.set(row.job, acceptance, now_ms)
-            elif known.address == address:
+            elif known.incarnation == incarnation:
                 self._peer_jobs.set(row.job, known, now_ms)
             # Otherwise another entry has taken over the job since.
 
-    def accepting_peer(self, job: str) -> str:
-        """Return the address of another entry that has accepted a job, or an empty string."""
-        acceptance = self._peer_jobs.get(job, None)
-        return acceptance.address if acceptance is not None else ""
+    def accepted_elsewhere(self, job: str) -> Acceptance | None:
+        """Return the last acceptance of a job at another entry, if any is known."""
+        return self._peer_jobs.get(job, None)
 
     def accepted_since(self, since_ms: float) -> list[TakenRow]:
         """Return the jobs to report to a peer that was last reported to at a time."""
--- a/src/currantbarrow/direct/peers.py
+++ b/src/currantbarrow/direct/peers.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from currantbarrow.background import BackgroundTasks
-from currantbarrow.direct.history import JobHistory
+from currantbarrow.direct.history import Acceptance, JobHistory
 from currantbarrow.direct.links import LinkConnector
 from currantbarrow.exceptions import LinkError
 from currantbarrow.observe import logger
@@ -68,7 +68,7 @@
     def stop_job(self, job_id: str) -> Standing:
         """Cancel a job, and return its standing before."""
 
-    def handle_peer_ping(self, ping: EntryPing) -> None:
+    def handle_peer_ping(self, ping: EntryPing, incarnation: str) -> None:
         """Handle the jobs that a peer has accepted, and whether it drains."""
 
 
@@ -142,10 +142,11 @@
         """Close the link to the entry at an address."""
         self._connector.remove(address)
 
-    async def request_release(self, address: str, job: str) -> JobStanding | None:
-        """Have a peer release a job and return its answer, or None without one."""
+    async def request_release(self, acceptance: Acceptance, job: str) -> JobStanding | None:
+        """Have the peer that accepted a job release it; return its answer, or None without one."""
+        address = acceptance.address
         peer = self._peers.get(address)
-        if peer is None:
+        if peer is None or peer.link.peer.incarnation != acceptance.incarnation:
             return None
         try:
             return await peer.rpc.call(
@@ -206,7 +207,7 @@
             message = await link.receive()
             match message:
                 case EntryPing():
-                    self._listener.handle_peer_ping(message)
+                    self._listener.handle_peer_ping(message, link.peer.incarnation)
                     version = self._share_configuration(link, message.configuration, version)
                     if message.answer:
                         link.post(PeerPing())
--- a/src/currantbarrow/platform/callers.py
+++ b/src/currantbarrow/platform/callers.py
@@ -96,6 +96,8 @@
                 job_id, queue, JobInvalid("not served: advice", code="unsupported")
             )
         outcome = await self._entry.submit(spec, queue, _read_timeout_ms(request))
+        if isinstance(outcome, Refusal) and outcome.may_have_run:
+            return _reply(502, _ErrorBody("job_moved", outcome.reason))
         if isinstance(outcome, Refusal):
             return _refuse(outcome.reason, outcome.retry_after_s)
         if isinstance(outcome, OpenJob):
@@ -129,6 +131,8 @@
                 return _reply(200, _StateBody("failed"))
             case JobState.CANCELLED:
                 return _reply(200, _StateBody("cancelled"))
+            case JobState.REFUSED if job.highest_attempt():
+                return _reply(502, _ErrorBody("job_moved", job.reason))
             case JobState.REFUSED:
                 return _refuse(job.reason, job.retry_after_s)
             case _:
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -22,7 +22,7 @@
 from currantbarrow.standins.fleet import LoopClock
 from currantbarrow.standins.memory_network import MemoryFabric, MemoryNetwork
 
-__all__ = ["DirectFleet", "DirectPlan"]
+__all__ = ["QUEUE", "DirectFleet", "DirectPlan"]
 
 LEASE_MS = 1000.0
 ANNOUNCE_MS = 500.0
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -468,13 +468,15 @@
         checked: Clock = clock
         history = JobHistory(checked)
         history.record_ended("job", Standing.COMPLETED)
-        history.record_peer_jobs("there", [TakenRow("other", 0.0)])
+        history.record_peer_jobs("there", "there.1", [TakenRow("other", 0.0)])
         assert history.final_standing("job") is Standing.COMPLETED
-        assert history.accepting_peer("other") == "there"
+        acceptance = history.accepted_elsewhere("other")
+        assert acceptance is not None
+        assert acceptance.address == "there"
         clock.now_ms = RETENTION_MS + 1
         history.expire()
         assert history.final_standing("job") is Standing.UNKNOWN
-        assert history.accepting_peer("other") == ""
+        assert history.accepted_elsewhere("other") is None
 
     def test_accepting_a_job_again_removes_its_outcome(self) -> None:
         history = JobHistory(ManualClock())
--- a/tests/test_direct_resubmission.py
+++ b/tests/test_direct_resubmission.py
@@ -6,10 +6,11 @@
 
 import pytest
 
+from currantbarrow.direct.admission import Refusal
 from currantbarrow.direct.history import RECENT_JOBS_MS, RETENTION_MS, JobHistory
 from currantbarrow.direct.model import JobSpec, JobState
 from currantbarrow.protocol.direct import Standing, TakenRow
-from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
+from currantbarrow.standins.direct_fleet import QUEUE, DirectFleet, DirectPlan
 from currantbarrow.standins.fleet import LoopClock
 from currantbarrow.standins.virtual import run_virtual
 from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
@@ -185,6 +186,84 @@
 
         run_fleet(scenario)
 
+    def test_runs_of_an_unreachable_entry_whose_stops_are_lost_end_before_new_ones(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            lose_stops(fleet)
+            spec = fleet.build_job(JOB, 4, 2 * RUN_MS)
+            submit(fleet, "entry-0", spec)
+            await asyncio.sleep(RUNNING_S)
+            fleet.fabric.cut("entry-0", "entry-1")
+            await asyncio.sleep(RESUBMIT_AFTER_S)
+            assert await fleet.submit("entry-1", spec) == JobState.COMPLETED
+
+        run_fleet(scenario)
+
+    def test_side_process_whose_link_was_lost_before_it_could_clear_a_job_is_asked_again(
+        self,
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            spec = fleet.build_job(JOB, 1, 2 * RUN_MS)
+            submit(fleet, "entry-0", spec)
+            await asyncio.sleep(RUNNING_S)
+            (worker,) = fleet.runs.running.values()
+            side = next(name for name, each in fleet.workers.items() if each.worker == worker)
+            fleet.fabric.cut("entry-0", "entry-1")
+            await asyncio.sleep(RESUBMIT_AFTER_S)
+            fleet.fabric.cut("entry-1", side)
+            again = submit(fleet, "entry-1", spec)
+            while not fleet.fabric.sent["ClearJob"]:
+                await asyncio.sleep(0.01)
+            for handle in fleet.entries["entry-1"].fleet.handles():
+                if handle.address == f"{side}:1":
+                    handle.link.abort()
+            fleet.fabric.restore("entry-1", side)
+            assert await again == JobState.COMPLETED
+
+        run_fleet(scenario)
+
+    @pytest.mark.parametrize("restart_after_s", [0.1, 0.6, 1.2])
+    def test_restarted_entry_is_not_asked_for_the_jobs_of_its_predecessor(
+        self, restart_after_s: float
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            for side in ("side-0", "side-1"):
+                fleet.workers[side].faults.lost_stop_share = 1.0
+            spec = fleet.build_job(JOB, 8, RUN_MS)
+            submit(fleet, "entry-0", spec)
+            await asyncio.sleep(RUNNING_S)
+            # The side processes don't notice that the entry ends.
+            for side in fleet.sides:
+                fleet.fabric.cut("entry-0", side)
+            await fleet.kill_entry("entry-0")
+            await asyncio.sleep(restart_after_s)
+            for side in fleet.sides:
+                fleet.fabric.restore("entry-0", side)
+            await fleet.start_entry("entry-0")
+            await asyncio.sleep(RESUBMIT_AFTER_S - restart_after_s)
+            assert await fleet.submit("entry-1", spec) == JobState.COMPLETED
+
+        run_fleet(scenario)
+
+
+class TestRefusals:
+    def test_refusal_says_whether_tasks_may_have_run_after_an_earlier_submission(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            earlier, new = (fleet.build_job(key * 16, 2, RUN_MS) for key in "bc")
+            submit(fleet, "entry-0", earlier)
+            await asyncio.sleep(RUNNING_S)
+            dispatcher = fleet.entries["entry-0"].dispatcher
+            dispatcher.cancel(dispatcher.jobs[earlier.job_id], "its caller left")
+            await asyncio.sleep(RUNNING_S)
+            for side in list(fleet.sides):
+                await fleet.kill_side(side)
+            await asyncio.sleep(RUNNING_S)
+            for spec, may_have_run in ((earlier, True), (new, False)):
+                outcome = await fleet.entries["entry-0"].submit(spec, QUEUE, 0.0)
+                assert isinstance(outcome, Refusal)
+                assert outcome.may_have_run == may_have_run
+
+        run_fleet(scenario)
+
 
 class TestLongJobs:
     """A job is open for longer than entries report or keep its acceptance."""
@@ -241,9 +320,11 @@
     def test_repeated_report_does_not_hide_a_later_acceptance(self) -> None:
         async def scenario() -> None:
             history = JobHistory(LoopClock())
-            history.record_peer_jobs("first", [TakenRow(JOB, 9000.0)])
-            history.record_peer_jobs("later", [TakenRow(JOB, 100.0)])
-            history.record_peer_jobs("first", [TakenRow(JOB, 9200.0)])
-            assert history.accepting_peer(JOB) == "later"
+            history.record_peer_jobs("first", "first.1", [TakenRow(JOB, 9000.0)])
+            history.record_peer_jobs("later", "later.1", [TakenRow(JOB, 100.0)])
+            history.record_peer_jobs("first", "first.1", [TakenRow(JOB, 9200.0)])
+            acceptance = history.accepted_elsewhere(JOB)
+            assert acceptance is not None
+            assert acceptance.address == "later"
 
         run_virtual(scenario())
