--- a/src/currantbarrow/standins/direct_worker.py
+++ b/src/currantbarrow/standins/direct_worker.py
@@ -168,7 +168,7 @@
         is_late = self.faults.late_starts > 0
         if is_late:
             self.faults.late_starts -= 1
-        if is_late or self._draw_late():
+        if is_late or self._draw(self.faults.late_share):
             await self._carry_out_late(
                 worker, timeout_ms, lambda: self._start_run(run, lease_until_ms, token)
             )
@@ -183,10 +183,10 @@
     async def stop(self, worker: str, run: RunName, token: int, timeout_ms: float) -> bool:
         """Stop a run; return whether the fencing token is current."""
         await self._check_reachable(worker, timeout_ms)
-        if self._rng.random() < self.faults.lost_stop_share:
+        if self._draw(self.faults.lost_stop_share):
             await asyncio.sleep(timeout_ms / 1000)
             raise WorkerSilent("the stop was lost")
-        if self._draw_late():
+        if self._draw(self.faults.late_share):
             await self._carry_out_late(worker, timeout_ms, lambda: self._stop_run(run, token))
         current = self._stop_run(run, token)
         await self._delay_response(timeout_ms)
@@ -205,7 +205,7 @@
         """Return current runs and ends, after a wait for an end; None if fenced."""
         self.polls += 1
         await self._check_reachable(worker, timeout_ms)
-        if self._draw_late():
+        if self._draw(self.faults.late_share):
             await self._carry_out_late(
                 worker, timeout_ms, lambda: self._renew(acknowledged_end, lease_until_ms, token)
             )
@@ -263,9 +263,9 @@
             self._extend_lease(lease_until_ms)
         return True
 
-    def _draw_late(self) -> bool:
-        # No draw without the fault, so that it does not change the other draws.
-        return self.faults.late_share > 0 and self._rng.random() < self.faults.late_share
+    def _draw(self, share: float) -> bool:
+        # Without the fault nothing is drawn, so that it does not change the other draws.
+        return share > 0 and self._rng.random() < share
 
     async def _carry_out_late(
         self, worker: str, timeout_ms: float, command: Callable[[], object]
