Keep the run numbers of the tasks used last only

Cause: a side process kept the highest run number of every task that its worker ever ran, for the life of the worker. Change: the 20,000 tasks used last are kept, a few megabytes; numbers are needed while a job may be submitted again, and a run is recognised as its own by its name.

--- a/src/currantbarrow/direct/commands.py
+++ b/src/currantbarrow/direct/commands.py
@@ -99,7 +99,7 @@
             if answer.verdict is StartVerdict.FENCED:
                 instance.token = self.next_token()
             elif answer.verdict is StartVerdict.OUTDATED:
-                instance.run_numbers[run.name.task] = run.name.number + RUN_NUMBER_STEP
+                instance.record_number(run.name.task, run.name.number + RUN_NUMBER_STEP)
                 instance.assign_number(run)
             elif answer.verdict is not StartVerdict.LEASE_EXPIRED:
                 break
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -408,9 +408,9 @@
         running = set(result.running)
         for run in list(instance.runs.values()):
             self._reconcile(instance, run, run.name in running, requested_ms)
-        for name in running:
+        for name in running - {run.name for run in instance.runs.values()}:
             if name.number > instance.run_numbers.get(name.task, 0):
-                instance.run_numbers[name.task] = name.number
+                instance.record_number(name.task, name.number)
                 self._background.spawn(self._stop_stray(instance, name))
         self.start_waiting_runs()
 
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -22,6 +22,9 @@
 # After a lost command, further losses are likely for some seconds.
 LOSSY_PERIOD_MS = 3000.0
 
+# Tasks whose run numbers are remembered, some minutes of starts. Callers resubmit within seconds.
+RUN_NUMBERS_KEPT = 20_000
+
 # The state that is reported while no worker is known.
 NO_WORKER = WorkerState("", "", False, 0, 0, 0, 0, 0, 0, 0, 0, 1.0, False, [])
 
@@ -54,7 +57,8 @@
         self.reservations = ResourceReservations(announcement.capacity)
         self.health = WorkerHealth()
         self.runs: dict[tuple[str, int, int], Run] = {}
-        # The highest run number used for each task; later runs need higher ones.
+        # The highest run number used for each task, least recently used first; later runs need
+        # higher ones.
         self.run_numbers: dict[tuple[str, int, int], int] = {}
         # Positions of the last end that was applied here, and of the last that the worker knows to
         # be applied.
@@ -107,11 +111,18 @@
         """Return whether a command may renew the lease of the runs."""
         return bool(self.runs) and not self.has_overdue_runs(now_ms)
 
+    def record_number(self, task: tuple[str, int, int], number: int) -> None:
+        """Record a run number that is used for a task."""
+        self.run_numbers.pop(task, None)
+        self.run_numbers[task] = number
+        if len(self.run_numbers) > RUN_NUMBERS_KEPT:
+            del self.run_numbers[next(iter(self.run_numbers))]
+
     def assign_number(self, run: Run) -> RunName:
         """Assign the run a number higher than all that its task has used on this instance."""
         task = run.name.task
         number = max(run.name.number, self.run_numbers.get(task, 0) + 1)
-        self.run_numbers[task] = number
+        self.record_number(task, number)
         if number != run.name.number:
             run.renumber(number)
         return run.name
--- a/tests/test_direct_worker_changes.py
+++ b/tests/test_direct_worker_changes.py
@@ -7,10 +7,11 @@
 
 import pytest
 
+from currantbarrow.direct.instance import RUN_NUMBERS_KEPT, WorkerInstance
 from currantbarrow.direct.model import JobState, Resources
 from currantbarrow.direct.session import LEASE_MS
 from currantbarrow.direct.side import DirectSide, DirectSideOptions
-from currantbarrow.direct.worker import RunName, RunSpec
+from currantbarrow.direct.worker import Announcement, RunName, RunSpec
 from currantbarrow.observe import MetricsRegistry
 from currantbarrow.protocol import Hello, Message, Role
 from currantbarrow.protocol.direct import RunTasks, TaskOrder
@@ -209,6 +210,19 @@
         run_fleet(scenario)
 
 
+class TestRunNumbers:
+    def test_numbers_of_the_tasks_used_last_are_kept(self) -> None:
+        announcement = Announcement("w", "work", Resources(1000), frozenset(), False, 1)
+        instance = WorkerInstance(announcement, 1, 1000.0)
+        for index in range(RUN_NUMBERS_KEPT):
+            instance.record_number(("a", 0, index), 1)
+        instance.record_number(("a", 0, 0), 2)
+        instance.record_number(("b", 0, 0), 1)
+        assert len(instance.run_numbers) == RUN_NUMBERS_KEPT
+        assert instance.run_numbers["a", 0, 0] == 2
+        assert ("a", 0, 1) not in instance.run_numbers
+
+
 class BufferedLink:
     """Represent an entry's link that still delivers received messages after it was aborted."""
 
