Answer a refusal after earlier runs with 502 and Retry-After, and let the soak's oracle know that answer

Trace: the job's first entry had run some of its 40 tasks when it was paused; its caller left after 8.5 s and submitted it elsewhere, where it was refused for overload. The oracle counted every 502 as a broken connection. It now tells the two apart, and is stricter on the new answer than on a refusal: it is a violation if no task of the job has started before it.

--- a/src/currantbarrow/platform/callers.py
+++ b/src/currantbarrow/platform/callers.py
@@ -17,7 +17,7 @@
 from currantbarrow.protocol.direct import Standing
 from currantbarrow.types import Metrics
 
-__all__ = ["create_callers_app", "create_readiness_app"]
+__all__ = ["CallersApi", "create_callers_app", "create_readiness_app"]
 
 TIMEOUT_HEADER = "X-Deadline-Ms"
 # Retry-After while this entry has not received a configuration.
@@ -96,10 +96,9 @@
                 job_id, queue, JobInvalid("not served: advice", code="unsupported")
             )
         outcome = await self._entry.submit(spec, queue, _read_timeout_ms(request))
-        if isinstance(outcome, Refusal) and outcome.may_have_run:
-            return _reply(502, _ErrorBody("job_moved", outcome.reason))
         if isinstance(outcome, Refusal):
-            return _refuse(outcome.reason, outcome.retry_after_s)
+            refuse = _refuse_interrupted if outcome.may_have_run else _refuse
+            return refuse(outcome.reason, outcome.retry_after_s)
         if isinstance(outcome, OpenJob):
             return await self._wait_for_end(outcome)
         return _reply(200, _StateBody(STATE_BY_STANDING[outcome]))
@@ -132,7 +131,7 @@
             case JobState.CANCELLED:
                 return _reply(200, _StateBody("cancelled"))
             case JobState.REFUSED if job.highest_attempt():
-                return _reply(502, _ErrorBody("job_moved", job.reason))
+                return _refuse_interrupted(job.reason, job.retry_after_s)
             case JobState.REFUSED:
                 return _refuse(job.reason, job.retry_after_s)
             case _:
@@ -175,3 +174,10 @@
     response = _reply(503, _ErrorBody("not_run", reason))
     response.headers["Retry-After"] = str(retry_after_s)
     return response
+
+
+def _refuse_interrupted(reason: str, retry_after_s: int) -> web.Response:
+    """Refuse a job of which tasks may have run after an earlier submission."""
+    response = _reply(502, _ErrorBody("interrupted", reason))
+    response.headers["Retry-After"] = str(retry_after_s)
+    return response
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,12 +8,17 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import cast
 
+import aiohttp
 import msgspec
 import pytest
 from aiohttp import web
 
-from currantbarrow.direct.model import Resources
+from currantbarrow.direct.admission import Refusal
+from currantbarrow.direct.entry import DirectEntry
+from currantbarrow.direct.model import Resources, WorkQueue
+from currantbarrow.direct.routing import Configuration
 from currantbarrow.direct.worker import Announcement, RunName, RunSpec, StartVerdict
 from currantbarrow.exceptions import (
     AppendUnknown,
@@ -27,6 +32,7 @@
     WorkerUnreached,
 )
 from currantbarrow.observe import MetricsRegistry
+from currantbarrow.platform.callers import CallersApi
 from currantbarrow.platform.configuration import parse_configuration
 from currantbarrow.platform.jobs import parse_job
 from currantbarrow.platform.settings import load_process_settings
@@ -232,6 +238,40 @@
             parse_job(JOB, self.make(spec="x" * 4001))
 
 
+class RefusingEntry:
+    """Stand in for an entry that refuses every job."""
+
+    draining = False
+
+    def __init__(self, refusal: Refusal) -> None:
+        self._refusal = refusal
+        queue = WorkQueue("r", "127.0.0.1", "/p/", "s", 0, 60.0, 1.6, 2, 0.0)
+        self.current_configuration = Configuration(1, [queue], frozenset({"s"}), 1 << 18, b"")
+
+    async def submit(self, *_: object) -> Refusal:
+        return self._refusal
+
+
+class TestCallers:
+    @pytest.mark.parametrize(("may_have_run", "status"), [(False, 503), (True, 502)])
+    def test_refusal_says_that_a_job_did_not_run_only_if_that_is_certain(
+        self, may_have_run: bool, status: int
+    ) -> None:
+        refusal = Refusal("overload", 3, 100.0, may_have_run=may_have_run)
+        api = CallersApi(cast(DirectEntry, RefusingEntry(refusal)), MetricsRegistry())
+
+        async def client(address: str) -> None:
+            body = {"spec": "s", "phases": [{"count": 1, "cpu": 500}], "best_effort": True}
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(f"http://{address}/p/{JOB}", json=body) as answer,
+            ):
+                assert answer.status == status
+                assert answer.headers["Retry-After"] == "3"
+
+        serve(api.handle, client)
+
+
 class TestWorkerControl:
     @staticmethod
     def answer(status: int, body: object) -> Handler:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -93,6 +93,7 @@
                 lambda o, b: report_outcome(o, b, Outcome.REFUSED) or b.record_start(FIRST, "w"),
             ),
             ("answered", lambda o, b: report_outcome(o, b, Outcome.BROKEN)),
+            ("answered", lambda o, b: report_outcome(o, b, Outcome.INTERRUPTED)),
             ("answered", lambda o, b: o.record_attempt(JOB, "entry-1")),
         ],
     )
@@ -101,6 +102,15 @@
     ) -> None:
         assert any(guarantee in line for line in find_violations(scenario))
 
+    def test_answer_that_a_job_may_have_run_is_allowed_after_a_start(self) -> None:
+        def scenario(oracle: Oracle, runs: CheckedRunRecorder) -> None:
+            attempt = oracle.record_attempt(JOB, "entry-1")
+            runs.record_start(FIRST, "w")
+            runs.record_end(FIRST, "w", RunEnd.STOPPED)
+            oracle.record_outcome(attempt, Outcome.INTERRUPTED, runs, "status 502")
+
+        assert not find_violations(scenario)
+
     def test_broken_call_right_after_a_fault_is_allowed(self) -> None:
         def scenario(oracle: Oracle, runs: CheckedRunRecorder) -> None:
             oracle.end_fault(oracle.begin_fault())
