Test a lost side process that still runs tasks, and a run that blocks its worker

- Isolated side process: all its links are cut and its worker loses stops, one entry saw its link reset, and the entry that owns the job dies.
The caller submits the job to the former entry 1.3 s later.
Its clear_job waits only for one lease from the loss of its link (LEASE_END_LIMIT_MS), as if the side process had ended; but the orders there are valid for 800 ms, and RUN_END_LIMIT_MS more.
The job is reported as stopped everywhere, and its tasks run twice.
- Lost start and stops: the worker answers polls, but neither carries out the starts nor the stops of some runs.
Their lease expires, yet they are counted as lost only on a silent worker, so the job never ends, the worker takes no run, and a new link to the entry or the clearing of a job waits for them.

--- a/tests/test_direct_review.py
+++ b/tests/test_direct_review.py
@@ -294,3 +294,40 @@
             assert not ownership._has_no_active_owner(5)
 
         run_virtual(scenario())
+
+
+class TestIsolatedSideProcess:
+    @pytest.mark.parametrize("resubmitted_s", [1.3, 1.6])
+    def test_job_of_a_dead_entry_waits_for_a_side_process_that_has_only_lost_its_links(
+        self, resubmitted_s: float
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            submit(fleet, "entry-0", LONG_RUN_MS, 12)
+            await asyncio.sleep(1.0)
+            assert fleet.sides["side-0"].driver.runs()
+            fleet.workers["side-0"].faults.lost_stop_share = 1.0
+            for name in fleet.entries:
+                fleet.fabric.cut(name, "side-0")
+            for handle in fleet.entries["entry-1"].fleet.handles():
+                if handle.address == "side-0:1":
+                    handle.link.abort()
+            await fleet.kill_entry("entry-0")
+            await asyncio.sleep(resubmitted_s)
+            submit(fleet, "entry-1", LONG_RUN_MS, 12)
+            await asyncio.sleep(4.0)
+
+        run_fleet(scenario)
+
+
+class TestLostStartAndStops:
+    def test_run_that_can_neither_be_confirmed_nor_stopped_is_given_up_with_its_lease(
+        self,
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            faults = fleet.workers["side-0"].faults
+            faults.late_starts, faults.late_ms, faults.lost_stop_share = 100, 60_000.0, 1.0
+            job = submit(fleet, "entry-0", 200.0, 16)
+            await asyncio.sleep(5.0)
+            assert job.done()
+
+        run_fleet(scenario)
