--- a/src/currantbarrow/direct/commands.py
+++ b/src/currantbarrow/direct/commands.py
@@ -74,13 +74,19 @@
 
     async def start(self, instance: WorkerInstance, run: Run) -> StartAnswer:
         """Start a run; raise WorkerSilent, WorkerUnreached or WorkerReplaced."""
+        # Without an attempt, the run counts as one that the worker has rejected.
+        answer = StartAnswer(StartVerdict.LEASE_EXPIRED, None)
         for _ in range(START_ATTEMPTS):
+            # Read before the check, as the process may be suspended after it.
+            steady_ms = self._clock.steady_ms()
             requested_ms = self._clock.monotonic_ms()
+            if not self._may_start(instance, run, requested_ms):
+                break
             try:
                 answer = await self._control.start(
                     instance.worker,
                     RunSpec(run.name, run.payload),
-                    instance.lease.renew(self._clock.steady_ms()),
+                    instance.lease.renew(steady_ms),
                     instance.token,
                     START_TIMEOUT_MS,
                 )
@@ -92,10 +98,6 @@
             self._metrics.timing("side.start_answer_ms", now_ms - requested_ms)
             if answer.clock_ms is not None:
                 instance.lease.record_reading(answer.clock_ms, self._clock.steady_ms())
-            is_obsolete = run.stopping or run.reported or instance.ended
-            if is_obsolete or not instance.may_renew_lease(now_ms):
-                # Another start would revive the run, or prolong one that should have ended.
-                break
             if answer.verdict is StartVerdict.FENCED:
                 instance.token = self.next_token()
             elif answer.verdict is StartVerdict.OUTDATED:
@@ -105,6 +107,16 @@
                 break
         return answer
 
+    @staticmethod
+    def _may_start(instance: WorkerInstance, run: Run, now_ms: float) -> bool:
+        """Return whether a start would neither revive a run nor prolong one that has to end."""
+        is_obsolete = run.stopping or run.reported or instance.ended
+        return (
+            not is_obsolete
+            and run.session.lease.is_valid(now_ms)
+            and instance.may_renew_lease(now_ms)
+        )
+
     async def stop(self, instance: WorkerInstance, name: RunName) -> None:
         """Stop a run, and retry until the worker confirms it; raise WorkerReplaced."""
         pause_ms = RETRY_BACKOFF_MIN_MS
@@ -123,22 +135,22 @@
                 await self._clock.sleep_ms(pause_ms)
                 pause_ms = min(pause_ms * 2, RETRY_BACKOFF_MAX_MS)
 
-    async def poll(
-        self, instance: WorkerInstance, *, at_once: bool = False, renew: bool = True
-    ) -> PollResult | None:
+    async def poll(self, instance: WorkerInstance, *, at_once: bool = False) -> PollResult | None:
         """Poll the worker; return None if it did not answer or was fenced; raise WorkerReplaced."""
+        # Read before the check, as the process may be suspended after it.
+        steady_ms = self._clock.steady_ms()
         requested_ms = self._clock.monotonic_ms()
         lossy = instance.is_lossy(requested_ms)
         wait_ms = 0.0 if at_once else LOSSY_POLL_WAIT_MS if lossy else POLL_WAIT_MS
         # The lease of a silent worker is left to expire, after which its runs have ended.
-        renews = renew and not instance.silent
+        renews = not instance.silent and instance.may_renew_lease(requested_ms)
         applied_end = instance.applied_end
         try:
             result = await self._control.poll(
                 instance.worker,
                 instance.token,
                 acknowledged_end=applied_end,
-                lease_until_ms=instance.lease.renew(self._clock.steady_ms()) if renews else None,
+                lease_until_ms=instance.lease.renew(steady_ms) if renews else None,
                 wait_ms=wait_ms,
                 timeout_ms=wait_ms
                 + instance.timeout_ms(LOSSY_POLL_TIMEOUT_MS if lossy else POLL_TIMEOUT_MS),
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -150,24 +150,29 @@
         if instance is None or not instance.ready:
             return
         now_ms = self._clock.monotonic_ms()
-        if instance.silent and instance.lease.has_expired(self._clock.steady_ms()):
-            self._report_lost(instance)
+        if instance.lease.has_expired(self._clock.steady_ms()):
+            self._report_lost(instance, now_ms)
         self._stop_overdue(instance, now_ms)
 
-    def _report_lost(self, instance: WorkerInstance) -> None:
-        """Report the runs of a silent worker whose leases have expired as lost."""
-        lost = [run for run in instance.runs.values() if not run.reported]
+    def _report_lost(self, instance: WorkerInstance, now_ms: float) -> None:
+        """Report runs as lost after the lease has expired, which is renewed otherwise."""
+        lost = [
+            run
+            for run in instance.runs.values()
+            if not run.reported and (instance.silent or run.is_overdue(now_ms))
+        ]
         if not lost:
             return
-        now_ms = self._clock.steady_ms()
+        steady_ms = self._clock.steady_ms()
         logger.info(
-            "leases of silent worker expired, runs counted as lost",
+            "lease of worker expired, runs counted as lost",
             extra={
                 "worker": instance.worker,
                 "runs": len(lost),
-                "renewal_age_ms": round(instance.lease.renewal_age_ms(now_ms)),
-                "lease_left_ms": round(instance.lease.left_ms(now_ms)),
-                "reading_age_ms": round(instance.lease.reading_age_ms(now_ms)),
+                "silent": instance.silent,
+                "renewal_age_ms": round(instance.lease.renewal_age_ms(steady_ms)),
+                "lease_left_ms": round(instance.lease.left_ms(steady_ms)),
+                "reading_age_ms": round(instance.lease.reading_age_ms(steady_ms)),
             },
         )
         for run in lost:
@@ -388,9 +393,7 @@
         """Poll the worker and apply the result; return whether it answered."""
         requested_ms = self._clock.monotonic_ms()
         try:
-            result = await self._commands.poll(
-                instance, at_once=at_once, renew=instance.may_renew_lease(requested_ms)
-            )
+            result = await self._commands.poll(instance, at_once=at_once)
         except WorkerReplaced:
             self._end_instance(instance, "another instance answered")
             return True
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -279,11 +279,14 @@
             # cleared the job, so they reject the orders of this entry.
             await self._clear_job(job_id)
         # Side processes that this entry has no link to were not asked to stop the runs.
+        standing = answer.standing if answer is not None else Standing.UNKNOWN
         for _ in range(RELEASE_REQUESTS - 1):
-            if answer is None or answer.standing is not Standing.OPEN:
+            if standing is not Standing.OPEN:
                 break
             answer = await self.peers.request_release(acceptance, job_id)
-        return answer.standing if answer is not None else Standing.UNKNOWN
+            # Without an answer the runs are still left, as far as this entry knows.
+            standing = answer.standing if answer is not None else Standing.OPEN
+        return standing
 
     async def _clear_job(self, job_id: str, *, cancelled: bool = False) -> bool:
         """Have side processes stop other entries' runs of a job; return whether all confirmed."""
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -11,11 +11,11 @@
 
 from currantbarrow.direct.aperture import Aperture, connect_delays_ms, order_links
 from currantbarrow.direct.job import JobTask, OpenJob
-from currantbarrow.direct.leases import LEASE_END_LIMIT_MS, RUN_END_LIMIT_MS
+from currantbarrow.direct.leases import RUN_END_LIMIT_MS
 from currantbarrow.direct.links import LinkConnector
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.placement import WorkerOffer
-from currantbarrow.direct.session import LinkActivity, SideLiveness
+from currantbarrow.direct.session import ORDER_END_LIMIT_MS, LinkActivity, SideLiveness
 from currantbarrow.exceptions import LinkError
 from currantbarrow.observe import logger
 from currantbarrow.protocol import Hello, Message, Reply, RpcClient
@@ -69,7 +69,6 @@
     """Describe a lost link, over which runs were ordered that may not have ended yet."""
 
     handle: SideHandle
-    lost_ms: float
     # When all runs ordered over it have certainly ended.
     runs_end_ms: float
 
@@ -222,6 +221,8 @@
         # Side processes that this entry has not tried to connect to yet.
         self._new_addresses: set[str] = set()
         self._lost_links: list[_LostLink] = []
+        # When links were lost that have not been opened again since.
+        self._lost_ms: dict[str, float] = {}
 
     def add(self, address: str) -> None:
         """Connect to the side process at an address and keep reconnecting to it."""
@@ -302,9 +303,13 @@
         confirmed = await self._ask_to_clear(asked, job, cancelled)
         if cancelled:
             return len(confirmed) == len(asked)
-        # Side processes that ended recently were not asked. No one renews the leases of their
-        # workers.
-        ended_ms = [lost.lost_ms + LEASE_END_LIMIT_MS for lost in self._lost_links]
+        # Side processes behind links that were lost recently were not asked.
+        answered = {handle.address for handle in confirmed}
+        ended_ms = [
+            lost_ms + ORDER_END_LIMIT_MS
+            for address, lost_ms in self._lost_ms.items()
+            if address not in answered
+        ]
         if len(confirmed) < len(asked):
             ended_ms.append(began_ms + CLEAR_TIMEOUT_MS)
         wait_ms = max(ended_ms, default=0.0) - self._clock.monotonic_ms()
@@ -342,6 +347,11 @@
                 if handle.is_lost(now_ms):
                     self._mark_lost(handle, "silent")
             self._update_warm_links(now_ms)
+            self._lost_ms = {
+                address: lost_ms
+                for address, lost_ms in self._lost_ms.items()
+                if now_ms - lost_ms < ORDER_END_LIMIT_MS
+            }
             for lost in [each for each in self._lost_links if now_ms >= each.runs_end_ms]:
                 self._settle_lost(lost, "lease expired")
 
@@ -431,6 +441,7 @@
             "side process connected", extra={"address": handle.address, "worker": handle.worker}
         )
         self._metrics.incr("entry.side_up")
+        self._lost_ms.pop(handle.address, None)
         # The first report with a worker confirms that all earlier orders there have ended.
         for lost in [each for each in self._lost_links if each.handle.address == handle.address]:
             self._settle_lost(lost, "reported by the new link")
@@ -472,4 +483,5 @@
         )
         self._metrics.incr("entry.side_down")
         now_ms = self._clock.monotonic_ms()
-        self._lost_links.append(_LostLink(handle, now_ms, handle.liveness.runs_end_ms()))
+        self._lost_links.append(_LostLink(handle, handle.liveness.runs_end_ms()))
+        self._lost_ms[handle.address] = now_ms
--- a/src/currantbarrow/direct/history.py
+++ b/src/currantbarrow/direct/history.py
@@ -10,7 +10,7 @@
 from currantbarrow.protocol.direct import Standing, TakenRow
 from currantbarrow.types import Clock
 
-__all__ = ["Acceptance", "JobHistory"]
+__all__ = ["RETENTION_MS", "Acceptance", "JobHistory"]
 
 # Callers resubmit a job within seconds, so records are not needed for longer.
 RETENTION_MS = 60_000.0
--- a/src/currantbarrow/direct/runs.py
+++ b/src/currantbarrow/direct/runs.py
@@ -84,7 +84,9 @@
         if self.reported:
             # It was counted as lost, and the task may run elsewhere.
             return True
-        due_ms = self.stop_requested_ms if self.stopping else self.session.lease.expires_ms
+        due_ms = self.session.lease.expires_ms
+        if self.stopping:
+            due_ms = min(due_ms, self.stop_requested_ms)
         return now_ms - due_ms > STOP_CONFIRM_LIMIT_MS
 
     def renumber(self, number: int) -> None:
--- a/src/currantbarrow/direct/session.py
+++ b/src/currantbarrow/direct/session.py
@@ -6,7 +6,7 @@
 
 from currantbarrow.direct.leases import RUN_END_LIMIT_MS
 
-__all__ = ["EntryLease", "LinkActivity", "SideLiveness"]
+__all__ = ["ORDER_END_LIMIT_MS", "EntryLease", "LinkActivity", "SideLiveness"]
 
 # Interval of reports on links with runs. There are three in a lease, so one late message does not
 # end it.
@@ -25,6 +25,10 @@
 CLOCK_DRIFT_FACTOR = 1.02
 
 
+# The longest time from the last renewal of an entry's orders until all its runs have ended.
+ORDER_END_LIMIT_MS = (LEASE_MS + RUN_END_LIMIT_MS) * CLOCK_DRIFT_FACTOR
+
+
 class LinkActivity(enum.Enum):
     """Define how much a link between an entry and a side process is used."""
 
@@ -130,4 +134,4 @@
         renewed before the newest report arrived or the newest order was sent.
         """
         renewed_ms = max(self.last_report_ms, self._reports_expected_ms)
-        return renewed_ms + (LEASE_MS + RUN_END_LIMIT_MS) * CLOCK_DRIFT_FACTOR
+        return renewed_ms + ORDER_END_LIMIT_MS
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -8,6 +8,7 @@
 
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.driver import WorkerDriver
+from currantbarrow.direct.history import RETENTION_MS
 from currantbarrow.direct.hosts import AnnouncementStore, HostDirectory
 from currantbarrow.direct.leases import LEASE_END_LIMIT_MS
 from currantbarrow.direct.registration import keep_registered
@@ -43,8 +44,8 @@
 END_POLL_INTERVAL_MS = 2.0
 # Workers consider an announcement lost after one second without an answer.
 SAVE_TIMEOUT_MS = 700.0
-# Longer than an order for a job that moved to another entry can be delayed.
-CLEARED_JOB_RETENTION_MS = 10_000.0
+# An entry that was isolated for as long as peers remember its jobs may still order them.
+CLEARED_JOB_RETENTION_MS = RETENTION_MS
 REJECTION_REASONS = {
     RunEnd.MOVED: "job moved",
     RunEnd.CANCELLED: "job cancelled",
--- a/src/currantbarrow/entry/ownership.py
+++ b/src/currantbarrow/entry/ownership.py
@@ -406,15 +406,17 @@
         earlier_leases_end_ms = earlier_closed_at_ms + self._options.lease_ms
         (panel,) = open_versions.values()
         clients = [self._rpc_of(incarnation) for incarnation in panel]
-        min_age_ms = math.inf
+        newest_ms = -math.inf
         for former_owner in former_owners:
             ages_ms = await query_last_seen(clients, former_owner)
             if len(ages_ms) < majority(len(panel)):
                 return closed_at_ms + self._options.lease_ms
-            min_age_ms = min(min_age_ms, *ages_ms)
+            # The members measured the ages before their answers arrived.
+            newest_ms = max(newest_ms, self._clock.monotonic_ms() - min(ages_ms))
         # Any majority that confirmed a lease shares a member with the majority that answered. So
         # no lease was confirmed after the most recent confirmation that was reported here.
-        return max(earlier_leases_end_ms, closed_at_ms + self._options.lease_ms - min_age_ms)
+        confirmed_ms = min(closed_at_ms, newest_ms)
+        return max(earlier_leases_end_ms, confirmed_ms + self._options.lease_ms)
 
     def _open_versions(self, version: int) -> dict[int, tuple[str, ...]]:
         """Return the panels of versions before one that are not known to be closed."""
@@ -449,16 +451,19 @@
             self._closed_at_ms = self._clock.monotonic_ms()
 
     def _has_no_active_owner(self, version: int) -> bool:
-        """Return whether every owner of a version has ended or has reported a newer version.
+        """Return whether every owner of a version has ended or has read a later assignment.
 
         No lease is then renewed under the version, so it counts as closed, even if a majority of
         its panel can't be reached. This process counts as having moved to a newer version.
         """
         owners = self._state.version_owners.get(version, ())
+        # Any record raises the version that an owner reports; only assignments end its leases.
+        later = [each for each in self._state.version_owners if each > version]
+        next_version = min(later, default=version + 1)
         return bool(owners) and all(
             owner == self._owner
             or self._state.is_proven_gone(owner)
-            or self._reported_version(owner) > version
+            or self._reported_version(owner) >= next_version
             for owner in owners
         )
 
--- a/src/currantbarrow/platform/http.py
+++ b/src/currantbarrow/platform/http.py
@@ -60,6 +60,7 @@
                 data=body or None,
                 params=query,
                 headers=headers,
+                allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(
                     total=timeout_ms / 1000, sock_connect=CONNECT_TIMEOUT_S
                 ),
--- a/src/currantbarrow/platform/worker.py
+++ b/src/currantbarrow/platform/worker.py
@@ -106,8 +106,10 @@
             verdict = VERDICT_BY_REASON.get(reply.reason, StartVerdict.INVALID)
         elif answer.status in (429, 503):
             verdict = StartVerdict.UNHEALTHY
-        else:
+        elif answer.status == 400:
             verdict = StartVerdict.INVALID
+        else:
+            raise WorkerSilent(f"{START_PATH}: status {answer.status}")
         return StartAnswer(verdict, reply.clock_ms)
 
     async def stop(self, worker: str, run: RunName, token: int, timeout_ms: float) -> bool:
