Hold back the jobs of an entry that was out of contact until its peers have reported theirs

What callers saw: nothing of this kind is known; found by the review (isolated entry, restarted peer; frozen entry). Cause: an entry whose links had all been lost, or that had been stalled, ordered its jobs again as soon as a side process was linked, or 450 ms after the stall, although a peer that had taken them over had not reported so yet. If that peer had restarted meanwhile, nothing at the side processes rejected the orders.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -12,6 +12,7 @@
 from currantbarrow.direct.estimates import RunTimeEstimator
 from currantbarrow.direct.fleet import FleetCapacity, SideFleet, SideHandle
 from currantbarrow.direct.history import JobHistory
+from currantbarrow.direct.isolation import IsolationGuard
 from currantbarrow.direct.job import JobTask, OpenJob, longest_chain_ms
 from currantbarrow.direct.model import JobSpec, JobState, Resources, WorkQueue
 from currantbarrow.direct.placement import WorkerOffer, choose_worker
@@ -75,6 +76,9 @@
         self.fleet: SideFleet | None = None
         self.jobs: dict[str, OpenJob] = {}
         self.ending = EndingJobs(clock)
+        self.isolation = IsolationGuard()
+        # The addresses of the other entries.
+        self.peers: tuple[str, ...] = ()
         # The number of entries that share the workers, including this one.
         self.entry_count = 1
         self.run_time_estimator = RunTimeEstimator()
@@ -181,6 +185,8 @@
         candidates = self._collect_candidates(now_ms)
         full_services: set[str] = set()
         for job in sorted(self._waiting.values(), key=lambda job: job.rank(now_ms)):
+            if not self.isolation.may_order(job.times.received_ms, self.peers, now_ms):
+                continue
             service = job.queue.service
             if service in full_services:
                 continue
@@ -384,6 +390,9 @@
         now_ms = self._clock.monotonic_ms()
         stalled_ms = now_ms - self._last_tick_ms
         self._last_tick_ms = now_ms
+        self.isolation.record_stall(stalled_ms, now_ms)
+        if self.fleet is not None and not self.fleet.open_links:
+            self.isolation.record_isolation(now_ms)
         if stalled_ms > STALL_THRESHOLD_MS:
             self._holdoff_until_ms = now_ms + STALL_HOLDOFF_MS
             self._metrics.incr("entry.stalled")
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -366,6 +366,7 @@
         self._set_draining(ping.address, ping.draining)
         self.history.record_peer_jobs(ping.address, incarnation, ping.taken)
         now_ms = self._clock.monotonic_ms()
+        self.dispatcher.isolation.record_report(ping.address, now_ms)
         for row in ping.taken:
             self._submissions.withdraw(row.job, row.age_ms + RESUBMISSION_MIN_AGE_MS)
             job = self.dispatcher.jobs.get(row.job)
@@ -441,6 +442,8 @@
             for row in rows
             if row.role == Role.ENTRY.value and row.address not in self._draining_entries
         ]
+        # Callers may have resubmitted jobs to entries that drain, too.
+        self.dispatcher.peers = tuple(row.address for row in rows if row.role == Role.ENTRY.value)
         self.dispatcher.entry_count = len(others) + 1
         self.fleet.set_entries(others)
 
