--- a/tests/test_direct_random.py
+++ b/tests/test_direct_random.py
@@ -8,17 +8,19 @@
 
 import pytest
 
-from currantbarrow.direct.model import JobSpec
+from currantbarrow.direct.model import JobSpec, StepSpec
 from currantbarrow.direct.worker import Announcement
 from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
 from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
 
 SEEDS = range(8)
+ENTRIES = ("entry-0", "entry-1", "entry-2")
 TROUBLE_S = 15.0
 CALM_S = 8.0
 # Callers give up on an entry that vanished without closing its connections.
 CALLER_DEADLINE_S = 1.5
 RUN_TIMES_MS = (100.0, 600.0, 1500.0, 3000.0)
+TWO_STEPS_SHARE = 0.3
 # Commands are carried out late within these times, most of them about when a lease expires.
 LATE_MS = ((300.0, 4000.0), (900.0, 1700.0), (900.0, 1700.0))
 
@@ -39,18 +41,34 @@
             number += 1
             count, run_ms = self._rng.randint(1, 6), self._rng.choice(RUN_TIMES_MS)
             spec = self._fleet.build_job(f"{number:016x}", count, run_ms)
+            if self._rng.random() < TWO_STEPS_SHARE:
+                (first,) = spec.steps
+                second = StepSpec(count, first.resources, run_ms, after=(0,))
+                spec = JobSpec(spec.job_id, spec.payload, (first, second))
             self._tasks.add(asyncio.create_task(self._submit(spec)))
             await asyncio.sleep(self._rng.uniform(0.05, 0.25))
 
-    def disconnect(self, entry: str, *, ended: bool = False) -> None:
-        """Break the calls at an entry, which cancels their jobs unless it has ended."""
+    def disconnect(self, entry: str, *, noticed: bool = True) -> list[str]:
+        """Break the calls at an entry, which cancels their jobs unless it does not notice.
+
+        Return the jobs.
+        """
+        jobs = []
         for call, (at_entry, job) in list(self._calls.items()):
             if at_entry == entry:
                 call.cancel()
-                if not ended:
-                    dispatcher = self._fleet.entries[entry].dispatcher
-                    if job in dispatcher.jobs:
-                        dispatcher.cancel(dispatcher.jobs[job], "caller disconnected")
+                jobs.append(job)
+        if noticed:
+            self.cancel(entry, jobs)
+        return jobs
+
+    def cancel(self, entry: str, jobs: list[str]) -> None:
+        """Let an entry notice that the callers of jobs have left."""
+        if entry in self._fleet.entries:
+            dispatcher = self._fleet.entries[entry].dispatcher
+            for job in jobs:
+                if job in dispatcher.jobs:
+                    dispatcher.cancel(dispatcher.jobs[job], "caller disconnected")
 
     def stop(self) -> None:
         """Give up all calls."""
@@ -84,6 +102,11 @@
         kinds: list[Callable[[], Awaitable[None]]] = [
             self._restart_entry,
             self._lose_entry,
+            self._isolate_entry,
+            self._pause_entry,
+            self._pause_side,
+            self._suspend_sides,
+            self._cut_entries,
             self._reset_callers,
             self._restart_side,
             self._crash_worker,
@@ -112,7 +135,7 @@
     async def _restart_entry(self) -> None:
         if len(self._fleet.entries) > 1:
             name = self._draw_entry()
-            self._callers.disconnect(name, ended=True)
+            self._callers.disconnect(name, noticed=False)
             await self._fleet.kill_entry(name)
             await asyncio.sleep(self._rng.choice((0.3, 1.0, 3.0)))
             await self._fleet.start_entry(name)
@@ -124,9 +147,52 @@
             self._fleet.fabric.silence(self._fleet.entries[name].options.incarnation)
             await self._fleet.kill_entry(name)
             await asyncio.sleep(CALLER_DEADLINE_S)
-            self._callers.disconnect(name, ended=True)
+            self._callers.disconnect(name, noticed=False)
             await self._fleet.start_entry(name)
 
+    async def _isolate_entry(self) -> None:
+        """Cut an entry off from all processes and from its callers."""
+        name = self._draw_entry()
+        others = [each for each in (*self._fleet.workers, *ENTRIES) if each != name]
+        for other in others:
+            self._fleet.fabric.cut(name, other)
+        await asyncio.sleep(CALLER_DEADLINE_S)
+        self._callers.disconnect(name, noticed=False)
+        await asyncio.sleep(self._rng.uniform(0.1, 4.0))
+        for other in others:
+            self._fleet.fabric.restore(name, other)
+
+    async def _pause_entry(self) -> None:
+        """Stop an entry's timers and links, until its callers leave or not."""
+        name, pause_s = self._draw_entry(), self._rng.uniform(0.2, 4.0)
+        self._fleet.fabric.pause(name)
+        self._fleet.block_timed_waits(name)
+        await asyncio.sleep(min(pause_s, CALLER_DEADLINE_S))
+        left = self._callers.disconnect(name, noticed=False) if pause_s > CALLER_DEADLINE_S else []
+        await asyncio.sleep(max(0.0, pause_s - CALLER_DEADLINE_S))
+        self._fleet.unblock_timed_waits(name)
+        self._fleet.fabric.resume(name)
+        # The closed connections are the first that it reads.
+        self._callers.cancel(name, left)
+
+    async def _pause_side(self) -> None:
+        """Stop the links of a side process."""
+        name = self._draw_side()
+        self._fleet.fabric.pause(name)
+        await asyncio.sleep(self._rng.uniform(0.2, 3.0))
+        self._fleet.fabric.resume(name)
+
+    async def _suspend_sides(self) -> None:
+        """Let the clocks that count suspensions jump ahead at the side processes."""
+        self._fleet.clock.suspended_ms += self._rng.uniform(100.0, 2000.0)
+
+    async def _cut_entries(self) -> None:
+        one, other = self._draw_entry(), self._draw_entry()
+        if one != other:
+            self._fleet.fabric.cut(one, other)
+            await asyncio.sleep(self._rng.uniform(0.3, 4.0))
+            self._fleet.fabric.restore(one, other)
+
     async def _reset_callers(self) -> None:
         self._callers.disconnect(self._draw_entry())
 
