--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -155,7 +155,7 @@
         self._stop_overdue(instance, now_ms)
 
     def _report_lost(self, instance: WorkerInstance, now_ms: float) -> None:
-        """Report runs as lost after the lease has expired, which is renewed otherwise."""
+        """Report the runs that the expiry of the lease has ended as lost."""
         lost = [
             run
             for run in instance.runs.values()
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -103,7 +103,7 @@
     def has_overdue_runs(self, now_ms: float) -> bool:
         """Return whether a run is left that should have ended.
 
-        Letting the lease expire, which all runs share, is then the only way to guarantee its end.
+        All runs share one lease. Letting it expire is then the only way to guarantee the end.
         """
         return any(run.is_overdue(now_ms) for run in self.runs.values())
 
