Log crashes of workers, with the runs that were on them

Callers saw their jobs late or failed after crashes that the logs showed as silence: the end of a run was 'lost' in both cases. A side process now takes a refused connection (no process listens at the worker's address) or the answer of another instance as a crash, unless the worker was leaving. It logs the runs with the time since their start, and how improbable so recent a start of their queue is. Orders carry the name of the queue for that. No decision uses any of it yet.

--- a/src/currantbarrow/direct/commands.py
+++ b/src/currantbarrow/direct/commands.py
@@ -24,9 +24,11 @@
 )
 from currantbarrow.exceptions import (
     UpstreamError,
+    WorkerAbsent,
     WorkerReplaced,
     WorkerRestarted,
     WorkerSilent,
+    WorkerUnreached,
 )
 from currantbarrow.observe import logger
 from currantbarrow.types import Clock, Metrics
@@ -58,7 +60,14 @@
 class WorkerCommands:
     """Send commands to the worker on this host."""
 
-    __slots__ = ("_clock", "_control", "_last_token", "_metrics", "_on_silence_change")
+    __slots__ = (
+        "_clock",
+        "_control",
+        "_last_token",
+        "_metrics",
+        "_on_absence",
+        "_on_silence_change",
+    )
 
     def __init__(
         self,
@@ -66,11 +75,13 @@
         clock: Clock,
         metrics: Metrics,
         on_silence_change: Callable[[WorkerInstance], None],
+        on_absence: Callable[[WorkerInstance], None],
     ) -> None:
         self._control = control
         self._clock = clock
         self._metrics = metrics
         self._on_silence_change = on_silence_change
+        self._on_absence = on_absence
         self._last_token = 0
 
     def next_token(self) -> int:
@@ -103,6 +114,7 @@
             if not self._may_start(instance, run, requested_ms):
                 break
             token = instance.token
+            run.sent_ms = requested_ms
             try:
                 answer = await self._control.start(
                     instance.worker,
@@ -112,6 +124,8 @@
                     START_TIMEOUT_MS,
                 )
             except UpstreamError as error:
+                if isinstance(error, WorkerUnreached):
+                    run.sent_ms = 0.0
                 self._record_unanswered(instance, error)
                 raise
             self._record_answer(instance)
@@ -281,7 +295,12 @@
             self._on_silence_change(instance)
 
     def _record_unanswered(self, instance: WorkerInstance, error: UpstreamError) -> None:
-        if not instance.ended and instance.record_unanswered(self._clock.monotonic_ms()):
+        if instance.ended:
+            return
+        became_silent = instance.record_unanswered(self._clock.monotonic_ms())
+        if isinstance(error, WorkerAbsent):
+            self._on_absence(instance)
+        if became_silent:
             self._metrics.incr("side.worker_silent")
             logger.info(
                 "worker is not responding",
--- /dev/null
+++ b/src/currantbarrow/direct/crashes.py
@@ -0,0 +1,120 @@
+"""Describe a crash of the worker by the runs that were on it.
+
+Designed for workers with ten or more runs of several jobs, one of which may have crashed the worker.
+A task that does so mostly does it soon after its start, so the last runs to start are the likely
+causes. On a busy worker, though, some run has always started a short time ago. What counts against
+a queue is therefore how improbable so recent a start is, given how often its runs start there.
+"""
+
+from __future__ import annotations
+
+import math
+
+from currantbarrow.direct.instance import WorkerInstance
+from currantbarrow.direct.runs import Run, RunPhase
+from currantbarrow.protocol.direct import CrashRow, QueueRow, SuspectRow
+
+__all__ = ["CrashLog", "StartRates"]
+
+# A worker that answered nothing for longer may have been cut off or without power, and its runs
+# prove nothing.
+BLAME_CONTACT_MS = 1000.0
+# The measured time from start to crash is off by about this much.
+TIMING_ERROR_MS = 10.0
+# Rates of starts are averaged over about this time.
+RATE_PERIOD_MS = 2000.0
+# Tasks of a job that start within this time count as one start.
+SAME_START_MS = 20.0
+# A start before a crash by coincidence is not taken for more improbable than exp(-6), since rates
+# are estimates.
+MAX_SURPRISE = 6.0
+SUSPECTS_PER_CRASH = 64
+
+
+class _QueueStarts:
+    """Count the starts of one queue, with exponential decay."""
+
+    __slots__ = ("count", "job", "last_ms")
+
+    def __init__(self) -> None:
+        self.count = 0.0
+        self.job = ""
+        self.last_ms = -math.inf
+
+
+class StartRates:
+    """Measure how often jobs of each queue start runs on the worker."""
+
+    __slots__ = ("_queues",)
+
+    def __init__(self) -> None:
+        self._queues: dict[str, _QueueStarts] = {}
+
+    def record(self, run: Run, now_ms: float) -> None:
+        """Record the start of a run."""
+        queue = self._queues.setdefault(run.queue, _QueueStarts())
+        since_ms = now_ms - queue.last_ms
+        if run.name.job == queue.job and since_ms < SAME_START_MS:
+            return
+        queue.count = queue.count * math.exp(-since_ms / RATE_PERIOD_MS) + 1
+        queue.job, queue.last_ms = run.name.job, now_ms
+
+    def surprise(self, name: str, ran_ms: float, now_ms: float) -> float:
+        """Return the negative logarithm of the probability of a start within a time before now.
+
+        It has a mean of 1 if starts and crashes are unrelated.
+        """
+        queue = self._queues.get(name)
+        decayed = 0.0
+        if queue is not None:
+            decayed = queue.count * math.exp(-(now_ms - queue.last_ms) / RATE_PERIOD_MS)
+        # One more start than was seen, so that the first ones are not taken for improbable.
+        expected = (decayed + 1) / RATE_PERIOD_MS * (ran_ms + TIMING_ERROR_MS / 2)
+        return min(MAX_SURPRISE, -math.log(-math.expm1(-expected)))
+
+
+class CrashLog:
+    """Record the starts of runs, and describe crashes."""
+
+    __slots__ = ("_rates",)
+
+    def __init__(self) -> None:
+        self._rates = StartRates()
+
+    def record_start(self, run: Run, now_ms: float) -> None:
+        """Record that a run is sent to the worker."""
+        self._rates.record(run, now_ms)
+
+    def describe(self, instance: WorkerInstance, now_ms: float) -> CrashRow:
+        """Return a description of the crash of a worker instance, which was noticed now."""
+        crashed_ms = instance.contact_lost_ms or now_ms
+        in_contact = instance.contact_age_ms(crashed_ms) <= BLAME_CONTACT_MS
+        runs = [
+            run
+            for run in instance.runs.values()
+            if run.phase is not RunPhase.WAITING and 0 < run.sent_ms <= crashed_ms
+        ]
+        runs = sorted(runs, key=lambda run: -run.sent_ms)[:SUSPECTS_PER_CRASH]
+        weights = [1 / (crashed_ms - run.sent_ms + TIMING_ERROR_MS) for run in runs]
+        total = sum(weights)
+        suspects = [
+            SuspectRow(
+                run.name.job,
+                run.name.step,
+                run.name.index,
+                crashed_ms - run.sent_ms,
+                weight / total if in_contact else 0.0,
+            )
+            for run, weight in zip(runs, weights, strict=True)
+        ]
+        last_ms: dict[str, float] = {}
+        for run in runs:
+            last_ms[run.queue] = max(run.sent_ms, last_ms.get(run.queue, 0.0))
+        queues = [
+            QueueRow(name, self._rates.surprise(name, crashed_ms - sent_ms, crashed_ms))
+            for name, sent_ms in last_ms.items()
+            if in_contact
+        ]
+        service = instance.announcement.service
+        name = f"{instance.worker}@{instance.born_ms}" if instance.born_ms else instance.worker
+        return CrashRow(name, service, now_ms - crashed_ms, suspects, queues)
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -10,6 +10,7 @@
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.births import InstanceHistory
 from currantbarrow.direct.commands import WorkerCommands
+from currantbarrow.direct.crashes import CrashLog
 from currantbarrow.direct.guarded import GuardedControl
 from currantbarrow.direct.instance import LATE_COMMAND_LIMIT_MS, NO_WORKER, WorkerInstance
 from currantbarrow.direct.runs import Run, RunPhase
@@ -74,8 +75,13 @@
         # Whether this process has taken over a worker and stopped the runs left on it.
         self.has_taken_over = False
         self._commands = WorkerCommands(
-            GuardedControl(control, metrics), clock, metrics, self._handle_silence_change
+            GuardedControl(control, metrics),
+            clock,
+            metrics,
+            self._handle_silence_change,
+            self._handle_absence,
         )
+        self._crashes = CrashLog()
         self._clock = clock
         self._metrics = metrics
         self._lease_ms = lease_ms
@@ -189,6 +195,7 @@
             elif not is_full and instance.reservations.reserve(run.name.task, run.resources):
                 run.phase = RunPhase.STARTING
                 instance.assign_number(run)
+                self._crashes.record_start(run, now_ms)
                 self._background.spawn(self._start(instance, run))
             else:
                 # Less urgent runs must not overtake, or large tasks would starve.
@@ -416,6 +423,7 @@
         """Replace an instance by a later one that has answered under its id."""
         if former.ended or former.superseded:
             return
+        self._record_crash(former, "restarted under its id")
         former.superseded = True
         self._history.confirm(former.worker, born_ms)
         self._metrics.incr("side.worker_restarted")
@@ -501,6 +509,7 @@
     def _end_instance(self, instance: WorkerInstance, reason: str) -> None:
         if instance.ended:
             return
+        self._record_crash(instance, reason)
         instance.ended = True
         logger.info(
             "worker instance ended",
@@ -515,6 +524,34 @@
             self._finish(instance, run, RunEnd.LOST if started else RunEnd.NOT_STARTED)
         self._on_change()
 
+    def _record_crash(self, instance: WorkerInstance, evidence: str) -> None:
+        """Record that the worker process has ended without having left."""
+        if instance.crashed or instance.announcement.leaving:
+            return
+        instance.crashed = True
+        now_ms = self._clock.monotonic_ms()
+        crash = self._crashes.describe(instance, now_ms)
+        self._metrics.incr("side.worker_crashed")
+        logger.info(
+            "worker has crashed",
+            extra={
+                "worker": instance.worker,
+                "born_ms": instance.born_ms,
+                "evidence": evidence,
+                "runs": len(instance.runs),
+                "contact_age_ms": round(instance.contact_age_ms(now_ms)),
+                # Job, task, time since its start, and probability of having caused the crash.
+                "suspects": " ".join(
+                    f"{each.job}/{each.index}:{each.ran_ms:.0f}:{each.share:.2f}"
+                    for each in crash.suspects
+                ),
+                "queues": " ".join(f"{each.queue}:{each.surprise:.2f}" for each in crash.queues),
+            },
+        )
+
+    def _handle_absence(self, instance: WorkerInstance) -> None:
+        self._record_crash(instance, "no process listens at its address")
+
     def _handle_silence_change(self, instance: WorkerInstance) -> None:
         self.start_waiting_runs()
         self._work_available.set()
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -218,6 +218,7 @@
             job.spec.job_id,
             job.spec.payload,
             orders,
+            job.queue.name,
         )
         self.link.post(message)
         self.liveness.record_order(now_ms)
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -42,6 +42,8 @@
         "acknowledged_end",
         "announcement",
         "applied_end",
+        "contact_lost_ms",
+        "crashed",
         "departed_sequence",
         "ended",
         "former_numbers",
@@ -77,6 +79,10 @@
         self.ready = False
         self.ended = False
         self.silent = False
+        # Whether the worker process was seen to have ended without leaving.
+        self.crashed = False
+        # When the first command after the last answer failed, 0 if none has.
+        self.contact_lost_ms = 0.0
         # Whether an instance with a later birth has answered under the same id. No command is sent
         # for this instance then, and its runs are settled once the later one is fenced.
         self.superseded = False
@@ -112,12 +118,15 @@
     def record_answer(self, now_ms: float) -> bool:
         """Record an answer; return whether the worker was silent before."""
         self._unanswered_calls = 0
+        self.contact_lost_ms = 0.0
         self._last_answer_ms = now_ms
         was_silent, self.silent = self.silent, False
         return was_silent
 
     def record_unanswered(self, now_ms: float) -> bool:
         """Record a command without an answer; return whether it makes the worker silent."""
+        if not self._unanswered_calls:
+            self.contact_lost_ms = now_ms
         self._unanswered_calls += 1
         self._last_unanswered_ms = now_ms
         if self.silent or self._unanswered_calls < SILENT_AFTER_CALLS:
@@ -125,6 +134,10 @@
         self.silent = now_ms - self._last_answer_ms > SILENT_AFTER_MS
         return self.silent
 
+    def contact_age_ms(self, now_ms: float) -> float:
+        """Return the time since the worker last answered a command."""
+        return now_ms - self._last_answer_ms
+
     def timeout_ms(self, base_ms: float) -> float:
         """Return the timeout of a call, doubled for each unanswered call after the first."""
         return min(base_ms * 2.0 ** max(0, self._unanswered_calls - 1), TIMEOUT_LIMIT_MS)
--- a/src/currantbarrow/direct/runs.py
+++ b/src/currantbarrow/direct/runs.py
@@ -37,8 +37,10 @@
         "ordered_ms",
         "payload",
         "phase",
+        "queue",
         "reported",
         "resources",
+        "sent_ms",
         "session",
         "start_due_ms",
         "started_ms",
@@ -51,9 +53,16 @@
     )
 
     def __init__(
-        self, session: SideSession, job: str, payload: str, order: TaskOrder, now_ms: float
+        self,
+        session: SideSession,
+        job: str,
+        payload: str,
+        order: TaskOrder,
+        now_ms: float,
+        queue: str = "",
     ) -> None:
         self.session = session
+        self.queue = queue
         self.payload = payload
         self.attempt = order.attempt
         self.name = RunName(job, order.step, order.index, order.attempt)
@@ -63,6 +72,8 @@
         self.start_due_ms = now_ms + order.start_within_ms
         self.wait_deadline_ms = now_ms + order.wait_ms
         self.phase = RunPhase.WAITING
+        # When the last start was sent that may have reached the worker, 0 if there is none.
+        self.sent_ms = 0.0
         self.started_ms = 0.0
         self.unconfirmed_ms = 0.0
         # When the worker confirmed that the run is stopped, or will never start.
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -393,7 +393,7 @@
         elif not session.lease.is_valid(now_ms):
             rejection = RunEnd.NOT_STARTED
         for order in orders.tasks:
-            run = Run(session, orders.job, orders.payload, order, now_ms)
+            run = Run(session, orders.job, orders.payload, order, now_ms, orders.queue)
             if rejection is None:
                 if self.driver.evacuated:
                     self._metrics.incr("side.order_evacuated")
--- a/src/currantbarrow/direct/worker.py
+++ b/src/currantbarrow/direct/worker.py
@@ -114,7 +114,8 @@
     """Send commands to one worker instance.
 
     timeout_ms bounds the whole call. Calls raise WorkerSilent when no answer arrived, in which case
-    the command may still be executed; WorkerUnreached when it was certainly not executed; and
+    the command may still be executed; WorkerUnreached when it was certainly not executed, and
+    WorkerAbsent when no process listens at the worker's address, so that the worker has ended; and
     WorkerReplaced when an instance with a different id answered. An instance with the same id and
     another birth answers like the one that the command was meant for; only polls return the birth.
     """
--- a/src/currantbarrow/exceptions.py
+++ b/src/currantbarrow/exceptions.py
@@ -186,6 +186,12 @@
     code = "call_unsent"
 
 
+class CallRefused(CallUnsent):
+    """Report that no process listens at the address of a server."""
+
+    code = "call_refused"
+
+
 class RemoteError(LinkError):
     """Report that the peer replied to a call with an error, whose code is remote_code."""
 
@@ -245,6 +251,12 @@
     code = "worker_unreached"
 
 
+class WorkerAbsent(WorkerUnreached):
+    """Report that no process listens at the address of a worker."""
+
+    code = "worker_absent"
+
+
 class WorkerReplaced(UpstreamError):
     """Report that a command was rejected as the worker has restarted as another instance."""
 
--- a/src/currantbarrow/platform/http.py
+++ b/src/currantbarrow/platform/http.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from typing import Any
 
 import aiohttp
 import msgspec
 
-from currantbarrow.exceptions import CallUnsent, LinkClosed, LinkTimeout
+from currantbarrow.exceptions import CallRefused, CallUnsent, LinkClosed, LinkTimeout
 
 __all__ = ["HttpResponse", "HttpClient"]
 
@@ -51,7 +52,10 @@
         query: dict[str, Any] | None = None,
         headers: dict[str, str] | None = None,
     ) -> HttpResponse:
-        """Send a request and return its response; raise CallUnsent, LinkTimeout or LinkClosed."""
+        """Send a request and return its response.
+
+        Raise CallUnsent, or CallRefused if no process listens; LinkTimeout or LinkClosed.
+        """
         session = self._session or self._open_session()
         try:
             async with session.request(
@@ -69,7 +73,8 @@
                 self._consecutive_timeouts = 0
                 return answer
         except aiohttp.ClientConnectorError as error:
-            raise CallUnsent(f"{path}: {error}") from error
+            is_refused = error.errno == errno.ECONNREFUSED
+            raise (CallRefused if is_refused else CallUnsent)(f"{path}: {error}") from error
         except (TimeoutError, aiohttp.ServerTimeoutError) as error:
             self._record_timeout(session)
             raise LinkTimeout(f"{path}: no answer in {timeout_ms:.0f} ms") from error
--- a/src/currantbarrow/platform/worker.py
+++ b/src/currantbarrow/platform/worker.py
@@ -15,8 +15,10 @@
     WorkerEnd,
 )
 from currantbarrow.exceptions import (
+    CallRefused,
     CallUnsent,
     LinkError,
+    WorkerAbsent,
     WorkerReplaced,
     WorkerSilent,
     WorkerUnreached,
@@ -163,6 +165,8 @@
                 headers={"Content-Type": "application/json", INSTANCE_HEADER: worker},
                 timeout_ms=timeout_ms,
             )
+        except CallRefused as error:
+            raise WorkerAbsent(str(error)) from error
         except CallUnsent as error:
             raise WorkerUnreached(str(error)) from error
         except LinkError as error:
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -11,6 +11,7 @@
 __all__ = [
     "ClearJob",
     "ClearedJob",
+    "CrashRow",
     "DemandRow",
     "DropTasks",
     "EndRow",
@@ -18,6 +19,7 @@
     "HostRow",
     "JobStanding",
     "PeerPing",
+    "QueueRow",
     "RunEnd",
     "ReportJobs",
     "ReportedJobs",
@@ -30,6 +32,7 @@
     "SideReport",
     "Standing",
     "StopJob",
+    "SuspectRow",
     "TakenRow",
     "TaskOrder",
     "WorkerState",
@@ -108,6 +111,8 @@
     job: str
     payload: str
     tasks: list[TaskOrder]
+    # The queue of the job; empty if the sender does not say.
+    queue: str = ""
 
 
 class DropTasks(Message, frozen=True):
@@ -167,6 +172,39 @@
     evacuated: bool = False
 
 
+class SuspectRow(msgspec.Struct, array_like=True, frozen=True):
+    """Report a run that was on a worker when it crashed."""
+
+    job: str
+    step: int
+    index: int
+    # Time from the start of the run to the crash.
+    ran_ms: float
+    # The probability that this run crashed the worker, if one of its runs did; 0 if unknown.
+    share: float
+
+
+class QueueRow(msgspec.Struct, array_like=True, frozen=True):
+    """Report how improbable it is that a queue's last start so shortly before a crash is chance."""
+
+    queue: str
+    # The negative natural logarithm of that probability; 1 on average if it is chance.
+    surprise: float
+
+
+class CrashRow(msgspec.Struct, array_like=True, frozen=True):
+    """Report the crash of a worker instance, and the runs that were on it."""
+
+    # The worker's name and birth.
+    worker: str
+    service: str
+    # Time since the crash.
+    age_ms: float
+    suspects: list[SuspectRow]
+    # The queues of these runs; empty if the time of the crash is unknown.
+    queues: list[QueueRow]
+
+
 class SideReport(Message, frozen=True):
     """Report a worker's state and the ends of the receiver's runs."""
 
