Show with tests that tasks crash worker after worker, and that a shrunk capacity is forgotten

The stand-in worker crashes some time after the start of given tasks, refuses connections until it is back, and changes its capacity while it runs. run_fleet checks that no task is started three times more after three crashes under it.

--- a/src/currantbarrow/direct/crashes.py
+++ b/src/currantbarrow/direct/crashes.py
@@ -1,9 +1,9 @@
 """Describe a crash of the worker by the runs that were on it.
 
-Designed for workers with ten or more runs of several jobs, one of which may have crashed the worker.
-A task that does so mostly does it soon after its start, so the last runs to start are the likely
-causes. On a busy worker, though, some run has always started a short time ago. What counts against
-a queue is therefore how improbable so recent a start is, given how often its runs start there.
+Designed for workers with ten or more runs of several jobs, one of which may have crashed its
+worker. A task that does so mostly does it soon after its start, so the last runs to start are the
+likely causes. On a busy worker, though, some run has always started a short time ago. What counts
+against a queue is therefore how improbable so recent a start is, given how often its runs start.
 """
 
 from __future__ import annotations
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -322,7 +322,8 @@
     async def _announce(self, name: str, side: DirectSide) -> None:
         while True:
             await asyncio.sleep(ANNOUNCE_MS / 1000)
-            await side.handle_announcement(self.workers[name].announcement())
+            if not self.workers[name].is_away:
+                await side.handle_announcement(self.workers[name].announcement())
 
     def _delay_ms(self, sender: Hello, receiver: Hello) -> float:
         return self.plan.delay_ms
--- a/src/currantbarrow/standins/direct_worker.py
+++ b/src/currantbarrow/standins/direct_worker.py
@@ -20,7 +20,7 @@
     StartVerdict,
     WorkerEnd,
 )
-from currantbarrow.exceptions import WorkerReplaced, WorkerSilent
+from currantbarrow.exceptions import WorkerAbsent, WorkerReplaced, WorkerSilent
 from currantbarrow.protocol.direct import RunEnd
 
 __all__ = ["MemoryWorker", "RunRecorder", "WorkerFaults"]
@@ -29,6 +29,11 @@
 RESPONSE_DELAY_MS = 1.0
 STOP_DURATION_MS = 20.0
 CHECK_INTERVAL_MS = 5.0
+# After this many crashes under a task, fewer than so many further starts of it are allowed.
+CRASH_BUDGET = 3
+STARTS_AFTER_CRASHES = 3
+# A capacity that has shrunk binds the starts after this time.
+SHRINK_NOTICE_MS = 3500.0
 
 
 class RunRecorder:
@@ -43,6 +48,17 @@
         self.racks: dict[tuple[str, int], set[str]] = {}
         self.double_runs: list[Task] = []
         self.over_capacity: list[str] = []
+        # Tasks that crash each worker that starts them, and the time from the start to the crash.
+        self.crashing_ms: dict[Task, float] = {}
+        self.crashes: collections.Counter[Task] = collections.Counter()
+        self.crashed_workers: list[str] = []
+        self._starts_after_crashes: collections.Counter[Task] = collections.Counter()
+        self.over_crash_budget: list[Task] = []
+
+    def record_crash(self, task: Task, worker: str) -> None:
+        """Record that a task has crashed its worker."""
+        self.crashes[task] += 1
+        self.crashed_workers.append(worker)
 
     def record_start(self, task: Task, worker: str) -> None:
         """Record the start of a run."""
@@ -50,6 +66,10 @@
             self.double_runs.append(task)
         self.running[task] = worker
         self.started.append((task, worker))
+        if self.crashes[task] >= CRASH_BUDGET:
+            self._starts_after_crashes[task] += 1
+            if self._starts_after_crashes[task] == STARTS_AFTER_CRASHES:
+                self.over_crash_budget.append(task)
 
     def record_end(self, task: Task, worker: str, end: RunEnd = RunEnd.LOST) -> None:
         """Record the end of a run, and how it ended."""
@@ -82,6 +102,8 @@
     late_share: float = 0.0
     # The share of stops that are neither answered nor carried out.
     lost_stop_share: float = 0.0
+    # How long the worker is away after a task has crashed it.
+    crash_ms: float = 3300.0
 
 
 class _ActiveRun(msgspec.Struct):
@@ -119,6 +141,9 @@
         # The birth that the current instance sends; 0 if it sends none.
         self.born_ms = born_ms
         self.capacity = capacity
+        # The former capacity, which still counts for a time after the worker has shrunk.
+        self._former_capacity = capacity
+        self._shrunk_ms = -SHRINK_NOTICE_MS
         self.labels = frozenset({"a"})
         self.faults = WorkerFaults()
         self.leaving = False
@@ -126,6 +151,7 @@
         self.cold_until_ms = 0.0
         self.polls = 0
         self._instance_number = 1
+        self._away_until_s = 0.0
         # How often the worker has crashed or restarted.
         self._starts = 0
         self._sequence = 0
@@ -146,6 +172,21 @@
         """Return the name of the current instance."""
         return f"{self.name}.{self._instance_number}"
 
+    @property
+    def is_away(self) -> bool:
+        """Return whether the worker process has ended and has not started again yet."""
+        return asyncio.get_running_loop().time() < self._away_until_s
+
+    def resize(self, capacity: Resources) -> None:
+        """Change the capacity, which the next announcement shows."""
+        now_ms = asyncio.get_running_loop().time() * 1000
+        if now_ms - self._shrunk_ms >= SHRINK_NOTICE_MS or not self._former_capacity.covers(
+            self.capacity
+        ):
+            self._former_capacity = self.capacity
+        self._shrunk_ms = now_ms
+        self.capacity = capacity
+
     @property
     def unacknowledged_ends(self) -> int:
         """Return how many run ends are not yet acknowledged."""
@@ -180,6 +221,16 @@
         self._reset()
         self._instance_number += 1
 
+    def crash_for(self, away_ms: float) -> None:
+        """Crash, and begin a new instance after a time in which no process listens."""
+        self.crash()
+        self._away_until_s = asyncio.get_running_loop().time() + away_ms / 1000
+
+    def _crash_by_task(self, task: Task, worker: str) -> None:
+        if worker == self.worker and task in self._runs:
+            self._recorder.record_crash(task, self.name)
+            self.crash_for(self.faults.crash_ms)
+
     def restart(self) -> None:
         """Restart under the same id, with a later birth and a clock that starts anew."""
         self._reset()
@@ -254,6 +305,8 @@
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
         if worker == self.worker:
             await self._delay_response(timeout_ms - wait_ms, starts)
+        if self.is_away:
+            raise WorkerSilent("the connection was reset")
         if worker != self.worker:
             raise WorkerReplaced(worker)
         return PollResult(
@@ -285,10 +338,20 @@
         self._runs[run.name.task] = _ActiveRun(run.name, Resources(int(cpu_millis)), ends_ms)
         self._recorder.record_start(run.name.task, self.worker)
         used = sum(each.resources.cpu_millis for each in self._runs.values())
-        if used > self.capacity.cpu_millis:
+        if used > self._binding_cpu_millis():
             self._recorder.over_capacity.append(self.worker)
+        crash_ms = self._recorder.crashing_ms.get(run.name.task)
+        if crash_ms is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(crash_ms / 1000, self._crash_by_task, run.name.task, self.worker)
         return StartVerdict.STARTED
 
+    def _binding_cpu_millis(self) -> int:
+        now_ms = asyncio.get_running_loop().time() * 1000
+        if now_ms - self._shrunk_ms >= SHRINK_NOTICE_MS:
+            return self.capacity.cpu_millis
+        return max(self.capacity.cpu_millis, self._former_capacity.cpu_millis)
+
     def _is_far(self, name: RunName, near_rack: str = "", same_rack: str = "") -> bool:
         racks = self._recorder.racks.setdefault((name.job, name.step), set())
         racks.add(self.rack)
@@ -324,7 +387,7 @@
 
         async def carry_out() -> None:
             await asyncio.sleep(self.faults.late_ms / 1000)
-            if worker == self.worker:
+            if worker == self.worker and not self.is_away:
                 command()
 
         late = asyncio.create_task(carry_out())
@@ -338,6 +401,8 @@
         if self.faults.silent or self.faults.lost_share > self._rng.random():
             await asyncio.sleep(timeout_ms / 1000)
             raise WorkerSilent("the worker did not answer")
+        if self.is_away:
+            raise WorkerAbsent("the connection was refused")
         if worker != self.worker:
             raise WorkerReplaced(worker)
 
@@ -348,6 +413,8 @@
         await asyncio.sleep(min(late_ms, timeout_ms) / 1000)
         if late_ms > timeout_ms:
             raise WorkerSilent("the answer came late")
+        if self.is_away:
+            raise WorkerSilent("the connection was reset")
         if starts != self._starts and worker == self.worker:
             raise WorkerSilent("the worker has restarted")
 
--- a/tests/direct_scenarios.py
+++ b/tests/direct_scenarios.py
@@ -16,7 +16,10 @@
 
 
 def run_fleet(scenario: Scenario, plan: DirectPlan | None = None) -> DirectFleet:
-    """Run a scenario, and check that no task ran twice at once and no worker was overcommitted."""
+    """Run a scenario, and check that no task ran twice at once and no worker was overcommitted.
+
+    No task is started on and on after it has crashed several workers.
+    """
 
     async def run() -> DirectFleet:
         fleet = DirectFleet(plan or DirectPlan())
@@ -26,6 +29,7 @@
         await fleet.stop()
         assert fleet.runs.double_runs == []
         assert fleet.runs.over_capacity == []
+        assert fleet.runs.over_crash_budget == []
         return fleet
 
     return run_virtual(run())
