Count the crashes of workers under each task, and give up a task that causes them

Callers with such a task waited until their time passed, while it crashed worker after worker: the end of a run by a crash is 'lost', which nothing counted. Side processes now report each crash to all entries with the runs that were on the worker, and the probability of each to be the cause. An entry fails a job if a task of it was on two crashed workers and its tasks have probably caused it, or after three crashes under the task. Every entry has the count, so it outlives the entry and the side process; crashes of several workers at the same moment, and ends that were noticed after a silence, blame nobody.

--- a/src/currantbarrow/direct/commands.py
+++ b/src/currantbarrow/direct/commands.py
@@ -124,7 +124,7 @@
                     START_TIMEOUT_MS,
                 )
             except UpstreamError as error:
-                if isinstance(error, WorkerUnreached):
+                if isinstance(error, WorkerUnreached | WorkerReplaced):
                     run.sent_ms = 0.0
                 self._record_unanswered(instance, error)
                 raise
--- /dev/null
+++ b/src/currantbarrow/direct/crash_history.py
@@ -0,0 +1,154 @@
+"""Count the crashes of workers under each task, as all side processes report them.
+
+Designed for a fleet in which each crash ends ten or more runs, of which at most a few have caused
+it. A task that crashes its workers is on each of them, soon after its start; other tasks are beside
+it once or twice. Reports of side processes reach every entry, so the count outlives the entry that
+ordered the runs.
+
+Workers of a rack or a data centre that lose power crash within moments of each other, and blame
+none of their tasks, unless the same job has just started on all of them.
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+
+import msgspec
+
+from currantbarrow.direct.history import RETENTION_MS
+from currantbarrow.protocol.direct import CrashRow, SuspectRow
+
+__all__ = ["Crash", "CrashHistory", "Verdict"]
+
+Task = tuple[str, int, int]
+
+# A job is given up if a task of it was on this many crashed workers, and its tasks have probably
+# caused the crashes.
+PROBABLE_CRASHES = 2
+PROBABLE_SHARE = 0.6
+# Whatever the probabilities, a task is not started again after so many crashes.
+BLAMED_CRASHES_LIMIT = 3
+CRASHES_LIMIT = 4
+# A task with this probability of having caused a crash is kept away from others.
+SUSPECT_SHARE = 0.2
+# Crashes of several workers within this time have a common cause. Side processes notice a crash
+# within some milliseconds.
+SIMULTANEOUS_MS = 30.0
+# The common cause is a job that was started on all of the workers within this time.
+JUST_STARTED_MS = 100.0
+
+
+class Crash:
+    """Describe the crash of one worker."""
+
+    __slots__ = ("address", "blames", "crashed_ms", "row")
+
+    def __init__(self, row: CrashRow, address: str, crashed_ms: float) -> None:
+        self.row = row
+        self.address = address
+        self.crashed_ms = crashed_ms
+        # Whether one of the runs may have caused it.
+        self.blames = any(each.share > 0 for each in row.suspects)
+
+    def just_started_jobs(self) -> set[str]:
+        """Return the jobs that had started a run just before the crash."""
+        return {each.job for each in self.row.suspects if each.ran_ms <= JUST_STARTED_MS}
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """Describe why a job is given up."""
+
+    queue: str
+    index: int
+    crashes: int
+
+    def __str__(self) -> str:
+        return f"{self.crashes} workers crashed under task {self.index}"
+
+
+class CrashHistory:
+    """Record the reported crashes, and decide which tasks are suspected of having caused them."""
+
+    __slots__ = ("_by_job", "_crashes")
+
+    def __init__(self) -> None:
+        # By the worker instance, oldest first.
+        self._crashes: collections.OrderedDict[str, Crash] = collections.OrderedDict()
+        self._by_job: dict[str, list[Crash]] = {}
+
+    def record(self, row: CrashRow, address: str, now_ms: float) -> Crash | None:
+        """Record a reported crash; return None if it is known or unreadable."""
+        numbers = (row.age_ms, *(number for each in row.suspects for number in _numbers(each)))
+        if row.worker in self._crashes or not all(map(math.isfinite, numbers)):
+            return None
+        crash = Crash(row, address, now_ms - max(0.0, row.age_ms))
+        self._separate_common_causes(crash)
+        self._crashes[row.worker] = crash
+        for job in {each.job for each in row.suspects}:
+            self._by_job.setdefault(job, []).append(crash)
+        return crash
+
+    def is_suspect(self, task: Task) -> bool:
+        """Return whether a task may well have caused a crash."""
+        return any(
+            each.share >= SUSPECT_SHARE and (each.job, each.step, each.index) == task
+            for crash in self._by_job.get(task[0], ())
+            if crash.blames
+            for each in crash.row.suspects
+        )
+
+    def verdict(self, job: str) -> Verdict | None:
+        """Return why a job is given up, or None if it is not."""
+        crashes: collections.Counter[tuple[int, int]] = collections.Counter()
+        blamed: collections.Counter[tuple[int, int]] = collections.Counter()
+        share, queue = 0.0, ""
+        for crash in self._by_job.get(job, ()):
+            rows = [each for each in crash.row.suspects if each.job == job]
+            crashes.update((each.step, each.index) for each in rows)
+            if crash.blames:
+                blamed.update((each.step, each.index) for each in rows)
+                share += sum(each.share for each in rows)
+            queue = rows[0].queue
+        if not crashes:
+            return None
+        (_, index), most = crashes.most_common(1)[0]
+        if blamed:
+            (_, index), most_blamed = blamed.most_common(1)[0]
+            is_probable = most_blamed >= PROBABLE_CRASHES and share >= PROBABLE_SHARE
+            if is_probable or most_blamed >= BLAMED_CRASHES_LIMIT:
+                return Verdict(queue, index, most_blamed)
+        return Verdict(queue, index, most) if most >= CRASHES_LIMIT else None
+
+    def expire(self, now_ms: float) -> None:
+        """Remove crashes past their retention time."""
+        while self._crashes:
+            crash = next(iter(self._crashes.values()))
+            if now_ms - crash.crashed_ms <= RETENTION_MS:
+                return
+            self._crashes.popitem(last=False)
+            for job in {each.job for each in crash.row.suspects}:
+                self._by_job[job].remove(crash)
+                if not self._by_job[job]:
+                    del self._by_job[job]
+
+    def _separate_common_causes(self, crash: Crash) -> None:
+        """Let a crash and those at the same time blame no run, unless one job explains them all."""
+        group = [
+            other
+            for other in self._crashes.values()
+            if other.address != crash.address
+            and abs(other.crashed_ms - crash.crashed_ms) <= SIMULTANEOUS_MS
+        ]
+        if not group:
+            return
+        common = crash.just_started_jobs().intersection(
+            *(other.just_started_jobs() for other in group)
+        )
+        if not common:
+            for each in (crash, *group):
+                each.blames = False
+
+
+def _numbers(row: SuspectRow) -> tuple[float, float]:
+    return row.ran_ms, row.share
--- a/src/currantbarrow/direct/crashes.py
+++ b/src/currantbarrow/direct/crashes.py
@@ -10,15 +10,15 @@
 
 import math
 
-from currantbarrow.direct.instance import WorkerInstance
+from currantbarrow.direct.instance import TIMEOUT_LIMIT_MS, WorkerInstance
 from currantbarrow.direct.runs import Run, RunPhase
 from currantbarrow.protocol.direct import CrashRow, QueueRow, SuspectRow
 
 __all__ = ["CrashLog", "StartRates"]
 
-# A worker that answered nothing for longer may have been cut off or without power, and its runs
-# prove nothing.
-BLAME_CONTACT_MS = 1000.0
+# A worker that answered nothing for longer before its end was noticed may have been cut off or
+# without power, and its runs prove nothing. Commands time out after at most this time.
+BLAME_SILENCE_MS = TIMEOUT_LIMIT_MS
 # The measured time from start to crash is off by about this much.
 TIMING_ERROR_MS = 10.0
 # Rates of starts are averaged over about this time.
@@ -88,7 +88,7 @@
     def describe(self, instance: WorkerInstance, now_ms: float) -> CrashRow:
         """Return a description of the crash of a worker instance, which was noticed now."""
         crashed_ms = instance.contact_lost_ms or now_ms
-        in_contact = instance.contact_age_ms(crashed_ms) <= BLAME_CONTACT_MS
+        is_time_known = now_ms - crashed_ms <= BLAME_SILENCE_MS
         runs = [
             run
             for run in instance.runs.values()
@@ -102,8 +102,9 @@
                 run.name.job,
                 run.name.step,
                 run.name.index,
+                run.queue,
                 crashed_ms - run.sent_ms,
-                weight / total if in_contact else 0.0,
+                weight / total if is_time_known else 0.0,
             )
             for run, weight in zip(runs, weights, strict=True)
         ]
@@ -113,7 +114,7 @@
         queues = [
             QueueRow(name, self._rates.surprise(name, crashed_ms - sent_ms, crashed_ms))
             for name, sent_ms in last_ms.items()
-            if in_contact
+            if is_time_known
         ]
         service = instance.announcement.service
         name = f"{instance.worker}@{instance.born_ms}" if instance.born_ms else instance.worker
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from currantbarrow.direct.admission import Refusal
+from currantbarrow.direct.crash_history import CrashHistory, Verdict
 from currantbarrow.direct.ending import EndingJobs
 from currantbarrow.direct.estimates import RunTimeEstimator
 from currantbarrow.direct.fleet import SideFleet, SideHandle
@@ -22,7 +23,14 @@
 from currantbarrow.direct.urgency import create_times
 from currantbarrow.exceptions import LinkError
 from currantbarrow.observe import logger
-from currantbarrow.protocol.direct import DemandRow, EndRow, RunEnd, Standing, TaskOrder
+from currantbarrow.protocol.direct import (
+    CrashRow,
+    DemandRow,
+    EndRow,
+    RunEnd,
+    Standing,
+    TaskOrder,
+)
 from currantbarrow.types import Clock, Metrics
 
 __all__ = ["JobDispatcher"]
@@ -68,6 +76,7 @@
         self.jobs: dict[str, OpenJob] = {}
         self.ending = EndingJobs(clock)
         self.isolation = IsolationGuard()
+        self.crashes = CrashHistory()
         # The addresses of the other entries.
         self.peers: tuple[str, ...] = ()
         self.scarcity = Scarcity(rng, metrics)
@@ -113,6 +122,19 @@
         self.dispatch_waiting()
         return job
 
+    def has_given_up(self, spec: JobSpec, queue: WorkQueue) -> bool:
+        """Return whether a submitted job has crashed too many workers to be run again."""
+        verdict = self.crashes.verdict(spec.job_id)
+        if verdict is None:
+            return False
+        self._metrics.incr("entry.job_crashed_workers")
+        self._history.record_ended(spec.job_id, Standing.FAILED)
+        logger.info(
+            "job given up at submission",
+            extra={"job": spec.job_id, "queue": queue.name, "reason": str(verdict)},
+        )
+        return True
+
     def check_spread(self, spec: JobSpec, queue: WorkQueue) -> Refusal | None:
         """Return a refusal if the limits of a job's steps can't be kept on the known workers."""
         workers = self.fleet.worker_states(queue.service) if self.fleet is not None else []
@@ -168,6 +190,33 @@
         del handle.ordered_tasks[key]
         self._settle_run(*entry, handle, row.end, row.ran_ms)
 
+    def worker_crashed(self, handle: SideHandle, row: CrashRow) -> None:
+        """Handle the crash of a worker: give up the jobs that have probably crashed several."""
+        now_ms = self._clock.monotonic_ms()
+        crash = self.crashes.record(row, handle.address, now_ms)
+        if crash is None:
+            return
+        self._metrics.incr("entry.worker_crashed")
+        jobs = sorted({each.job for each in row.suspects})
+        logger.info(
+            "crash of worker reported",
+            extra={
+                "worker": row.worker,
+                "age_ms": round(row.age_ms),
+                "blames": crash.blames,
+                "jobs": " ".join(jobs),
+            },
+        )
+        for job_id in jobs:
+            verdict = self.crashes.verdict(job_id)
+            if verdict is not None and job_id in self.jobs:
+                self._give_up(self.jobs[job_id], verdict)
+
+    def _give_up(self, job: OpenJob, verdict: Verdict) -> None:
+        """End a job whose tasks have probably crashed several workers."""
+        self._metrics.incr("entry.job_crashed_workers")
+        self._end_job(job, JobState.FAILED, str(verdict))
+
     def runs_lost(self, handle: SideHandle) -> None:
         """Handle the loss of all runs ordered over a link."""
         ordered, handle.ordered_tasks = handle.ordered_tasks, {}
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -31,7 +31,7 @@
     WorkerSilent,
 )
 from currantbarrow.observe import logger
-from currantbarrow.protocol.direct import RunEnd, WorkerState
+from currantbarrow.protocol.direct import CrashRow, RunEnd, WorkerState
 from currantbarrow.types import Clock, Metrics
 
 __all__ = ["WorkerDriver"]
@@ -67,6 +67,7 @@
         lease_ms: float,
         on_end: Callable[[Run, RunEnd], None],
         on_change: Callable[[], None],
+        on_crash: Callable[[CrashRow], None],
     ) -> None:
         self.instance: WorkerInstance | None = None
         self.draining = False
@@ -87,6 +88,7 @@
         self._lease_ms = lease_ms
         self._on_end = on_end
         self._on_change = on_change
+        self._on_crash = on_crash
         self._background = BackgroundTasks(metrics)
         self._work_available = asyncio.Event()
         self._history = InstanceHistory()
@@ -539,7 +541,7 @@
                 "born_ms": instance.born_ms,
                 "evidence": evidence,
                 "runs": len(instance.runs),
-                "contact_age_ms": round(instance.contact_age_ms(now_ms)),
+                "noticed_after_ms": round(crash.age_ms),
                 # Job, task, time since its start, and probability of having caused the crash.
                 "suspects": " ".join(
                     f"{each.job}/{each.index}:{each.ran_ms:.0f}:{each.share:.2f}"
@@ -548,6 +550,7 @@
                 "queues": " ".join(f"{each.queue}:{each.surprise:.2f}" for each in crash.queues),
             },
         )
+        self._on_crash(crash)
 
     def _handle_absence(self, instance: WorkerInstance) -> None:
         self._record_crash(instance, "no process listens at its address")
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -242,6 +242,8 @@
             return job
         if answer is not None:
             return answer
+        if self.dispatcher.has_given_up(spec, queue):
+            return Standing.FAILED
         outcome = self.dispatcher.check_spread(spec, queue) or self.dispatcher.submit(
             spec, queue, caller_timeout_ms
         )
@@ -561,6 +563,7 @@
             await self._clock.sleep_ms(EXPIRY_INTERVAL_MS)
             self.history.expire()
             self.dispatcher.ending.expire()
+            self.dispatcher.crashes.expire(self._clock.monotonic_ms())
             self._forget_departed()
             self._metrics.gauge("entry.open_jobs", len(self.dispatcher.jobs))
 
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -25,6 +25,7 @@
 from currantbarrow.protocol.direct import (
     ClearedJob,
     ClearJob,
+    CrashRow,
     DropTasks,
     EndRow,
     RunTasks,
@@ -59,6 +60,9 @@
     def runs_lost(self, handle: SideHandle) -> None:
         """Handle that all runs ordered over a link have ended or will never start."""
 
+    def worker_crashed(self, handle: SideHandle, row: CrashRow) -> None:
+        """Handle the crash of a worker."""
+
     def capacity_changed(self) -> None:
         """Handle a change of the available capacity."""
 
@@ -550,6 +554,8 @@
         handle.unreported_orders = [
             each for each in handle.unreported_orders if each[0] > report.seen
         ]
+        for crash in report.crashes:
+            self._listener.worker_crashed(handle, crash)
         for ended in report.ends:
             self._listener.run_ended(self._find_ordering_handle(handle, ended), ended)
         if first and report.state.worker:
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -10,7 +10,7 @@
 from currantbarrow.direct.worker import NOT_ANNOUNCED, Announcement, RunName
 from currantbarrow.protocol.direct import WorkerState
 
-__all__ = ["LATE_COMMAND_LIMIT_MS", "NO_WORKER", "WorkerInstance"]
+__all__ = ["LATE_COMMAND_LIMIT_MS", "NO_WORKER", "TIMEOUT_LIMIT_MS", "WorkerInstance"]
 
 # Single commands get lost on healthy workers too, so a worker is silent only after several of them
 # in a row, and this long after its last answer.
@@ -134,10 +134,6 @@
         self.silent = now_ms - self._last_answer_ms > SILENT_AFTER_MS
         return self.silent
 
-    def contact_age_ms(self, now_ms: float) -> float:
-        """Return the time since the worker last answered a command."""
-        return now_ms - self._last_answer_ms
-
     def timeout_ms(self, base_ms: float) -> float:
         """Return the timeout of a call, doubled for each unanswered call after the first."""
         return min(base_ms * 2.0 ** max(0, self._unanswered_calls - 1), TIMEOUT_LIMIT_MS)
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import functools
 
 import msgspec
@@ -28,6 +29,7 @@
 from currantbarrow.protocol.direct import (
     ClearedJob,
     ClearJob,
+    CrashRow,
     DropTasks,
     EndRow,
     HostRow,
@@ -47,6 +49,8 @@
 IDLE_TICK_INTERVAL_MS = 200.0
 # How long the last ends need to reach the entries.
 LAST_REPORTS_MS = 10.0
+# Crashes that are reported over new links; entries remember them as long as they can use them.
+CRASHES_KEPT = 32
 # Poll interval while runs of another session or entry end.
 END_POLL_INTERVAL_MS = 2.0
 # Workers consider an announcement lost after one second without an answer.
@@ -86,11 +90,24 @@
     cleared_ms: float
 
 
+class _NoticedCrash(msgspec.Struct, frozen=True):
+    """Describe a crash of the worker, and when it was noticed."""
+
+    row: CrashRow
+    noticed_ms: float
+
+    def report(self, now_ms: float) -> CrashRow:
+        """Return the row with its present age."""
+        age_ms = self.row.age_ms + now_ms - self.noticed_ms
+        return msgspec.structs.replace(self.row, age_ms=age_ms)
+
+
 class SideSession:
     """Track the link to one entry, its lease and its unreported ends."""
 
     __slots__ = (
         "closed",
+        "crashes",
         "ends",
         "infrequent",
         "last_order_sequence",
@@ -109,6 +126,8 @@
         self.lease = EntryLease(now_ms)
         self.last_order_sequence = 0
         self.ends: list[EndRow] = []
+        # Crashes that were not reported to the entry yet, and when they were noticed.
+        self.crashes: list[_NoticedCrash] = []
         self.last_report_ms = 0.0
         self.report_timer: asyncio.TimerHandle | None = None
         self.report_due_ms = 0.0
@@ -161,6 +180,7 @@
         self._background = BackgroundTasks(metrics)
         self._sessions: list[SideSession] = []
         self._results = RecentResults()
+        self._crashes: collections.deque[_NoticedCrash] = collections.deque(maxlen=CRASHES_KEPT)
         self._cleared_jobs: dict[str, _ClearedJobRecord] = {}
         self._evacuations = KnownEvacuations(clock)
         self._warm_up = WarmUp()
@@ -174,6 +194,7 @@
             lease_ms=options.worker_lease_ms,
             on_end=self._handle_run_end,
             on_change=self._handle_worker_change,
+            on_crash=self._handle_crash,
         )
 
     async def start(self) -> None:
@@ -294,6 +315,7 @@
         session = SideSession(link, self._clock.monotonic_ms())
         # Reports on an earlier link may not have arrived.
         session.ends = self._results.recent(link.peer.incarnation)
+        session.crashes = list(self._crashes)
         self._sessions.append(session)
         logger.info("entry connected", extra={"entry": link.peer.name})
         try:
@@ -506,6 +528,14 @@
         self._results.record(run.session.link.peer.incarnation, row, now_ms)
         self._schedule_report(run.session, NO_DELAY_MS)
 
+    def _handle_crash(self, row: CrashRow) -> None:
+        """Report a crash to all entries, as any of them may order the blamed tasks next."""
+        crash = _NoticedCrash(row, self._clock.monotonic_ms())
+        self._crashes.append(crash)
+        for session in self._sessions:
+            session.crashes.append(crash)
+            self._schedule_report(session, NO_DELAY_MS)
+
     def _handle_worker_change(self) -> None:
         # The worker may be a new instance.
         self._warm_up.limit(self.driver.instance, self._clock.monotonic_ms())
@@ -535,7 +565,11 @@
         now_ms = self._clock.monotonic_ms()
         session.reported_state = self.driver.state()
         report = SideReport(
-            now_ms, session.last_order_sequence, session.reported_state, session.ends
+            now_ms,
+            session.last_order_sequence,
+            session.reported_state,
+            session.ends,
+            [crash.report(now_ms) for crash in session.crashes],
         )
         try:
             session.link.post(report)
@@ -545,3 +579,4 @@
             return
         session.last_report_ms = now_ms
         session.ends = []
+        session.crashes = []
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -178,6 +178,7 @@
     job: str
     step: int
     index: int
+    queue: str
     # Time from the start of the run to the crash.
     ran_ms: float
     # The probability that this run crashed the worker, if one of its runs did; 0 if unknown.
@@ -213,6 +214,8 @@
     seen: int
     state: WorkerState
     ends: list[EndRow] = []
+    # Crashes of the worker since the last report over this link.
+    crashes: list[CrashRow] = []
 
 
 class HostRow(msgspec.Struct, array_like=True, frozen=True):
