--- a/src/currantbarrow/direct/crash_history.py
+++ b/src/currantbarrow/direct/crash_history.py
@@ -23,12 +23,13 @@
 
 Task = tuple[str, int, int]
 
-# A job is given up if a task of it was on this many crashed workers, and its tasks have probably
-# caused the crashes.
-PROBABLE_CRASHES = 2
+# A job is given up if a task of it was on the crashed workers of this many hosts, and its tasks have
+# probably caused the crashes.
+PROBABLE_HOSTS = 2
 PROBABLE_SHARE = 0.6
-# Whatever the probabilities, a task is not started again after so many crashes.
-BLAMED_CRASHES_LIMIT = 3
+# Whatever the probabilities, a task is not started again after crashes on so many hosts, and after
+# so many crashes in all.
+BLAMED_HOSTS_LIMIT = 3
 CRASHES_LIMIT = 4
 # A task with this probability of having caused a crash is kept away from others.
 SUSPECT_SHARE = 0.2
@@ -101,22 +102,25 @@
     def verdict(self, job: str) -> Verdict | None:
         """Return why a job is given up, or None if it is not."""
         crashes: collections.Counter[tuple[int, int]] = collections.Counter()
-        blamed: collections.Counter[tuple[int, int]] = collections.Counter()
+        # A host whose worker crashes again and again may be the cause itself, so it counts once.
+        blamed: collections.defaultdict[tuple[int, int], set[str]] = collections.defaultdict(set)
         share, queue = 0.0, ""
         for crash in self._by_job.get(job, ()):
             rows = [each for each in crash.row.suspects if each.job == job]
             crashes.update((each.step, each.index) for each in rows)
             if crash.blames:
-                blamed.update((each.step, each.index) for each in rows)
+                for each in rows:
+                    blamed[each.step, each.index].add(crash.address)
                 share += sum(each.share for each in rows)
             queue = rows[0].queue
         if not crashes:
             return None
         (_, index), most = crashes.most_common(1)[0]
         if blamed:
-            (_, index), most_blamed = blamed.most_common(1)[0]
-            is_probable = most_blamed >= PROBABLE_CRASHES and share >= PROBABLE_SHARE
-            if is_probable or most_blamed >= BLAMED_CRASHES_LIMIT:
+            (_, index), hosts = max(blamed.items(), key=lambda item: len(item[1]))
+            most_blamed = len(hosts)
+            is_probable = most_blamed >= PROBABLE_HOSTS and share >= PROBABLE_SHARE
+            if is_probable or most_blamed >= BLAMED_HOSTS_LIMIT:
                 return Verdict(queue, index, most_blamed)
         return Verdict(queue, index, most) if most >= CRASHES_LIMIT else None
 
