Confine queues under which workers crash, and start suspects alone

While a tenth of the jobs of one queue crashed their workers, 21 to 38 % of the jobs of another queue were in time: most crashes are first ones, of tasks that look like any other, and they went to all workers. An entry now confines a queue to a quarter of the workers, the same at all entries, if its starts precede crashes more closely than by chance, or a job of it was given up; for ten seconds after the last crash. Other queues use the rest as far as there is room. A job of a confined queue is refused at once while no worker of its cell is up. A task that may well have caused a crash starts alone on a worker of the cell, and nothing else starts beside it for 250 ms: a second crash convicts it, its end clears it.

--- a/src/currantbarrow/direct/crash_history.py
+++ b/src/currantbarrow/direct/crash_history.py
@@ -23,13 +23,14 @@
 
 Task = tuple[str, int, int]
 
-# A job is given up if a task of it was on the crashed workers of this many hosts, and its tasks have
-# probably caused the crashes.
+# A job is given up if a task of it was on the crashed workers of this many hosts, and its tasks
+# have probably caused the crashes.
 PROBABLE_HOSTS = 2
-PROBABLE_SHARE = 0.6
-# Whatever the probabilities, a task is not started again after crashes on so many hosts, and after
-# so many crashes in all.
-BLAMED_HOSTS_LIMIT = 3
+PROBABLE_SHARE = 1.0
+# After crashes on more hosts, a lower probability is enough.
+POSSIBLE_HOSTS = 3
+POSSIBLE_SHARE = 0.6
+# Whatever the probabilities, a task is not started again after so many crashes.
 CRASHES_LIMIT = 4
 # A task with this probability of having caused a crash is kept away from others.
 SUSPECT_SHARE = 0.2
@@ -90,14 +91,16 @@
             self._by_job.setdefault(job, []).append(crash)
         return crash
 
-    def is_suspect(self, task: Task) -> bool:
-        """Return whether a task may well have caused a crash."""
-        return any(
-            each.share >= SUSPECT_SHARE and (each.job, each.step, each.index) == task
+    def suspected_ms(self, task: Task) -> float | None:
+        """Return when the last crash was that a task may well have caused, or None."""
+        times_ms = [
+            crash.crashed_ms
             for crash in self._by_job.get(task[0], ())
             if crash.blames
             for each in crash.row.suspects
-        )
+            if each.share >= SUSPECT_SHARE and (each.job, each.step, each.index) == task
+        ]
+        return max(times_ms, default=None)
 
     def verdict(self, job: str) -> Verdict | None:
         """Return why a job is given up, or None if it is not."""
@@ -120,7 +123,7 @@
             (_, index), hosts = max(blamed.items(), key=lambda item: len(item[1]))
             most_blamed = len(hosts)
             is_probable = most_blamed >= PROBABLE_HOSTS and share >= PROBABLE_SHARE
-            if is_probable or most_blamed >= BLAMED_HOSTS_LIMIT:
+            if is_probable or (most_blamed >= POSSIBLE_HOSTS and share >= POSSIBLE_SHARE):
                 return Verdict(queue, index, most_blamed)
         return Verdict(queue, index, most) if most >= CRASHES_LIMIT else None
 
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from currantbarrow.direct.admission import Refusal
+from currantbarrow.direct.containment import Containment, choose_cell
 from currantbarrow.direct.crash_history import CrashHistory, Verdict
 from currantbarrow.direct.ending import EndingJobs
 from currantbarrow.direct.estimates import RunTimeEstimator
@@ -15,7 +16,7 @@
 from currantbarrow.direct.history import JobHistory
 from currantbarrow.direct.isolation import ISOLATION_MIN_MS, IsolationGuard
 from currantbarrow.direct.job import JobTask, OpenJob, longest_chain_ms
-from currantbarrow.direct.model import JobSpec, JobState, WorkQueue
+from currantbarrow.direct.model import JobSpec, JobState, Resources, WorkQueue
 from currantbarrow.direct.placement import ReleaseForecast
 from currantbarrow.direct.placing import PlacementPass, TaskBatch, WorkerCandidate
 from currantbarrow.direct.scarcity import Scarcity
@@ -44,6 +45,8 @@
 # If no other worker has enough free resources, an order may wait this long at the side process,
 # which saves a round trip; a worker releases resources about every 40 ms.
 RESOURCE_WAIT_MS = 60.0
+# How long an order that has to start alone may wait for the runs on its worker to end.
+ISOLATED_WAIT_MS = 500.0
 # A dispatch pass reads the offers of all links, and under load each link reports many times a
 # second. Passes triggered by reports are therefore spaced in proportion to the number of links.
 DISPATCH_INTERVAL_PER_LINK_MS = 0.1
@@ -57,6 +60,8 @@
 DEFAULT_RETRY_S = 1
 # The retry delay if there are too few workers for a job, which changes seldom.
 SPREAD_RETRY_S = 5
+# The retry delay for jobs of a confined queue while all workers of its cell are down.
+CONFINED_RETRY_S = 5
 STANDING_BY_STATE = {
     JobState.COMPLETED: Standing.COMPLETED,
     JobState.FAILED: Standing.FAILED,
@@ -77,6 +82,7 @@
         self.ending = EndingJobs(clock)
         self.isolation = IsolationGuard()
         self.crashes = CrashHistory()
+        self.containment = Containment()
         # The addresses of the other entries.
         self.peers: tuple[str, ...] = ()
         self.scarcity = Scarcity(rng, metrics)
@@ -207,16 +213,44 @@
                 "jobs": " ".join(jobs),
             },
         )
+        confined = self.containment.record(crash, now_ms)
         for job_id in jobs:
             verdict = self.crashes.verdict(job_id)
-            if verdict is not None and job_id in self.jobs:
+            if verdict is None:
+                continue
+            if crash.blames and self.containment.confine(verdict.queue, crash, now_ms):
+                confined.append(verdict.queue)
+            if job_id in self.jobs:
                 self._give_up(self.jobs[job_id], verdict)
+        for queue in confined:
+            self._metrics.incr("entry.queue_confined")
+            logger.info("queue confined", extra={"queue": queue, "worker": row.worker})
 
     def _give_up(self, job: OpenJob, verdict: Verdict) -> None:
         """End a job whose tasks have probably crashed several workers."""
         self._metrics.incr("entry.job_crashed_workers")
         self._end_job(job, JobState.FAILED, str(verdict))
 
+    def release_queues(self) -> None:
+        """End the confinement of queues under which no worker has crashed for some seconds."""
+        now_ms = self._clock.monotonic_ms()
+        for queue in self.containment.release(now_ms):
+            logger.info("queue no longer confined", extra={"queue": queue})
+        self._metrics.gauge("entry.queues_confined", len(self.containment.confined(now_ms)))
+
+    def cells(self, service: str) -> dict[str, frozenset[str]]:
+        """Return the confined queues, and the side processes that each may use."""
+        confined = self.containment.confined(self._clock.monotonic_ms())
+        return {queue: self.cell(queue, service) for queue in confined}
+
+    def cell(self, queue: str, service: str) -> frozenset[str]:
+        """Return the side processes that a queue may use while it is confined."""
+        return choose_cell(queue, self.fleet.addresses(service) if self.fleet is not None else ())
+
+    def suspected_ms(self, task: tuple[str, int, int]) -> float | None:
+        """Return when a worker last crashed that a task may well have crashed, or None."""
+        return self.crashes.suspected_ms(task)
+
     def runs_lost(self, handle: SideHandle) -> None:
         """Handle the loss of all runs ordered over a link."""
         ordered, handle.ordered_tasks = handle.ordered_tasks, {}
@@ -261,7 +295,7 @@
         candidates = self._collect_candidates(now_ms)
         forecast = ReleaseForecast(self.scarcity.released_share_per_ms())
         placing = PlacementPass(
-            self.fleet, candidates, forecast, self.far_factor, self._rng, self._metrics
+            self.fleet, candidates, forecast, self.far_factor, self, self._rng, self._metrics
         )
         full_services: set[str] = set()
         for job in sorted(self._waiting.values(), key=lambda job: job.rank(now_ms)):
@@ -308,6 +342,8 @@
             each.offer.free.covers(resources) for each in candidates if each.handle is not handle
         )
         wait_ms = 0.0 if others_have_resources else RESOURCE_WAIT_MS
+        if batch.isolated:
+            wait_ms = ISOLATED_WAIT_MS
         orders = []
         for task, factor in zip(tasks, batch.run_factors, strict=True):
             task.run_factor = factor
@@ -324,6 +360,7 @@
                     job.expected_ms[task.step] * factor,
                     start_within_ms,
                     wait_ms,
+                    batch.isolated,
                 )
             )
         try:
@@ -511,7 +548,31 @@
             return Refusal("no_worker", DEFAULT_RETRY_S, 0.0)
         if any(not capacity.largest.covers(step.resources) for step in job.spec.steps):
             return Refusal("too_large", DEFAULT_RETRY_S, 0.0)
-        return self.scarcity.admit(job, self._waiting.values(), capacity, now_ms)
+        waiting = list(self._waiting.values())
+        if self.containment.is_confined(job.queue.name, now_ms):
+            cell = self.cell(job.queue.name, job.queue.service)
+            if not self._has_room_in(cell, job):
+                return Refusal("confined", CONFINED_RETRY_S, 0.0)
+            capacity = self.fleet.capacity(job.queue.service, cell)
+            waiting = [each for each in waiting if each.queue.name == job.queue.name]
+        return self.scarcity.admit(job, waiting, capacity, now_ms)
+
+    def _has_room_in(self, cell: frozenset[str], job: OpenJob) -> bool:
+        """Return whether the workers of a cell could run a job if they were idle."""
+        assert self.fleet is not None
+        states = [
+            state for state in self.fleet.worker_states(job.queue.service, cell) if state.accepting
+        ]
+        fits = all(
+            any(
+                Resources(
+                    state.capacity_cpu_millis, state.capacity_memory_mb, state.capacity_gpus
+                ).covers(step.resources)
+                for state in states
+            )
+            for step in job.spec.steps
+        )
+        return fits and can_be_spread(job.spec, states)
 
     def _log_refusal(self, job: OpenJob, refusal: Refusal, now_ms: float) -> None:
         fields: dict[str, int] = {}
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -194,8 +194,13 @@
         for run in instance.waiting_runs():
             if not self._may_start(instance, run, now_ms):
                 self._finish(instance, run, RunEnd.NOT_STARTED)
-            elif not is_full and instance.reservations.reserve(run.name.task, run.resources):
+            elif (
+                not is_full
+                and instance.allows_beside_others(run, now_ms)
+                and instance.reservations.reserve(run.name.task, run.resources)
+            ):
                 run.phase = RunPhase.STARTING
+                run.sent_ms = now_ms
                 instance.assign_number(run)
                 self._crashes.record_start(run, now_ms)
                 self._background.spawn(self._start(instance, run))
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -564,6 +564,7 @@
             self.history.expire()
             self.dispatcher.ending.expire()
             self.dispatcher.crashes.expire(self._clock.monotonic_ms())
+            self.dispatcher.release_queues()
             self._forget_departed()
             self._metrics.gauge("entry.open_jobs", len(self.dispatcher.jobs))
 
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Protocol
 
 import msgspec
@@ -356,21 +356,38 @@
             self._update_warm_links(now_ms)
         return now_ms < self._awaited_racks.get(rack, 0.0)
 
-    def worker_states(self, service: str) -> list[WorkerState]:
-        """Return the last reported states of the workers of a service."""
+    def worker_states(
+        self, service: str, addresses: Collection[str] | None = None
+    ) -> list[WorkerState]:
+        """Return the last reported states of the workers of a service, as for the capacity."""
         return [
             handle.report.state
             for handle in self.usable_handles()
-            if handle.report is not None and handle.report.state.service == service
+            if handle.report is not None
+            and handle.report.state.service == service
+            and (addresses is None or handle.address in addresses)
+        ]
+
+    def addresses(self, service: str) -> list[str]:
+        """Return the side processes whose workers are of a service, or not back yet."""
+        return [
+            handle.address
+            for handle in self.usable_handles()
+            if handle.report is not None and handle.report.state.service in (service, "")
         ]
 
-    def capacity(self, service: str) -> FleetCapacity:
-        """Return the capacity of the workers of a service, as far as this entry knows."""
+    def capacity(self, service: str, addresses: Collection[str] | None = None) -> FleetCapacity:
+        """Return the capacity of the workers of a service, as far as this entry knows.
+
+        If addresses are given, only the workers of these side processes count.
+        """
         largest: Resources | None = None
         healthy_cores = free_cores = probation_cores = 0.0
         for handle in self.usable_handles():
             if handle.report is None or handle.report.state.service != service:
                 continue
+            if addresses is not None and handle.address not in addresses:
+                continue
             state = handle.report.state
             if largest is None or state.capacity_cpu_millis > largest.cpu_millis:
                 largest = Resources(
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -25,6 +25,9 @@
 # The longest time after which commands were seen to be carried out, 12 s, with a margin.
 LATE_COMMAND_LIMIT_MS = 13_000.0
 
+# How long nothing else is started beside a run that may crash the worker.
+ISOLATION_MS = 250.0
+
 # Tasks whose run numbers are remembered, some minutes of starts. Callers resubmit within seconds.
 RUN_NUMBERS_KEPT = 20_000
 
@@ -189,7 +192,8 @@
         capacity = self.announcement.capacity
         waiting = self.waiting_runs()
         begun = len(self.runs) - len(waiting)
-        free = self.reservations.free if self.health.can_start(now_ms, begun) else Resources()
+        can_start = self.health.can_start(now_ms, begun) and not self.is_isolating(now_ms)
+        free = self.reservations.free if can_start else Resources()
         return WorkerState(
             self.worker,
             self.announcement.service,
@@ -208,6 +212,21 @@
             self.born_ms,
         )
 
+    def is_isolating(self, now_ms: float) -> bool:
+        """Return whether a run that may crash the worker has just started."""
+        return any(
+            run.isolated
+            and run.phase is not RunPhase.WAITING
+            and now_ms - run.sent_ms < ISOLATION_MS
+            for run in self.runs.values()
+        )
+
+    def allows_beside_others(self, run: Run, now_ms: float) -> bool:
+        """Return whether a run may start beside those that are on the worker."""
+        if run.isolated:
+            return self.count_in(RunPhase.WAITING) == len(self.runs)
+        return not self.is_isolating(now_ms)
+
     def count_in(self, *phases: RunPhase) -> int:
         """Return the number of runs in any of the phases."""
         return sum(run.phase in phases for run in self.runs.values())
--- a/src/currantbarrow/direct/placing.py
+++ b/src/currantbarrow/direct/placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import Protocol
 
 import msgspec
 
@@ -20,7 +21,25 @@
 from currantbarrow.direct.speeds import FleetSpeeds, WorkerOffer, survey_speeds
 from currantbarrow.types import Metrics
 
-__all__ = ["PlacedTasks", "PlacementPass", "TaskBatch", "WorkerCandidate"]
+__all__ = ["CrashRisks", "PlacedTasks", "PlacementPass", "TaskBatch", "WorkerCandidate"]
+
+
+# A task that may have crashed a worker waits so long for an idle one. After that it waits at one
+# that is not, and nothing else is started there meanwhile.
+IDLE_WAIT_MS = 3000.0
+
+
+class CrashRisks(Protocol):
+    """Tell which tasks may crash their workers, and where these may run."""
+
+    def cells(self, service: str) -> dict[str, frozenset[str]]:
+        """Return the confined queues, and the side processes that each may use."""
+
+    def cell(self, queue: str, service: str) -> frozenset[str]:
+        """Return the side processes that a queue may use while it is confined."""
+
+    def suspected_ms(self, task: tuple[str, int, int]) -> float | None:
+        """Return when a worker last crashed that a task may well have crashed, or None."""
 
 
 class WorkerCandidate(msgspec.Struct, frozen=True):
@@ -37,6 +56,8 @@
     tasks: list[JobTask]
     # How much longer each task is expected to take, because it is far from its data.
     run_factors: list[float]
+    # Whether the batch is a task that may crash its worker.
+    isolated: bool = False
     # The last unusual reason for which one of the tasks was placed there.
     reason: PlacementReason = PlacementReason.USUAL
 
@@ -61,10 +82,35 @@
 class _ServicePass:
     """Track the state of one service during a dispatch pass."""
 
-    __slots__ = ("candidates", "closed_slowness", "held_cores", "offers", "speeds")
+    __slots__ = (
+        "candidates",
+        "cells",
+        "closed_slowness",
+        "held_cores",
+        "offers",
+        "speeds",
+        "with_new_suspects",
+        "with_orders",
+        "with_suspects",
+    )
 
-    def __init__(self, candidates: list[WorkerCandidate]) -> None:
+    def __init__(
+        self, candidates: list[WorkerCandidate], cells: dict[str, frozenset[str]], risks: CrashRisks
+    ) -> None:
         self.candidates = candidates
+        # The side processes that each confined queue may use.
+        self.cells = cells
+        # Workers on which this entry has ordered a task that may crash its worker.
+        self.with_suspects = {
+            each.offer.worker
+            for each in candidates
+            if any(risks.suspected_ms(task) is not None for task in each.handle.ordered_tasks)
+        }
+        # Those that got one in this pass. Another task that starts at the same time would be blamed
+        # as well.
+        self.with_new_suspects: set[str] = set()
+        # The workers that got any task in this pass.
+        self.with_orders: set[str] = set()
         self.offers = [each.offer for each in candidates]
         self.speeds: FleetSpeeds = survey_speeds(self.offers)
         # Cores of the tasks that were held back in this pass, by the rack that they wait for.
@@ -72,6 +118,20 @@
         # Workers up to this slowness are left to the more urgent tasks that wait for them.
         self.closed_slowness = 0.0
 
+    def workers(self, addresses: frozenset[str], *, outside: bool = False) -> frozenset[str]:
+        """Return the workers of some side processes, or those of all others."""
+        return frozenset(
+            each.offer.worker
+            for each in self.candidates
+            if (each.handle.address in addresses) is not outside
+        )
+
+    def busy_workers(self) -> frozenset[str]:
+        """Return the workers that are not idle."""
+        return frozenset(
+            offer.worker for offer in self.offers if not offer.free.covers(offer.capacity)
+        )
+
     def open_offers(self) -> list[WorkerOffer]:
         """Return the offers of the workers that no more urgent task waits for."""
         if not self.closed_slowness:
@@ -93,6 +153,7 @@
         "_fleet",
         "_forecast",
         "_metrics",
+        "_risks",
         "_rng",
         "_services",
     )
@@ -103,9 +164,11 @@
         candidates: dict[str, list[WorkerCandidate]],
         forecast: ReleaseForecast,
         far_factor: float,
+        risks: CrashRisks,
         rng: random.Random,
         metrics: Metrics,
     ) -> None:
+        self._risks = risks
         self._fleet = fleet
         self._candidates = candidates
         self._far_factor = far_factor
@@ -123,8 +186,17 @@
         placed = PlacedTasks([])
         offers = service.open_offers()
         job.record_workers()
+        is_confined = job.queue.name in service.cells
         for task in job.ready_tasks(now_ms):
+            suspected_ms = self._risks.suspected_ms((job.spec.job_id, task.step, task.index))
+            is_suspect = suspected_ms is not None
             request = self._create_request(job, task, service, now_ms)
+            if is_confined or is_suspect:
+                request = self._confine(job, request, service)
+            if suspected_ms is not None:
+                request = self._isolate(request, service, now_ms - suspected_ms)
+            elif service.cells or service.with_suspects:
+                request = self._keep_away(request, service)
             if request.near_rack and self._fleet.warm_rack(request.near_rack):
                 placement = Placement(None, PlacementReason.HELD)
             else:
@@ -133,8 +205,11 @@
                 placement = choose_worker(request, offers, service.speeds, self._rng, forecast)
             if placement.reason is PlacementReason.NO_ROOM:
                 placed.no_room = True
+                if is_suspect:
+                    # The job's other tasks may run on more workers.
+                    continue
                 # A job that only some workers may run does not block others.
-                placed.service_full = not any(
+                placed.service_full = not is_confined and not any(
                     step.required_label or step.max_per_worker for step in job.spec.steps
                 )
                 break
@@ -143,15 +218,51 @@
                 self._hold(job, request, service)
                 continue
             self._add_to_batch(batches, placement, request, task, job, service)
+            service.with_orders.add(placement.offer.worker)
+            if is_suspect:
+                batches[placement.offer.worker].isolated = True
+                service.with_suspects.add(placement.offer.worker)
+                service.with_new_suspects.add(placement.offer.worker)
             job.record_placement(task, placement.offer.worker)
         placed.batches = list(batches.values())
         return placed
 
     def _service(self, name: str) -> _ServicePass:
         if name not in self._services:
-            self._services[name] = _ServicePass(self._candidates.get(name, []))
+            self._services[name] = _ServicePass(
+                self._candidates.get(name, []), self._risks.cells(name), self._risks
+            )
         return self._services[name]
 
+    def _confine(self, job: OpenJob, request: TaskRequest, service: _ServicePass) -> TaskRequest:
+        """Exclude the workers outside the cell of a job's queue."""
+        cell = service.cells.get(job.queue.name)
+        if cell is None:
+            cell = self._risks.cell(job.queue.name, job.queue.service)
+        excluded = request.excluded | service.workers(cell, outside=True)
+        return msgspec.structs.replace(request, excluded=excluded)
+
+    @staticmethod
+    def _isolate(
+        request: TaskRequest, service: _ServicePass, suspected_for_ms: float
+    ) -> TaskRequest:
+        """Keep a task that may crash its worker away from workers with runs.
+
+        It starts alone, so that a crash tells whether it has caused it, and ends nothing else.
+        """
+        excluded = request.excluded | service.with_suspects | service.with_orders
+        if suspected_for_ms < IDLE_WAIT_MS:
+            excluded |= service.busy_workers()
+        return msgspec.structs.replace(request, excluded=excluded)
+
+    @staticmethod
+    def _keep_away(request: TaskRequest, service: _ServicePass) -> TaskRequest:
+        """Avoid the workers that other tasks may crash, as long as the rest has room."""
+        cells = frozenset[str]().union(*service.cells.values())
+        avoid = request.avoid | service.workers(cells) | service.with_suspects
+        excluded = request.excluded | service.with_new_suspects
+        return msgspec.structs.replace(request, avoid=avoid, excluded=excluded)
+
     def _create_request(
         self, job: OpenJob, task: JobTask, service: _ServicePass, now_ms: float
     ) -> TaskRequest:
--- a/src/currantbarrow/direct/runs.py
+++ b/src/currantbarrow/direct/runs.py
@@ -33,6 +33,7 @@
     __slots__ = (
         "attempt",
         "expected_ms",
+        "isolated",
         "name",
         "ordered_ms",
         "payload",
@@ -68,6 +69,7 @@
         self.name = RunName(job, order.step, order.index, order.attempt)
         self.resources = Resources(order.cpu_millis, order.memory_mb, order.gpus)
         self.expected_ms = order.expected_ms
+        self.isolated = order.isolated
         self.ordered_ms = now_ms
         self.start_due_ms = now_ms + order.start_within_ms
         self.wait_deadline_ms = now_ms + order.wait_ms
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -89,6 +89,8 @@
     start_within_ms: float
     # How long the order may wait for free resources; 0 rejects it if there are none.
     wait_ms: float = 0.0
+    # Whether the run may crash its worker, so that it starts there alone.
+    isolated: bool = False
 
 
 class SessionPing(Message, frozen=True):
