Store an announcement again when the capacity has changed

A side process that restarted used the capacity that its worker had when it was first announced, and started runs over one that had shrunk since, until the next announcement. The stored record was only replaced for another worker, birth or leaving flag. While the store can't be written, the old record remains; each announcement tries again.

--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -15,6 +15,7 @@
 from currantbarrow.direct.hosts import AnnouncementStore, HostDirectory
 from currantbarrow.direct.instance import WorkerInstance
 from currantbarrow.direct.leases import LEASE_END_LIMIT_MS
+from currantbarrow.direct.model import Resources
 from currantbarrow.direct.registration import keep_registered
 from currantbarrow.direct.reporting import NO_DELAY_MS, needs_prompt_report, report_delay_ms
 from currantbarrow.direct.results import RecentResults
@@ -171,8 +172,8 @@
         self.options = options
         self._directory = directory
         self._announcements = announcements
-        # The worker, its birth and its leaving flag in the last stored announcement.
-        self._saved_key: tuple[str, int, bool] | None = None
+        # The worker, its birth, its leaving flag and its capacity in the last stored announcement.
+        self._saved_key: tuple[str, int, bool, Resources] | None = None
         self.address = ""
         self._clock = clock
         self._network = network
@@ -233,7 +234,7 @@
         self._tasks = start_loops(loops, clock=self._clock, metrics=self._metrics)
 
     async def handle_announcement(self, announcement: Announcement) -> None:
-        """Apply an announcement, and store it if the worker or its leaving flag changed."""
+        """Apply an announcement, and store it if the worker, its flag or its capacity changed."""
         counts = self.driver.handle_announcement(announcement)
         # The announcement may have raised the capacity again.
         self._warm_up.limit(self.driver.instance, self._clock.monotonic_ms())
@@ -266,10 +267,16 @@
 
     async def _save(self, announcement: Announcement) -> bool:
         """Store an announcement, unless nothing of it has changed; return whether it is stored."""
-        key = (announcement.worker, announcement.born_ms, announcement.leaving)
+        key = (
+            announcement.worker,
+            announcement.born_ms,
+            announcement.leaving,
+            announcement.capacity,
+        )
         if key == self._saved_key:
             return True
-        # After a restart, the side process must not mistake a leaving worker for one that stays.
+        # After a restart, the side process must not mistake a leaving worker for one that stays, or
+        # exceed a capacity that has shrunk.
         try:
             async with asyncio.timeout(SAVE_TIMEOUT_MS / 1000):
                 saved = await self._announcements.save(announcement)
