Take a worker at whose address no process listens for silent at once

After a crash, three calls had to fail over 250 ms before a worker counted as silent. The test failed before (the side process still accepted runs 50 ms after the crash).

--- a/src/currantbarrow/direct/commands.py
+++ b/src/currantbarrow/direct/commands.py
@@ -297,8 +297,9 @@
     def _record_unanswered(self, instance: WorkerInstance, error: UpstreamError) -> None:
         if instance.ended:
             return
-        became_silent = instance.record_unanswered(self._clock.monotonic_ms())
-        if isinstance(error, WorkerAbsent):
+        is_absent = isinstance(error, WorkerAbsent)
+        became_silent = instance.record_unanswered(self._clock.monotonic_ms(), absent=is_absent)
+        if is_absent:
             self._on_absence(instance)
         if became_silent:
             self._metrics.incr("side.worker_silent")
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -126,15 +126,21 @@
         was_silent, self.silent = self.silent, False
         return was_silent
 
-    def record_unanswered(self, now_ms: float) -> bool:
-        """Record a command without an answer; return whether it makes the worker silent."""
+    def record_unanswered(self, now_ms: float, *, absent: bool = False) -> bool:
+        """Record a command without an answer; return whether it makes the worker silent.
+
+        One command is enough if no process listens at the worker's address.
+        """
         if not self._unanswered_calls:
             self.contact_lost_ms = now_ms
         self._unanswered_calls += 1
         self._last_unanswered_ms = now_ms
-        if self.silent or self._unanswered_calls < SILENT_AFTER_CALLS:
+        if self.silent:
             return False
-        self.silent = now_ms - self._last_answer_ms > SILENT_AFTER_MS
+        self.silent = absent or (
+            self._unanswered_calls >= SILENT_AFTER_CALLS
+            and now_ms - self._last_answer_ms > SILENT_AFTER_MS
+        )
         return self.silent
 
     def timeout_ms(self, base_ms: float) -> float:
--- a/tests/test_direct_crashes.py
+++ b/tests/test_direct_crashes.py
@@ -10,6 +10,7 @@
 import pytest
 
 from currantbarrow.direct.job import OpenJob
+from currantbarrow.direct.leases import LEASE_END_LIMIT_MS
 from currantbarrow.direct.model import JobState, Resources, WorkQueue
 from currantbarrow.standins.direct_fleet import QUEUE, DirectFleet, DirectPlan
 from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
@@ -18,6 +19,8 @@
 TASK = (JOB, 0, 0)
 # From the start of a task to the crash of its worker.
 CRASH_MS = 8.0
+# For noticing the crash, reports and orders.
+MARGIN_MS = 150.0
 # A task under which this many workers have crashed is given up.
 CRASH_LIMIT = 2
 
@@ -276,3 +279,30 @@
             await asyncio.sleep(3.0)
 
         run_fleet(scenario, DirectPlan(sides=2))
+
+
+class TestNoticing:
+    def test_crashed_worker_gets_no_more_tasks_and_its_runs_are_repeated_after_one_lease(
+        self,
+    ) -> None:
+        """Guards against calls that count as renewals of a lease although nobody received them."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            call = asyncio.create_task(submit(fleet, "entry-0", tasks=4, run_ms=300.0))
+            await asyncio.sleep(0.15)
+            crashed_s = asyncio.get_running_loop().time()
+            busy = {
+                name
+                for name, worker in fleet.workers.items()
+                if worker.worker in fleet.runs.running.values()
+            }
+            for name in busy:
+                fleet.workers[name].crash_for(5000.0)
+            await asyncio.sleep(0.05)
+            for name, side in fleet.sides.items():
+                assert side.driver.state().accepting == (name not in busy)
+            assert await call is JobState.COMPLETED
+            took_ms = (asyncio.get_running_loop().time() - crashed_s) * 1000
+            assert took_ms <= LEASE_END_LIMIT_MS + 300.0 + MARGIN_MS
+
+        run_fleet(scenario, DirectPlan(sides=8))
