--- a/src/currantbarrow/direct/crashes.py
+++ b/src/currantbarrow/direct/crashes.py
@@ -23,11 +23,15 @@
 TIMING_ERROR_MS = 10.0
 # Rates of starts are averaged over about this time.
 RATE_PERIOD_MS = 2000.0
+# Rates are not averaged over less than this time.
+MIN_PERIOD_MS = 500.0
 # Tasks of a job that start within this time count as one start.
 SAME_START_MS = 20.0
 # A start before a crash by coincidence is not taken for more improbable than exp(-6), since rates
 # are estimates.
 MAX_SURPRISE = 6.0
+# Times from start to crash are not measured more closely than this.
+MIN_RAN_MS = 2.0
 SUSPECTS_PER_CRASH = 64
 
 
@@ -45,13 +49,15 @@
 class StartRates:
     """Measure how often jobs of each queue start runs on the worker."""
 
-    __slots__ = ("_queues",)
+    __slots__ = ("_first_ms", "_queues")
 
     def __init__(self) -> None:
         self._queues: dict[str, _QueueStarts] = {}
+        self._first_ms = math.inf
 
     def record(self, run: Run, now_ms: float) -> None:
         """Record the start of a run."""
+        self._first_ms = min(now_ms, self._first_ms)
         queue = self._queues.setdefault(run.queue, _QueueStarts())
         since_ms = now_ms - queue.last_ms
         if run.name.job == queue.job and since_ms < SAME_START_MS:
@@ -68,8 +74,10 @@
         decayed = 0.0
         if queue is not None:
             decayed = queue.count * math.exp(-(now_ms - queue.last_ms) / RATE_PERIOD_MS)
+        age_ms = max(now_ms - self._first_ms, MIN_PERIOD_MS)
+        period_ms = -RATE_PERIOD_MS * math.expm1(-age_ms / RATE_PERIOD_MS)
         # One more start than was seen, so that the first ones are not taken for improbable.
-        expected = (decayed + 1) / RATE_PERIOD_MS * (ran_ms + TIMING_ERROR_MS / 2)
+        expected = (decayed + 1) / period_ms * max(ran_ms, MIN_RAN_MS)
         return min(MAX_SURPRISE, -math.log(-math.expm1(-expected)))
 
 
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from currantbarrow.direct.admission import Refusal
-from currantbarrow.direct.containment import Containment, choose_cell
+from currantbarrow.direct.containment import Containment, QueueLoads, choose_cell
 from currantbarrow.direct.crash_history import CrashHistory, Verdict
 from currantbarrow.direct.ending import EndingJobs
 from currantbarrow.direct.estimates import RunTimeEstimator
@@ -83,6 +83,7 @@
         self.isolation = IsolationGuard()
         self.crashes = CrashHistory()
         self.containment = Containment()
+        self._loads = QueueLoads()
         # The addresses of the other entries.
         self.peers: tuple[str, ...] = ()
         self.scarcity = Scarcity(rng, metrics)
@@ -115,6 +116,7 @@
         # Reports may still list ends of the job's earlier runs, which differ by attempt number.
         attempts = self._history.attempts_used(spec.job_id)
         job = OpenJob(spec, queue, times, expected_ms, attempts)
+        self._loads.record(queue.name, job.waiting_core_ms(), now_ms)
         refusal = self._check_evacuations(job) or self._check_admission(job, now_ms)
         if refusal is not None:
             self._metrics.incr(f"entry.job_refused.{refusal.reason}")
@@ -245,7 +247,13 @@
 
     def cell(self, queue: str, service: str) -> frozenset[str]:
         """Return the side processes that a queue may use while it is confined."""
-        return choose_cell(queue, self.fleet.addresses(service) if self.fleet is not None else ())
+        if self.fleet is None:
+            return frozenset()
+        now_ms = self._clock.monotonic_ms()
+        cores = sum(state.capacity_cpu_millis / 1000 for state in self.fleet.worker_states(service))
+        # The other entries are taken to receive as much.
+        load = self._loads.cores(queue, now_ms) * self.entry_count
+        return choose_cell(queue, self.fleet.addresses(service), load / cores if cores else 0.0)
 
     def suspected_ms(self, task: tuple[str, int, int]) -> float | None:
         """Return when a worker last crashed that a task may well have crashed, or None."""
@@ -549,13 +557,14 @@
         if any(not capacity.largest.covers(step.resources) for step in job.spec.steps):
             return Refusal("too_large", DEFAULT_RETRY_S, 0.0)
         waiting = list(self._waiting.values())
-        if self.containment.is_confined(job.queue.name, now_ms):
+        is_confined = self.containment.is_confined(job.queue.name, now_ms)
+        if is_confined:
             cell = self.cell(job.queue.name, job.queue.service)
             if not self._has_room_in(cell, job):
                 return Refusal("confined", CONFINED_RETRY_S, 0.0)
             capacity = self.fleet.capacity(job.queue.service, cell)
             waiting = [each for each in waiting if each.queue.name == job.queue.name]
-        return self.scarcity.admit(job, waiting, capacity, now_ms)
+        return self.scarcity.admit(job, waiting, capacity, now_ms, confined=is_confined)
 
     def _has_room_in(self, cell: frozenset[str], job: OpenJob) -> bool:
         """Return whether the workers of a cell could run a job if they were idle."""
--- a/src/currantbarrow/direct/placing.py
+++ b/src/currantbarrow/direct/placing.py
@@ -24,8 +24,8 @@
 __all__ = ["CrashRisks", "PlacedTasks", "PlacementPass", "TaskBatch", "WorkerCandidate"]
 
 
-# A task that may have crashed a worker waits so long for an idle one. After that it waits at one
-# that is not, and nothing else is started there meanwhile.
+# A task that may have crashed a worker waits so long for an idle one, and for the whole cell to be
+# up. After that it waits at one that is not idle, and nothing else is started there meanwhile.
 IDLE_WAIT_MS = 3000.0
 
 
@@ -192,9 +192,10 @@
             is_suspect = suspected_ms is not None
             request = self._create_request(job, task, service, now_ms)
             if is_confined or is_suspect:
-                request = self._confine(job, request, service)
+                cell = self._cell(job, service)
+                request = self._confine(request, service, cell)
             if suspected_ms is not None:
-                request = self._isolate(request, service, now_ms - suspected_ms)
+                request = self._isolate(request, service, cell, now_ms - suspected_ms)
             elif service.cells or service.with_suspects:
                 request = self._keep_away(request, service)
             if request.near_rack and self._fleet.warm_rack(request.near_rack):
@@ -234,17 +235,23 @@
             )
         return self._services[name]
 
-    def _confine(self, job: OpenJob, request: TaskRequest, service: _ServicePass) -> TaskRequest:
-        """Exclude the workers outside the cell of a job's queue."""
+    def _cell(self, job: OpenJob, service: _ServicePass) -> frozenset[str]:
+        """Return the side processes that a job's queue may use while it is confined."""
         cell = service.cells.get(job.queue.name)
-        if cell is None:
-            cell = self._risks.cell(job.queue.name, job.queue.service)
+        return self._risks.cell(job.queue.name, job.queue.service) if cell is None else cell
+
+    @staticmethod
+    def _confine(request: TaskRequest, service: _ServicePass, cell: frozenset[str]) -> TaskRequest:
+        """Exclude the workers outside a cell."""
         excluded = request.excluded | service.workers(cell, outside=True)
         return msgspec.structs.replace(request, excluded=excluded)
 
     @staticmethod
     def _isolate(
-        request: TaskRequest, service: _ServicePass, suspected_for_ms: float
+        request: TaskRequest,
+        service: _ServicePass,
+        cell: frozenset[str],
+        suspected_for_ms: float,
     ) -> TaskRequest:
         """Keep a task that may crash its worker away from workers with runs.
 
@@ -253,6 +260,9 @@
         excluded = request.excluded | service.with_suspects | service.with_orders
         if suspected_for_ms < IDLE_WAIT_MS:
             excluded |= service.busy_workers()
+            if len(service.workers(cell)) < len(cell):
+                # The task's caller is not served sooner by a crash of those that are left.
+                excluded |= service.workers(cell)
         return msgspec.structs.replace(request, excluded=excluded)
 
     @staticmethod
--- a/src/currantbarrow/direct/scarcity.py
+++ b/src/currantbarrow/direct/scarcity.py
@@ -20,7 +20,7 @@
     ReleaseRate,
     check_admission,
 )
-from currantbarrow.direct.demand import DemandBands, PeerDemand, find_band
+from currantbarrow.direct.demand import DemandBands, PeerDemand, WorkAhead, find_band
 from currantbarrow.direct.displacement import (
     FleetInflow,
     admitted_shares,
@@ -94,18 +94,27 @@
         self._cost.record_run(cores, ran_ms, 0.0)
 
     def admit(
-        self, job: OpenJob, waiting: Iterable[OpenJob], capacity: FleetCapacity, now_ms: float
+        self,
+        job: OpenJob,
+        waiting: Iterable[OpenJob],
+        capacity: FleetCapacity,
+        now_ms: float,
+        *,
+        confined: bool = False,
     ) -> Refusal | None:
-        """Return why a submitted job is refused for lack of capacity, or None to admit it."""
+        """Return why a submitted job is refused for lack of capacity, or None to admit it.
+
+        For the job of a confined queue, the capacity and the waiting jobs are those of its cell.
+        """
         service = job.queue.service
         core_ms, run_ms = job.waiting_core_ms(), max(job.expected_ms, default=0.0)
         meter = self._inflow.setdefault(service, InflowMeter())
         meter.record(run_ms, job.waiting_cores(), core_ms, job.queue.priority, now_ms)
-        backlog = self.create_backlog(job, waiting, capacity, now_ms)
+        backlog = self.create_backlog(job, waiting, capacity, now_ms, confined=confined)
         slack_ms = job.times.latest_start_ms - now_ms
         # Runs that take longer than expected leave less time to wait.
         refusal = check_admission(backlog, slack_ms - run_ms * self._cost.overrun_share)
-        share = self._admitted_share(job, capacity, backlog, now_ms)
+        share = 1.0 if confined else self._admitted_share(job, capacity, backlog, now_ms)
         kind = self._floors.kind_of(job.queue.name, core_ms)
         if not self._floors.admits(kind, share, refusal is None) and refusal is None:
             refusal = Refusal("displacement", MIN_RETRY_S, 0.0, backlog)
@@ -122,7 +131,13 @@
         return choose_retry_s(backlog, refused_core_ms, self._rng.random())
 
     def create_backlog(
-        self, job: OpenJob, waiting: Iterable[OpenJob], capacity: FleetCapacity, now_ms: float
+        self,
+        job: OpenJob,
+        waiting: Iterable[OpenJob],
+        capacity: FleetCapacity,
+        now_ms: float,
+        *,
+        confined: bool = False,
     ) -> Backlog:
         """Return the work ahead of a job at this entry and at the peers that report theirs."""
         service = job.queue.service
@@ -139,7 +154,11 @@
             if other.queue.name == job.queue.name and not other.started:
                 oldest_ms = max(oldest_ms, now_ms - other.times.received_ms)
         slack_ms = job.times.latest_start_ms - now_ms
-        elsewhere = self.peers.work_ahead(service, slack_ms, self._addresses, now_ms)
+        if confined:
+            # Peers do not report the work of single queues, so each entry counts on its own part.
+            elsewhere = WorkAhead(0.0, 0.0, len(self._addresses))
+        else:
+            elsewhere = self.peers.work_ahead(service, slack_ms, self._addresses, now_ms)
         known_entries = self.entry_count - elsewhere.unknown_entries
         cores = capacity.cores * known_entries / self.entry_count
         return Backlog(
