--- a/src/currantbarrow/direct/containment.py
+++ b/src/currantbarrow/direct/containment.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-import collections
 import hashlib
 import math
 from collections.abc import Iterable
@@ -32,7 +31,7 @@
 EVIDENCE_MS = 10_000.0
 MIN_CRASHES = 2
 # By chance, the surprises of n crashes add up to n, with a standard deviation of the root of n.
-EVIDENCE_DEVIATIONS = 1.75
+EVIDENCE_DEVIATIONS = 1.85
 
 
 def choose_cell(queue: str, addresses: Iterable[str], load_share: float) -> frozenset[str]:
@@ -83,7 +82,7 @@
     __slots__ = ("_crashes", "_until_ms")
 
     def __init__(self) -> None:
-        self._crashes: collections.deque[Crash] = collections.deque()
+        self._crashes: list[Crash] = []
         # Until when each queue is confined if no worker crashes under it.
         self._until_ms: dict[str, float] = {}
 
@@ -98,6 +97,7 @@
     def record(self, crash: Crash, now_ms: float) -> list[str]:
         """Record a crash; return the queues that are confined because of it."""
         self._crashes.append(crash)
+        # An entry that has started receives earlier crashes, in any order.
         self._expire(now_ms)
         for queue in self.confined(now_ms):
             if _is_explained(crash, queue):
@@ -142,5 +142,6 @@
         self._until_ms[queue] = max(until_ms, self._until_ms.get(queue, 0.0))
 
     def _expire(self, now_ms: float) -> None:
-        while self._crashes and now_ms - self._crashes[0].crashed_ms > EVIDENCE_MS:
-            self._crashes.popleft()
+        self._crashes = [
+            crash for crash in self._crashes if now_ms - crash.crashed_ms <= EVIDENCE_MS
+        ]
--- a/src/currantbarrow/direct/crash_history.py
+++ b/src/currantbarrow/direct/crash_history.py
@@ -90,10 +90,12 @@
         self._by_job: dict[str, list[Crash]] = {}
 
     def record(self, row: CrashRow, address: str, now_ms: float) -> Crash | None:
-        """Record a reported crash; return None if it is known or unreadable."""
+        """Record a reported crash; return None if it is known, unreadable or too old."""
         numbers = (row.age_ms, *(number for each in row.suspects for number in _numbers(each)))
         if row.worker in self._crashes or not all(map(math.isfinite, numbers)):
             return None
+        if row.age_ms > RETENTION_MS:
+            return None
         crash = Crash(row, address, now_ms - max(0.0, row.age_ms))
         self._separate_common_causes(crash)
         self._crashes[row.worker] = crash
@@ -101,6 +103,11 @@
             self._by_job.setdefault(job, []).append(crash)
         return crash
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no crash is known."""
+        return not self._crashes
+
     def suspected_ms(self, task: Task) -> float | None:
         """Return when the last crash was that a task may well have caused, or None."""
         suspected_ms: float | None = None
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -255,6 +255,10 @@
         load = self._loads.cores(queue, now_ms) * self.entry_count
         return choose_cell(queue, self.fleet.addresses(service), load / cores if cores else 0.0)
 
+    def has_crashes(self) -> bool:
+        """Return whether any worker has crashed recently."""
+        return not self.crashes.is_empty
+
     def suspected_ms(self, task: tuple[str, int, int]) -> float | None:
         """Return when a worker last crashed that a task may well have crashed, or None."""
         return self.crashes.suspected_ms(task)
--- a/src/currantbarrow/direct/placing.py
+++ b/src/currantbarrow/direct/placing.py
@@ -38,6 +38,9 @@
     def cell(self, queue: str, service: str) -> frozenset[str]:
         """Return the side processes that a queue may use while it is confined."""
 
+    def has_crashes(self) -> bool:
+        """Return whether any worker has crashed recently."""
+
     def suspected_ms(self, task: tuple[str, int, int]) -> float | None:
         """Return when a worker last crashed that a task may well have crashed, or None."""
 
@@ -104,7 +107,8 @@
         self.with_suspects = {
             each.offer.worker
             for each in candidates
-            if any(risks.suspected_ms(task) is not None for task in each.handle.ordered_tasks)
+            if risks.has_crashes()
+            and any(risks.suspected_ms(task) is not None for task in each.handle.ordered_tasks)
         }
         # Those that got one in this pass. Another task that starts at the same time would be blamed
         # as well.
