Estimate releases in a cell by the run time of its queue

Jobs of the confined queue were refused for overload while one or two workers of its cell were up (17 of 24 in one second of seed 3): the rate of releases was that of all queues, whose runs take four times as long.

--- a/src/currantbarrow/direct/scarcity.py
+++ b/src/currantbarrow/direct/scarcity.py
@@ -161,13 +161,17 @@
             elsewhere = self.peers.work_ahead(service, slack_ms, self._addresses, now_ms)
         known_entries = self.entry_count - elsewhere.unknown_entries
         cores = capacity.cores * known_entries / self.entry_count
+        released_per_s = self._release_rate.per_s(cores)
+        if confined:
+            # Only runs of the queue release cores of its cell.
+            released_per_s = cores * 1000 / max((1.0, *job.expected_ms))
         return Backlog(
             ahead_cores + elsewhere.cores,
             job.waiting_cores(),
             capacity.free_cores,
             total_core_ms + elsewhere.total_core_ms,
             cores,
-            self._release_rate.per_s(cores),
+            released_per_s,
             oldest_ms,
         )
 
