Blame no run for a crash long after its start, and repeat suspects on other hosts

With few runs on a worker, a run that had been going on for a second had a share of one half or more, so two unrelated crashes could end its job. A cause outside the runs now has a share as well.

--- a/src/currantbarrow/direct/crashes.py
+++ b/src/currantbarrow/direct/crashes.py
@@ -21,6 +21,8 @@
 BLAME_SILENCE_MS = TIMEOUT_LIMIT_MS
 # The measured time from start to crash is off by about this much.
 TIMING_ERROR_MS = 10.0
+# A crash with another cause is as probable as one by a run that started this long before.
+UNRELATED_MS = 100.0
 # Rates of starts are averaged over about this time.
 RATE_PERIOD_MS = 2000.0
 # Rates are not averaged over less than this time.
@@ -105,6 +107,9 @@
         runs = sorted(runs, key=lambda run: -run.sent_ms)[:SUSPECTS_PER_CRASH]
         weights = [1 / (crashed_ms - run.sent_ms + TIMING_ERROR_MS) for run in runs]
         total = sum(weights)
+        if not any(run.isolated for run in runs):
+            # Something else may have crashed the worker, but hardly so while a suspect ran alone.
+            total += 1 / UNRELATED_MS
         suspects = [
             SuspectRow(
                 run.name.job,
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -255,6 +255,10 @@
         load = self._loads.cores(queue, now_ms) * self.entry_count
         return choose_cell(queue, self.fleet.addresses(service), load / cores if cores else 0.0)
 
+    def crashed_hosts(self, job: str) -> frozenset[str]:
+        """Return the side processes whose workers crashed while they ran a job."""
+        return self.crashes.hosts(job)
+
     def has_crashes(self) -> bool:
         """Return whether any worker has crashed recently."""
         return not self.crashes.is_empty
--- a/src/currantbarrow/direct/placing.py
+++ b/src/currantbarrow/direct/placing.py
@@ -24,9 +24,10 @@
 __all__ = ["CrashRisks", "PlacedTasks", "PlacementPass", "TaskBatch", "WorkerCandidate"]
 
 
-# A task that may have crashed a worker waits so long for an idle one, and for the whole cell to be
-# up. After that it waits at one that is not idle, and nothing else is started there meanwhile.
-IDLE_WAIT_MS = 3000.0
+# A task that may have crashed a worker waits so long for an idle one on another host, and for the
+# whole cell to be up. After that it waits at one that is busy, where nothing else is started
+# meanwhile.
+IDLE_WAIT_MS = 5000.0
 
 
 class CrashRisks(Protocol):
@@ -38,6 +39,9 @@
     def cell(self, queue: str, service: str) -> frozenset[str]:
         """Return the side processes that a queue may use while it is confined."""
 
+    def crashed_hosts(self, job: str) -> frozenset[str]:
+        """Return the side processes whose workers crashed while they ran a job."""
+
     def has_crashes(self) -> bool:
         """Return whether any worker has crashed recently."""
 
@@ -199,7 +203,8 @@
                 cell = self._cell(job, service)
                 request = self._confine(request, service, cell)
             if suspected_ms is not None:
-                request = self._isolate(request, service, cell, now_ms - suspected_ms)
+                tried = service.workers(self._risks.crashed_hosts(job.spec.job_id))
+                request = self._isolate(request, service, cell, tried, now_ms - suspected_ms)
             elif service.cells or service.with_suspects:
                 request = self._keep_away(request, service)
             if request.near_rack and self._fleet.warm_rack(request.near_rack):
@@ -255,6 +260,7 @@
         request: TaskRequest,
         service: _ServicePass,
         cell: frozenset[str],
+        tried: frozenset[str],
         suspected_for_ms: float,
     ) -> TaskRequest:
         """Keep a task that may crash its worker away from workers with runs.
@@ -263,11 +269,12 @@
         """
         excluded = request.excluded | service.with_suspects | service.with_orders
         if suspected_for_ms < IDLE_WAIT_MS:
-            excluded |= service.busy_workers()
+            excluded |= service.busy_workers() | tried
             if len(service.workers(cell)) < len(cell):
                 # The task's caller is not served sooner by a crash of those that are left.
                 excluded |= service.workers(cell)
-        return msgspec.structs.replace(request, excluded=excluded)
+        # A second crash on the same host may be due to the host.
+        return msgspec.structs.replace(request, avoid=request.avoid | tried, excluded=excluded)
 
     @staticmethod
     def _keep_away(request: TaskRequest, service: _ServicePass) -> TaskRequest:
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -183,7 +183,7 @@
     queue: str
     # Time from the start of the run to the crash.
     ran_ms: float
-    # The probability that this run crashed the worker, if one of its runs did; 0 if unknown.
+    # The probability that this run crashed the worker; 0 if unknown.
     share: float
 
 
--- a/src/currantbarrow/standins/direct_worker.py
+++ b/src/currantbarrow/standins/direct_worker.py
@@ -54,12 +54,19 @@
         self.crashed_workers: list[str] = []
         self._starts_after_crashes: collections.Counter[Task] = collections.Counter()
         self.over_crash_budget: list[Task] = []
+        # How often workers crashed while each task ran, whatever the cause.
+        self.crash_ends: collections.Counter[Task] = collections.Counter()
 
     def record_crash(self, task: Task, worker: str) -> None:
         """Record that a task has crashed its worker."""
         self.crashes[task] += 1
         self.crashed_workers.append(worker)
 
+    def record_crash_end(self, task: Task, worker: str) -> None:
+        """Record the end of a run by a crash of its worker."""
+        self.crash_ends[task] += 1
+        self.record_end(task, worker)
+
     def record_start(self, task: Task, worker: str) -> None:
         """Record the start of a run."""
         if task in self.running:
@@ -240,7 +247,7 @@
 
     def _reset(self) -> None:
         for run in self._runs.values():
-            self._recorder.record_end(run.name.task, self.worker)
+            self._recorder.record_crash_end(run.name.task, self.worker)
         self._starts += 1
         self._runs, self._last_run_numbers, self._ends = {}, {}, []
         self._position = self._token = self._sequence = 0
