Let a task wait while it is not known whether lost workers have crashed under it

A task now waits if crashes and lost workers of unknown fate add up to three, until these are back, or ten seconds have passed. The test failed before.

--- a/src/currantbarrow/direct/crash_history.py
+++ b/src/currantbarrow/direct/crash_history.py
@@ -19,7 +19,7 @@
 from currantbarrow.direct.history import RETENTION_MS
 from currantbarrow.protocol.direct import CrashRow, SuspectRow
 
-__all__ = ["Crash", "CrashHistory", "Verdict"]
+__all__ = ["UNCERTAIN_LIMIT", "UNCERTAIN_MS", "Crash", "CrashHistory", "Verdict"]
 
 Task = tuple[str, int, int]
 
@@ -32,6 +32,10 @@
 POSSIBLE_SHARE = 0.6
 # Whatever the probabilities, a task is not started again after so many crashes.
 CRASHES_LIMIT = 4
+# A task waits after so many crashes and lost workers that may have crashed, until it is known
+# whether these have: they come back, or not at all within this time.
+UNCERTAIN_LIMIT = 3
+UNCERTAIN_MS = 10_000.0
 # The tasks of a job with this probability of having caused a crash are kept away from others.
 SUSPECT_SHARE = 0.2
 # Crashes of several workers within this time have a common cause. Side processes notice a crash
@@ -121,6 +125,18 @@
                 suspected_ms = max(crash.crashed_ms, suspected_ms or 0.0)
         return suspected_ms
 
+    def is_known(self, worker: str) -> bool:
+        """Return whether a worker instance is known to have crashed."""
+        return worker in self._crashes
+
+    def count(self, task: Task) -> int:
+        """Return how many workers are known to have crashed under a task, whatever the cause."""
+        return sum(
+            (each.job, each.step, each.index) == task
+            for crash in self._by_job.get(task[0], ())
+            for each in crash.row.suspects
+        )
+
     def hosts(self, job: str) -> frozenset[str]:
         """Return the side processes whose workers crashed while they ran a job."""
         return frozenset(crash.address for crash in self._by_job.get(job, ()))
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -9,7 +9,12 @@
 
 from currantbarrow.direct.admission import Refusal
 from currantbarrow.direct.containment import Containment, QueueLoads, choose_cell
-from currantbarrow.direct.crash_history import CrashHistory, Verdict
+from currantbarrow.direct.crash_history import (
+    UNCERTAIN_LIMIT,
+    UNCERTAIN_MS,
+    CrashHistory,
+    Verdict,
+)
 from currantbarrow.direct.ending import EndingJobs
 from currantbarrow.direct.estimates import RunTimeEstimator
 from currantbarrow.direct.fleet import SideFleet, SideHandle
@@ -255,6 +260,20 @@
         load = self._loads.cores(queue, now_ms) * self.entry_count
         return choose_cell(queue, self.fleet.addresses(service), load / cores if cores else 0.0)
 
+    def must_wait(self, job: OpenJob, task: JobTask) -> bool:
+        """Return whether a task has to wait for workers that may have crashed under it."""
+        now_ms = self._clock.monotonic_ms()
+        uncertain = {
+            worker
+            for worker, lost_ms in task.lost_ms.items()
+            if now_ms - lost_ms < UNCERTAIN_MS and not self.crashes.is_known(worker)
+        }
+        crashes = self.crashes.count((job.spec.job_id, task.step, task.index))
+        if not uncertain or crashes + len(uncertain) < UNCERTAIN_LIMIT or self.fleet is None:
+            return False
+        uncertain -= self.fleet.accepting_instances()
+        return bool(uncertain) and crashes + len(uncertain) >= UNCERTAIN_LIMIT
+
     def crashed_hosts(self, job: str) -> frozenset[str]:
         """Return the side processes whose workers crashed while they ran a job."""
         return self.crashes.hosts(job)
@@ -471,6 +490,8 @@
                 )
         else:
             task.avoid |= {handle.ended_on or handle.instance}
+            if end is RunEnd.LOST:
+                task.lost_ms[handle.ended_on or handle.instance] = now_ms
 
     def _record_done(self, job: OpenJob, task: JobTask, handle: SideHandle, ran_ms: float) -> None:
         job.finish_task(task)
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -368,6 +368,14 @@
             and (addresses is None or handle.address in addresses)
         ]
 
+    def accepting_instances(self) -> set[str]:
+        """Return the worker instances that accept runs, as far as this entry knows."""
+        return {
+            handle.instance
+            for handle in self.handles()
+            if handle.report is not None and handle.report.state.accepting
+        }
+
     def addresses(self, service: str) -> list[str]:
         """Return the side processes whose workers are of a service, or not back yet."""
         return [
--- a/src/currantbarrow/direct/job.py
+++ b/src/currantbarrow/direct/job.py
@@ -45,6 +45,7 @@
         "done",
         "failures",
         "index",
+        "lost_ms",
         "not_before_ms",
         "rejections",
         "run_factor",
@@ -66,6 +67,8 @@
         self.run_factor = 1.0
         # Workers on which the task failed or was lost; other workers are preferred.
         self.avoid: frozenset[str] = frozenset()
+        # The worker instances on which a run was lost, and when.
+        self.lost_ms: dict[str, float] = {}
         # The earliest time of the next order.
         self.not_before_ms = 0.0
 
--- a/src/currantbarrow/direct/placing.py
+++ b/src/currantbarrow/direct/placing.py
@@ -39,6 +39,9 @@
     def cell(self, queue: str, service: str) -> frozenset[str]:
         """Return the side processes that a queue may use while it is confined."""
 
+    def must_wait(self, job: OpenJob, task: JobTask) -> bool:
+        """Return whether a task has to wait for workers that may have crashed under it."""
+
     def crashed_hosts(self, job: str) -> frozenset[str]:
         """Return the side processes whose workers crashed while they ran a job."""
 
@@ -196,6 +199,8 @@
         job.record_workers()
         is_confined = job.queue.name in service.cells
         for task in job.ready_tasks(now_ms):
+            if task.lost_ms and self._risks.must_wait(job, task):
+                continue
             suspected_ms = self._risks.suspected_ms((job.spec.job_id, task.step, task.index))
             is_suspect = suspected_ms is not None
             request = self._create_request(job, task, service, now_ms)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -66,6 +66,7 @@
                 *("--entries", str(options.entries), "--sides", str(options.sides)),
                 *("--rate", str(options.rate), "--keep", options.keep),
                 *(["--former-kinds"] if options.former_kinds else []),
+                *(["--crashes"] if options.crashes else []),
             )
             try:
                 if code := await process.wait():
@@ -104,6 +105,11 @@
     parser.add_argument(
         "--former-kinds", action="store_true", help="no late commands, lost stops and long tasks"
     )
+    parser.add_argument(
+        "--crashes",
+        action="store_true",
+        help="tasks crash workers, and capacities shrink",
+    )
     options = parser.parse_args()
     keep_folder = Path(options.keep)
     keep_folder.mkdir(parents=True, exist_ok=True)
@@ -116,6 +122,7 @@
         options.sides,
         options.rate,
         options.former_kinds,
+        options.crashes,
     )
     return uvloop.run(_run_one(plan, keep_folder))
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -30,6 +30,8 @@
     "cancelled": Outcome.CANCELLED,
 }
 MAX_RETRY_AFTER_S = 60
+CRASHING_SHARE = 0.04
+CRASH_MS = (0.0, 8.0, 8.0, 100.0)
 
 
 class _JobKind(msgspec.Struct, frozen=True):
@@ -62,6 +64,8 @@
         self._fleet = fleet
         self._oracle = fleet.oracle
         self._rng = rng
+        # The share of jobs with a task that crashes its workers.
+        self.crashing_share = CRASHING_SHARE if fleet.plan.crashes else 0.0
         self._kinds = KINDS if fleet.plan.former_kinds else (*KINDS, LONG_KIND)
         # Entries that the load balancer chooses from.
         self._rotation = list(fleet.entries)
@@ -109,6 +113,8 @@
     def _make_job(self) -> tuple[JobSpec, _JobKind]:
         kind = self._rng.choice(self._kinds)
         job_id = f"{self._rng.getrandbits(64):016x}"
+        if self.crashing_share and self._rng.random() < self.crashing_share:
+            self._fleet.let_task_crash(job_id, self._rng.choice(CRASH_MS))
         steps = tuple(
             StepSpec(
                 count,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,7 @@
 
 from soak.fleet import GRACE_S, Fleet, Host
 from soak.oracle import Oracle
+from soak.worker import RESOURCES
 
 __all__ = ["Injector"]
 
@@ -117,6 +118,8 @@
         if not self._fleet.plan.former_kinds:
             kinds += [self._late_commands] * 8 + [self._lost_stops] * 4
             kinds += [self._worker_restart] * 3
+        if self._fleet.plan.crashes:
+            kinds += [self._worker_away] * 3 + [self._resize] * 3
         return kinds
 
     def _former_kinds(self) -> list[Callable[[], Awaitable[None]]]:
@@ -279,6 +282,23 @@
         for host in hosts:
             self._fleet.workers[host.name].crash()
 
+    async def _worker_away(self) -> None:
+        hosts, span_s = self._sample(self._fleet.sides), self._draw_span_s()
+        self._record(f"crash of the workers of {_names(hosts)}, away for {span_s:.2f} s")
+        for host in hosts:
+            self._fleet.workers[host.name].crash_for(span_s * 1000)
+        await asyncio.sleep(span_s)
+
+    async def _resize(self) -> None:
+        hosts, span_s = self._sample(self._fleet.sides), self._draw_span_s()
+        cpu_millis = self._rng.choice((2000, 4000))
+        self._record(f"workers of {_names(hosts)} shrink to {cpu_millis} for {span_s:.2f} s")
+        for host in hosts:
+            self._fleet.workers[host.name].resize(cpu_millis)
+        await asyncio.sleep(span_s)
+        for host in hosts:
+            self._fleet.workers[host.name].resize(RESOURCES.cpu_millis)
+
     async def _worker_restart(self) -> None:
         """Restart workers under their ids; some side processes get a late report of a shutdown."""
         hosts = self._sample(self._fleet.sides)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -63,6 +63,8 @@
     jobs_per_s: float = 15.0
     # Draw from the faults and jobs without late commands, for seeds kept from before these.
     former_kinds: bool = False
+    # Let tasks crash their workers, and capacities shrink.
+    crashes: bool = False
 
 
 class Host:
@@ -324,6 +326,11 @@
             del self._run_events[:count]
             self._replayed_until_s = until_s
 
+    def let_task_crash(self, job: str, crash_ms: float) -> None:
+        """Let the first task of a job crash each worker some time after its start."""
+        for host in self.sides:
+            self.sites[host.name].post("", "let_task_crash", job=job, crash_ms=crash_ms)
+
     async def over_capacity(self) -> list[str]:
         """Return the workers that ran more than they have room for."""
         lists = [await site.call("", "over_capacity") for site in self.sites.values()]
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -11,7 +11,7 @@
 from currantbarrow.protocol.direct import RunEnd
 from currantbarrow.standins.direct_worker import RunRecorder
 from soak.site import RunEvent
-from soak.worker import CRASHED
+from soak.worker import CRASHED, CRASHED_BY_TASK
 
 __all__ = ["Attempt", "CheckedRunRecorder", "Oracle", "Outcome"]
 
@@ -60,7 +60,9 @@
     def replay(self, event: RunEvent) -> None:
         """Record a start or end that the workers' process reports."""
         self._at_s = event.at_s
-        if event.end == CRASHED:
+        if event.end == CRASHED_BY_TASK:
+            self.record_crash(event.task, event.worker)
+        elif event.end == CRASHED:
             self.record_crash_end(event.task, event.worker)
         elif event.end:
             self.record_end(event.task, event.worker, RunEnd(event.end))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from currantbarrow.direct.containment import EVIDENCE_MS
 from soak.callers import Callers
 from soak.faults import Injector
 from soak.fleet import ENTRY_MEMORY_MB, SIDE_MEMORY_MB, Fleet, Plan
@@ -64,6 +65,9 @@
         sending = asyncio.create_task(callers.run(plan.jobs_per_s))
         await injector.run(plan.seconds)
         await injector.end_faults()
+        callers.crashing_share = 0.0
+        if plan.crashes:
+            await asyncio.sleep(EVIDENCE_MS / 1000)
         await monitor.end_part("faults")
         await asyncio.sleep(RECOVERY_S)
         await monitor.end_part("recovery")
@@ -120,6 +124,10 @@
             )
     if over_capacity := await fleet.over_capacity():
         oracle.report_violation("room", f"over capacity on {over_capacity}")
+    if fleet.runs.over_crash_budget:
+        oracle.report_violation(
+            "crashes", f"started on after three crashes: {fleet.runs.over_crash_budget[:3]}"
+        )
     for host in fleet.hosts:
         limit_mb = ENTRY_MEMORY_MB if host.is_entry else SIDE_MEMORY_MB
         if fleet.memory_mb(host) > limit_mb:
--- a/tests/soak/site_main.py
+++ b/tests/soak/site_main.py
@@ -38,6 +38,10 @@
         """Create and start a worker."""
         self._targets[name] = await create_worker(self._recorder, name, **arguments)
 
+    def let_task_crash(self, job: str, crash_ms: float) -> None:
+        """Let the first task of a job crash the workers of this process."""
+        self._recorder.crashing_ms[job, 0, 0] = crash_ms
+
     def over_capacity(self) -> list[str]:
         """Return the workers that ran more than they have room for."""
         return sorted(set(self._recorder.over_capacity))
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -14,12 +14,21 @@
 
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.worker import RunName, RunSpec, StartVerdict
-from currantbarrow.exceptions import WorkerReplaced, WorkerSilent
+from currantbarrow.exceptions import WorkerAbsent, WorkerReplaced, WorkerSilent
 from currantbarrow.protocol.direct import RunEnd
 from currantbarrow.standins.direct_worker import MemoryWorker, RunRecorder, Task, WorkerFaults
 from soak.site import RunEvent, Site
 
-__all__ = ["CRASHED", "SERVICE", "HttpWorker", "RemoteWorker", "RunReporter", "create_worker"]
+__all__ = [
+    "CRASHED",
+    "CRASHED_BY_TASK",
+    "RESOURCES",
+    "SERVICE",
+    "HttpWorker",
+    "RemoteWorker",
+    "RunReporter",
+    "create_worker",
+]
 
 ANNOUNCE_INTERVAL_S = 0.5
 LEASE_LIMIT_MS = 1000.0
@@ -37,8 +46,10 @@
     RunEnd.STOPPED: "stopped",
     RunEnd.LOST: "lapsed",
 }
-# The end of a run by a crash of its worker, in events.
+# Ends of runs by a crash of their worker, in events, and of the one that has caused it.
 CRASHED = "crashed"
+CRASHED_BY_TASK = "crashed_by_task"
+LISTEN_CHECK_S = 0.002
 SERVICE = "work"
 MAX_ENDS_PER_ANSWER = 500
 RESOURCES = Resources(8000, 65536, 0)
@@ -73,6 +84,7 @@
         self._announce_address = announce_address
         self._announce_url = f"http://{announce_address}/currantbarrow/instances/"
         self._announce_task: asyncio.Task[None] | None = None
+        self._listening: asyncio.Task[None] | None = None
         # Number of announcements to precede with an invalid one under another worker's name.
         self.invalid_announcements = 0
 
@@ -100,10 +112,38 @@
         self.worker.faults.lost_answers += lost_answers
         self.invalid_announcements = invalid_announcements
 
+    async def listen(self, ip: str, port: int) -> None:
+        """Listen for calls, but not while the worker is away."""
+        runner = web.AppRunner(self.create_app(), access_log=None)
+        await runner.setup()
+        site = web.TCPSite(runner, ip, port)
+        await site.start()
+        self._listening = asyncio.create_task(self._keep_listening(runner, site, ip, port))
+
+    async def _keep_listening(
+        self, runner: web.AppRunner, site: web.TCPSite, ip: str, port: int
+    ) -> None:
+        while True:
+            await asyncio.sleep(LISTEN_CHECK_S)
+            if self.worker.is_away:
+                await site.stop()
+                while self.worker.is_away:
+                    await asyncio.sleep(LISTEN_CHECK_S)
+                site = web.TCPSite(runner, ip, port)
+                await site.start()
+
     def crash(self) -> None:
         """Crash the worker."""
         self.worker.crash()
 
+    def crash_for(self, away_ms: float) -> None:
+        """Crash the worker, and refuse connections for a time."""
+        self.worker.crash_for(away_ms)
+
+    def resize(self, cpu_millis: int) -> None:
+        """Change the cores of the worker."""
+        self.worker.resize(Resources(cpu_millis, 65536, 0))
+
     def restart(self) -> None:
         """Restart the worker under its id."""
         self.worker.restart()
@@ -128,7 +168,7 @@
             )
         except WorkerReplaced:
             return web.Response(status=421)
-        except WorkerSilent:
+        except (WorkerAbsent, WorkerSilent):
             return _drop_connection(request)
         if answer.verdict is StartVerdict.STARTED:
             return web.json_response({"clock_ms": answer.clock_ms})
@@ -144,7 +184,7 @@
             )
         except WorkerReplaced:
             return web.Response(status=421)
-        except WorkerSilent:
+        except (WorkerAbsent, WorkerSilent):
             return _drop_connection(request)
         return web.json_response({}, status=200 if done else 409)
 
@@ -161,7 +201,7 @@
             )
         except WorkerReplaced:
             return web.Response(status=421)
-        except WorkerSilent:
+        except (WorkerAbsent, WorkerSilent):
             return _drop_connection(request)
         if result is None:
             return web.json_response({"reason": "fence"}, status=409)
@@ -182,8 +222,9 @@
     async def _announce(self) -> None:
         async with aiohttp.ClientSession() as session:
             while True:
-                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-                    await self._send_announcement(session)
+                if not self.worker.is_away:
+                    with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                        await self._send_announcement(session)
                 await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
     async def _send_announcement(self, session: aiohttp.ClientSession) -> None:
@@ -244,6 +285,10 @@
         """Report an end."""
         self._send(RunEvent(time.monotonic(), worker, task, end))
 
+    def record_crash(self, task: Task, worker: str) -> None:
+        """Report that a task has crashed its worker."""
+        self._send(RunEvent(time.monotonic(), worker, task, CRASHED_BY_TASK))
+
     def record_crash_end(self, task: Task, worker: str) -> None:
         """Report an end by a crash of the worker."""
         self._send(RunEvent(time.monotonic(), worker, task, CRASHED))
@@ -269,10 +314,8 @@
         born_ms=born_ms,
     )
     server = HttpWorker(worker, announce_address)
-    runner = web.AppRunner(server.create_app(), access_log=None)
-    await runner.setup()
     ip, _, port = address.rpartition(":")
-    await web.TCPSite(runner, ip, int(port)).start()
+    await server.listen(ip, int(port))
     server.start()
     return server
 
@@ -328,6 +371,14 @@
         """Crash the worker."""
         self._site.post(self.name, "crash")
 
+    def crash_for(self, away_ms: float) -> None:
+        """Crash the worker, and refuse connections for a time."""
+        self._site.post(self.name, "crash_for", away_ms=away_ms)
+
+    def resize(self, cpu_millis: int) -> None:
+        """Change the cores of the worker."""
+        self._site.post(self.name, "resize", cpu_millis=cpu_millis)
+
     def restart(self) -> None:
         """Restart the worker under its id."""
         self._site.post(self.name, "restart")
--- a/tests/test_direct_crashes.py
+++ b/tests/test_direct_crashes.py
@@ -93,6 +93,21 @@
 
         assert run_fleet(scenario).runs.crashes[TASK] == CRASH_LIMIT
 
+    def test_crashes_that_are_noticed_only_when_the_workers_are_back_count_in_time(self) -> None:
+        """Guards against starts while it is not known yet whether lost workers have crashed."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            fleet.runs.crashing_ms[TASK] = CRASH_MS
+            call = asyncio.create_task(submit(fleet, "entry-0"))
+            while not call.done():
+                for worker in fleet.workers.values():
+                    # A proxy before the worker accepts connections, and drops them.
+                    worker.faults.silent = worker.is_away
+                await asyncio.sleep(0.001)
+            assert await call is JobState.FAILED
+
+        run_fleet(scenario, DirectPlan(sides=10))
+
 
 class TestInnocentJobs:
     def test_neighbours_of_tasks_that_crash_workers_complete(self) -> None:
