--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -9,7 +9,7 @@
 
 from currantbarrow.direct.model import JobSpec
 from currantbarrow.protocol.direct import RunEnd
-from currantbarrow.standins.direct_worker import RunRecorder
+from currantbarrow.standins.direct_worker import RunRecorder, WorkerFaults
 from soak.site import RunEvent
 from soak.worker import CRASHED, CRASHED_BY_TASK
 
@@ -80,6 +80,12 @@
             )
         self._oracle.check_start(task, worker, self, self._at_s)
 
+    def record_crash(self, task: tuple[str, int, int], worker: str) -> None:
+        """Record a crash by a task, which is a fault until the worker is back."""
+        super().record_crash(task, worker)
+        began_s = self._oracle.now_s() if self._at_s is None else self._at_s
+        self._oracle.record_fault(began_s, began_s + WorkerFaults().crash_ms / 1000)
+
 
 class Oracle:
     """Checks the guarantees of the user documentation."""
@@ -104,6 +110,10 @@
 
     # Faults.
 
+    def record_fault(self, began_s: float, ends_s: float) -> None:
+        """Record a fault of a known duration."""
+        self._faults.append([began_s, ends_s])
+
     def begin_fault(self) -> list[float]:
         """Record the start of a fault, and return the record to pass to `end_fault`."""
         fault = [self.now_s(), float("inf")]
