Move what crashes mean for jobs and queues, and the separation of tasks, out of dispatcher and placing

No change of behaviour but one: a task of a confined queue avoids workers with suspects within its cell, too, instead of taking all workers of its cell as equally bad.

--- a/src/currantbarrow/direct/crash_history.py
+++ b/src/currantbarrow/direct/crash_history.py
@@ -19,7 +19,7 @@
 from currantbarrow.direct.history import RETENTION_MS
 from currantbarrow.protocol.direct import CrashRow, SuspectRow
 
-__all__ = ["UNCERTAIN_LIMIT", "UNCERTAIN_MS", "Crash", "CrashHistory", "Verdict"]
+__all__ = ["UNCERTAIN_LIMIT", "UNCERTAIN_MS", "Crash", "CrashHistory", "Task", "Verdict"]
 
 Task = tuple[str, int, int]
 
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -8,22 +8,17 @@
 import msgspec
 
 from currantbarrow.direct.admission import Refusal
-from currantbarrow.direct.containment import Containment, QueueLoads, choose_cell
-from currantbarrow.direct.crash_history import (
-    UNCERTAIN_LIMIT,
-    UNCERTAIN_MS,
-    CrashHistory,
-    Verdict,
-)
+from currantbarrow.direct.candidates import WorkerCandidate
+from currantbarrow.direct.crash_risks import CrashRisks
 from currantbarrow.direct.ending import EndingJobs
 from currantbarrow.direct.estimates import RunTimeEstimator
 from currantbarrow.direct.fleet import SideFleet, SideHandle
 from currantbarrow.direct.history import JobHistory
 from currantbarrow.direct.isolation import ISOLATION_MIN_MS, IsolationGuard
 from currantbarrow.direct.job import JobTask, OpenJob, longest_chain_ms
-from currantbarrow.direct.model import JobSpec, JobState, Resources, WorkQueue
+from currantbarrow.direct.model import JobSpec, JobState, WorkQueue
 from currantbarrow.direct.placement import ReleaseForecast
-from currantbarrow.direct.placing import PlacementPass, TaskBatch, WorkerCandidate
+from currantbarrow.direct.placing import PlacementPass, TaskBatch
 from currantbarrow.direct.scarcity import Scarcity
 from currantbarrow.direct.spread import can_be_spread
 from currantbarrow.direct.urgency import create_times
@@ -86,9 +81,7 @@
         self.jobs: dict[str, OpenJob] = {}
         self.ending = EndingJobs(clock)
         self.isolation = IsolationGuard()
-        self.crashes = CrashHistory()
-        self.containment = Containment()
-        self._loads = QueueLoads()
+        self.risks = CrashRisks(clock, metrics)
         # The addresses of the other entries.
         self.peers: tuple[str, ...] = ()
         self.scarcity = Scarcity(rng, metrics)
@@ -121,7 +114,7 @@
         # Reports may still list ends of the job's earlier runs, which differ by attempt number.
         attempts = self._history.attempts_used(spec.job_id)
         job = OpenJob(spec, queue, times, expected_ms, attempts)
-        self._loads.record(queue.name, job.waiting_core_ms(), now_ms)
+        self.risks.record_submission(job)
         refusal = self._check_evacuations(job) or self._check_admission(job, now_ms)
         if refusal is not None:
             self._metrics.incr(f"entry.job_refused.{refusal.reason}")
@@ -137,7 +130,7 @@
 
     def has_given_up(self, spec: JobSpec, queue: WorkQueue) -> bool:
         """Return whether a submitted job has crashed too many workers to be run again."""
-        verdict = self.crashes.verdict(spec.job_id)
+        verdict = self.risks.verdict(spec.job_id)
         if verdict is None:
             return False
         self._metrics.incr("entry.job_crashed_workers")
@@ -205,86 +198,10 @@
 
     def worker_crashed(self, handle: SideHandle, row: CrashRow) -> None:
         """Handle the crash of a worker: give up the jobs that have probably crashed several."""
-        now_ms = self._clock.monotonic_ms()
-        crash = self.crashes.record(row, handle.address, now_ms)
-        if crash is None:
-            return
-        self._metrics.incr("entry.worker_crashed")
-        jobs = sorted({each.job for each in row.suspects})
-        logger.info(
-            "crash of worker reported",
-            extra={
-                "worker": row.worker,
-                "age_ms": round(row.age_ms),
-                "blames": crash.blames,
-                "jobs": " ".join(jobs),
-            },
-        )
-        confined = self.containment.record(crash, now_ms)
-        for job_id in jobs:
-            verdict = self.crashes.verdict(job_id)
-            if verdict is None:
-                continue
-            if crash.blames and self.containment.confine(verdict.queue, crash, now_ms):
-                confined.append(verdict.queue)
+        for job_id, verdict in self.risks.record_crash(row, handle.address).items():
             if job_id in self.jobs:
-                self._give_up(self.jobs[job_id], verdict)
-        for queue in confined:
-            self._metrics.incr("entry.queue_confined")
-            logger.info("queue confined", extra={"queue": queue, "worker": row.worker})
-
-    def _give_up(self, job: OpenJob, verdict: Verdict) -> None:
-        """End a job whose tasks have probably crashed several workers."""
-        self._metrics.incr("entry.job_crashed_workers")
-        self._end_job(job, JobState.FAILED, str(verdict))
-
-    def release_queues(self) -> None:
-        """End the confinement of queues under which no worker has crashed for some seconds."""
-        now_ms = self._clock.monotonic_ms()
-        for queue in self.containment.release(now_ms):
-            logger.info("queue no longer confined", extra={"queue": queue})
-        self._metrics.gauge("entry.queues_confined", len(self.containment.confined(now_ms)))
-
-    def cells(self, service: str) -> dict[str, frozenset[str]]:
-        """Return the confined queues, and the side processes that each may use."""
-        confined = self.containment.confined(self._clock.monotonic_ms())
-        return {queue: self.cell(queue, service) for queue in confined}
-
-    def cell(self, queue: str, service: str) -> frozenset[str]:
-        """Return the side processes that a queue may use while it is confined."""
-        if self.fleet is None:
-            return frozenset()
-        now_ms = self._clock.monotonic_ms()
-        cores = sum(state.capacity_cpu_millis / 1000 for state in self.fleet.worker_states(service))
-        # The other entries are taken to receive as much.
-        load = self._loads.cores(queue, now_ms) * self.entry_count
-        return choose_cell(queue, self.fleet.addresses(service), load / cores if cores else 0.0)
-
-    def must_wait(self, job: OpenJob, task: JobTask) -> bool:
-        """Return whether a task has to wait for workers that may have crashed under it."""
-        now_ms = self._clock.monotonic_ms()
-        uncertain = {
-            worker
-            for worker, lost_ms in task.lost_ms.items()
-            if now_ms - lost_ms < UNCERTAIN_MS and not self.crashes.is_known(worker)
-        }
-        crashes = self.crashes.count((job.spec.job_id, task.step, task.index))
-        if not uncertain or crashes + len(uncertain) < UNCERTAIN_LIMIT or self.fleet is None:
-            return False
-        uncertain -= self.fleet.accepting_instances()
-        return bool(uncertain) and crashes + len(uncertain) >= UNCERTAIN_LIMIT
-
-    def crashed_hosts(self, job: str) -> frozenset[str]:
-        """Return the side processes whose workers crashed while they ran a job."""
-        return self.crashes.hosts(job)
-
-    def has_crashes(self) -> bool:
-        """Return whether any worker has crashed recently."""
-        return not self.crashes.is_empty
-
-    def suspected_ms(self, task: tuple[str, int, int]) -> float | None:
-        """Return when a worker last crashed that a task may well have crashed, or None."""
-        return self.crashes.suspected_ms(task)
+                self._metrics.incr("entry.job_crashed_workers")
+                self._end_job(self.jobs[job_id], JobState.FAILED, str(verdict))
 
     def runs_lost(self, handle: SideHandle) -> None:
         """Handle the loss of all runs ordered over a link."""
@@ -330,7 +247,13 @@
         candidates = self._collect_candidates(now_ms)
         forecast = ReleaseForecast(self.scarcity.released_share_per_ms())
         placing = PlacementPass(
-            self.fleet, candidates, forecast, self.far_factor, self, self._rng, self._metrics
+            self.fleet,
+            candidates,
+            forecast,
+            self.far_factor,
+            self.risks,
+            self._rng,
+            self._metrics,
         )
         full_services: set[str] = set()
         for job in sorted(self._waiting.values(), key=lambda job: job.rank(now_ms)):
@@ -586,32 +509,15 @@
         if any(not capacity.largest.covers(step.resources) for step in job.spec.steps):
             return Refusal("too_large", DEFAULT_RETRY_S, 0.0)
         waiting = list(self._waiting.values())
-        is_confined = self.containment.is_confined(job.queue.name, now_ms)
+        is_confined = self.risks.is_confined(job.queue.name)
         if is_confined:
-            cell = self.cell(job.queue.name, job.queue.service)
-            if not self._has_room_in(cell, job):
+            cell_capacity = self.risks.cell_capacity(job)
+            if cell_capacity is None:
                 return Refusal("confined", CONFINED_RETRY_S, 0.0)
-            capacity = self.fleet.capacity(job.queue.service, cell)
+            capacity = cell_capacity
             waiting = [each for each in waiting if each.queue.name == job.queue.name]
         return self.scarcity.admit(job, waiting, capacity, now_ms, confined=is_confined)
 
-    def _has_room_in(self, cell: frozenset[str], job: OpenJob) -> bool:
-        """Return whether the workers of a cell could run a job if they were idle."""
-        assert self.fleet is not None
-        states = [
-            state for state in self.fleet.worker_states(job.queue.service, cell) if state.accepting
-        ]
-        fits = all(
-            any(
-                Resources(
-                    state.capacity_cpu_millis, state.capacity_memory_mb, state.capacity_gpus
-                ).covers(step.resources)
-                for state in states
-            )
-            for step in job.spec.steps
-        )
-        return fits and can_be_spread(job.spec, states)
-
     def _log_refusal(self, job: OpenJob, refusal: Refusal, now_ms: float) -> None:
         fields: dict[str, int] = {}
         if refusal.backlog is not None:
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -140,7 +140,7 @@
             listener=self.dispatcher,
             evacuations=self.evacuations,
         )
-        self.dispatcher.fleet = self.fleet
+        self.dispatcher.fleet = self.dispatcher.risks.fleet = self.fleet
         self.peers = EntryPeers(
             self._hello,
             options.link_address,
@@ -550,6 +550,7 @@
         # Callers may have resubmitted jobs to entries that drain, too.
         self.dispatcher.peers = tuple(row.address for row in rows if row.role == Role.ENTRY.value)
         self.dispatcher.scarcity.set_peers(others)
+        self.dispatcher.risks.entry_count = self.dispatcher.entry_count
         self.fleet.set_entries(others)
 
     async def _tick(self) -> None:
@@ -563,8 +564,7 @@
             await self._clock.sleep_ms(EXPIRY_INTERVAL_MS)
             self.history.expire()
             self.dispatcher.ending.expire()
-            self.dispatcher.crashes.expire(self._clock.monotonic_ms())
-            self.dispatcher.release_queues()
+            self.dispatcher.risks.expire()
             self._forget_departed()
             self._metrics.gauge("entry.open_jobs", len(self.dispatcher.jobs))
 
--- a/src/currantbarrow/direct/placing.py
+++ b/src/currantbarrow/direct/placing.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import random
-from typing import Protocol
 
 import msgspec
 
+from currantbarrow.direct.candidates import WorkerCandidate
+from currantbarrow.direct.crash_risks import CrashRisks
 from currantbarrow.direct.fleet import SideFleet, SideHandle
 from currantbarrow.direct.job import JobTask, OpenJob
 from currantbarrow.direct.model import Resources, StepSpec
@@ -18,45 +19,11 @@
     choose_worker,
 )
 from currantbarrow.direct.racks import choose_rack
+from currantbarrow.direct.separation import TaskSeparation
 from currantbarrow.direct.speeds import FleetSpeeds, WorkerOffer, survey_speeds
 from currantbarrow.types import Metrics
 
-__all__ = ["CrashRisks", "PlacedTasks", "PlacementPass", "TaskBatch", "WorkerCandidate"]
-
-
-# A task that may have crashed a worker waits so long for an idle one on another host, and for the
-# whole cell to be up. After that it waits at one that is busy, where nothing else is started
-# meanwhile.
-IDLE_WAIT_MS = 5000.0
-
-
-class CrashRisks(Protocol):
-    """Tell which tasks may crash their workers, and where these may run."""
-
-    def cells(self, service: str) -> dict[str, frozenset[str]]:
-        """Return the confined queues, and the side processes that each may use."""
-
-    def cell(self, queue: str, service: str) -> frozenset[str]:
-        """Return the side processes that a queue may use while it is confined."""
-
-    def must_wait(self, job: OpenJob, task: JobTask) -> bool:
-        """Return whether a task has to wait for workers that may have crashed under it."""
-
-    def crashed_hosts(self, job: str) -> frozenset[str]:
-        """Return the side processes whose workers crashed while they ran a job."""
-
-    def has_crashes(self) -> bool:
-        """Return whether any worker has crashed recently."""
-
-    def suspected_ms(self, task: tuple[str, int, int]) -> float | None:
-        """Return when a worker last crashed that a task may well have crashed, or None."""
-
-
-class WorkerCandidate(msgspec.Struct, frozen=True):
-    """Describe a worker's offer and the link to its side process."""
-
-    handle: SideHandle
-    offer: WorkerOffer
+__all__ = ["PlacedTasks", "PlacementPass", "TaskBatch", "WorkerCandidate"]
 
 
 class TaskBatch(msgspec.Struct):
@@ -92,36 +59,11 @@
 class _ServicePass:
     """Track the state of one service during a dispatch pass."""
 
-    __slots__ = (
-        "candidates",
-        "cells",
-        "closed_slowness",
-        "held_cores",
-        "offers",
-        "speeds",
-        "with_new_suspects",
-        "with_orders",
-        "with_suspects",
-    )
+    __slots__ = ("candidates", "closed_slowness", "held_cores", "offers", "separation", "speeds")
 
-    def __init__(
-        self, candidates: list[WorkerCandidate], cells: dict[str, frozenset[str]], risks: CrashRisks
-    ) -> None:
+    def __init__(self, name: str, candidates: list[WorkerCandidate], risks: CrashRisks) -> None:
         self.candidates = candidates
-        # The side processes that each confined queue may use.
-        self.cells = cells
-        # Workers on which this entry has ordered a task that may crash its worker.
-        self.with_suspects = {
-            each.offer.worker
-            for each in candidates
-            if risks.has_crashes()
-            and any(risks.suspected_ms(task) is not None for task in each.handle.ordered_tasks)
-        }
-        # Those that got one in this pass. Another task that starts at the same time would be blamed
-        # as well.
-        self.with_new_suspects: set[str] = set()
-        # The workers that got any task in this pass.
-        self.with_orders: set[str] = set()
+        self.separation = TaskSeparation(name, candidates, risks)
         self.offers = [each.offer for each in candidates]
         self.speeds: FleetSpeeds = survey_speeds(self.offers)
         # Cores of the tasks that were held back in this pass, by the rack that they wait for.
@@ -129,20 +71,6 @@
         # Workers up to this slowness are left to the more urgent tasks that wait for them.
         self.closed_slowness = 0.0
 
-    def workers(self, addresses: frozenset[str], *, outside: bool = False) -> frozenset[str]:
-        """Return the workers of some side processes, or those of all others."""
-        return frozenset(
-            each.offer.worker
-            for each in self.candidates
-            if (each.handle.address in addresses) is not outside
-        )
-
-    def busy_workers(self) -> frozenset[str]:
-        """Return the workers that are not idle."""
-        return frozenset(
-            offer.worker for offer in self.offers if not offer.free.covers(offer.capacity)
-        )
-
     def open_offers(self) -> list[WorkerOffer]:
         """Return the offers of the workers that no more urgent task waits for."""
         if not self.closed_slowness:
@@ -197,21 +125,13 @@
         placed = PlacedTasks([])
         offers = service.open_offers()
         job.record_workers()
-        is_confined = job.queue.name in service.cells
+        separation = service.separation
         for task in job.ready_tasks(now_ms):
             if task.lost_ms and self._risks.must_wait(job, task):
                 continue
-            suspected_ms = self._risks.suspected_ms((job.spec.job_id, task.step, task.index))
-            is_suspect = suspected_ms is not None
+            is_suspect = separation.is_suspect(job, task)
             request = self._create_request(job, task, service, now_ms)
-            if is_confined or is_suspect:
-                cell = self._cell(job, service)
-                request = self._confine(request, service, cell)
-            if suspected_ms is not None:
-                tried = service.workers(self._risks.crashed_hosts(job.spec.job_id))
-                request = self._isolate(request, service, cell, tried, now_ms - suspected_ms)
-            elif service.cells or service.with_suspects:
-                request = self._keep_away(request, service)
+            request = separation.limit(request, job, task, now_ms)
             if request.near_rack and self._fleet.warm_rack(request.near_rack):
                 placement = Placement(None, PlacementReason.HELD)
             else:
@@ -224,7 +144,7 @@
                     # The job's other tasks may run on more workers.
                     continue
                 # A job that only some workers may run does not block others.
-                placed.service_full = not is_confined and not any(
+                placed.service_full = not separation.is_confined(job) and not any(
                     step.required_label or step.max_per_worker for step in job.spec.steps
                 )
                 break
@@ -233,62 +153,18 @@
                 self._hold(job, request, service)
                 continue
             self._add_to_batch(batches, placement, request, task, job, service)
-            service.with_orders.add(placement.offer.worker)
-            if is_suspect:
-                batches[placement.offer.worker].isolated = True
-                service.with_suspects.add(placement.offer.worker)
-                service.with_new_suspects.add(placement.offer.worker)
+            separation.record(placement.offer.worker, is_suspect=is_suspect)
+            batches[placement.offer.worker].isolated = is_suspect
             job.record_placement(task, placement.offer.worker)
         placed.batches = list(batches.values())
         return placed
 
     def _service(self, name: str) -> _ServicePass:
         if name not in self._services:
-            self._services[name] = _ServicePass(
-                self._candidates.get(name, []), self._risks.cells(name), self._risks
-            )
+            candidates = self._candidates.get(name, [])
+            self._services[name] = _ServicePass(name, candidates, self._risks)
         return self._services[name]
 
-    def _cell(self, job: OpenJob, service: _ServicePass) -> frozenset[str]:
-        """Return the side processes that a job's queue may use while it is confined."""
-        cell = service.cells.get(job.queue.name)
-        return self._risks.cell(job.queue.name, job.queue.service) if cell is None else cell
-
-    @staticmethod
-    def _confine(request: TaskRequest, service: _ServicePass, cell: frozenset[str]) -> TaskRequest:
-        """Exclude the workers outside a cell."""
-        excluded = request.excluded | service.workers(cell, outside=True)
-        return msgspec.structs.replace(request, excluded=excluded)
-
-    @staticmethod
-    def _isolate(
-        request: TaskRequest,
-        service: _ServicePass,
-        cell: frozenset[str],
-        tried: frozenset[str],
-        suspected_for_ms: float,
-    ) -> TaskRequest:
-        """Keep a task that may crash its worker away from workers with runs.
-
-        It starts alone, so that a crash tells whether it has caused it, and ends nothing else.
-        """
-        excluded = request.excluded | service.with_suspects | service.with_orders
-        if suspected_for_ms < IDLE_WAIT_MS:
-            excluded |= service.busy_workers() | tried
-            if len(service.workers(cell)) < len(cell):
-                # The task's caller is not served sooner by a crash of those that are left.
-                excluded |= service.workers(cell)
-        # A second crash on the same host may be due to the host.
-        return msgspec.structs.replace(request, avoid=request.avoid | tried, excluded=excluded)
-
-    @staticmethod
-    def _keep_away(request: TaskRequest, service: _ServicePass) -> TaskRequest:
-        """Avoid the workers that other tasks may crash, as long as the rest has room."""
-        cells = frozenset[str]().union(*service.cells.values())
-        avoid = request.avoid | service.workers(cells) | service.with_suspects
-        excluded = request.excluded | service.with_new_suspects
-        return msgspec.structs.replace(request, avoid=avoid, excluded=excluded)
-
     def _create_request(
         self, job: OpenJob, task: JobTask, service: _ServicePass, now_ms: float
     ) -> TaskRequest:
