Reject jobs that would bring an entry down

A job with 10^9 tasks was parsed, and its tasks take all memory; an estimate of 1e308 ms made sums infinite, so that every later submission at that entry ended with an exception ('cannot convert float NaN to integer', seen in a trial); 100,000 nested arrays raised an error that was no JobInvalid. All are answered with 400 now, and a time-out that is not finite counts as none. Four of the new tests failed before.

--- a/src/currantbarrow/platform/callers.py
+++ b/src/currantbarrow/platform/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import msgspec
 from aiohttp import web
@@ -159,9 +160,10 @@
 
 def _read_timeout_ms(request: web.Request) -> float:
     try:
-        return max(0.0, float(request.headers.get(TIMEOUT_HEADER, 0)))
+        timeout_ms = float(request.headers.get(TIMEOUT_HEADER, 0))
     except ValueError:
         return 0.0
+    return timeout_ms if 0 < timeout_ms < math.inf else 0.0
 
 
 def _reply(status: int, body: msgspec.Struct) -> web.Response:
--- a/src/currantbarrow/platform/jobs.py
+++ b/src/currantbarrow/platform/jobs.py
@@ -9,10 +9,15 @@
 from currantbarrow.direct.model import JobSpec, Resources, StepSpec
 from currantbarrow.exceptions import JobInvalid
 
-__all__ = ["parse_job"]
+__all__ = ["MAX_TASKS", "parse_job"]
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 MAX_SPEC_BYTES = 4000
+# An entry keeps an object for each task, so a larger job could take all of its memory. The largest
+# jobs that are planned for have a tenth of this.
+MAX_TASKS = 2200
+# Tasks take some seconds at the most. Sums and logarithms of larger times are no longer finite.
+MAX_ESTIMATE_MS = 86_400_000.0
 
 
 class _Phase(msgspec.Struct):
@@ -52,7 +57,7 @@
         raise JobInvalid("the id has to have 16 hexadecimal digits", field="id")
     try:
         request = msgspec.json.decode(body, type=_Body)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise JobInvalid(str(error)) from error
     if len(request.spec.encode()) > MAX_SPEC_BYTES:
         raise JobInvalid(f"at most {MAX_SPEC_BYTES} bytes", field="spec")
@@ -77,7 +82,13 @@
 def _check_steps(phases: list[_Phase]) -> None:
     if not phases:
         raise JobInvalid("a job has at least one step", field="phases")
+    if sum(phase.count for phase in phases) > MAX_TASKS:
+        raise JobInvalid(f"at most {MAX_TASKS} tasks", field="phases.count")
     for position, phase in enumerate(phases):
+        if not 0 <= phase.estimate_ms <= MAX_ESTIMATE_MS:
+            raise JobInvalid(
+                f"an estimate is from 0 to {MAX_ESTIMATE_MS:.0f} ms", field="phases.estimate_ms"
+            )
         if phase.count < 1 or min(phase.cpu, phase.mem_mb, phase.gpus) < 0:
             raise JobInvalid(
                 "a step has at least one task, and sizes of at least 0", field="phases"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -34,7 +34,7 @@
 from currantbarrow.observe import MetricsRegistry
 from currantbarrow.platform.callers import CallersApi
 from currantbarrow.platform.configuration import parse_configuration
-from currantbarrow.platform.jobs import parse_job
+from currantbarrow.platform.jobs import MAX_TASKS, parse_job
 from currantbarrow.platform.settings import load_process_settings
 from currantbarrow.platform.store import KeyedRecord, StoreClient
 from currantbarrow.platform.topics import TopicAnnouncementStore
@@ -275,6 +275,31 @@
             parse_job(JOB, self.make(phases=[{"count": 2, "anti_affinity": -1}]))
         assert raised.value.code == "job_invalid"
 
+    @pytest.mark.parametrize(
+        "phase",
+        [
+            {"count": 10**9},
+            {"count": 1, "estimate_ms": 1e308},
+            {"count": 1, "estimate_ms": -1.0},
+            {"count": 1, "cpu": -1},
+        ],
+    )
+    def test_job_that_would_bring_an_entry_down_is_an_error(self, phase: dict[str, float]) -> None:
+        with pytest.raises(JobInvalid) as raised:
+            parse_job(JOB, self.make(phases=[phase]))
+        assert raised.value.code == "job_invalid"
+
+    def test_tasks_of_all_steps_count_for_the_limit_of_a_job(self) -> None:
+        half = {"count": MAX_TASKS // 2}
+        assert len(parse_job(JOB, self.make(phases=[half, half])).steps) == 2
+        with pytest.raises(JobInvalid):
+            parse_job(JOB, self.make(phases=[half, half, {"count": 1}]))
+
+    def test_deeply_nested_job_is_an_error(self) -> None:
+        body = b'{"spec":"x","phases":[{"count":1}],"more":' + b"[" * 100_000 + b"]" * 100_000
+        with pytest.raises(JobInvalid):
+            parse_job(JOB, body + b"}")
+
     def test_step_after_itself_is_an_error(self) -> None:
         with pytest.raises(JobInvalid):
             parse_job(JOB, self.make(phases=[{"count": 1, "after": [0]}]))
