--- a/src/currantbarrow/direct/crash_history.py
+++ b/src/currantbarrow/direct/crash_history.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from currantbarrow.direct.history import RETENTION_MS
-from currantbarrow.protocol.direct import CrashRow, SuspectRow
+from currantbarrow.protocol.direct import CrashRow
 
 __all__ = ["UNCERTAIN_LIMIT", "UNCERTAIN_MS", "Crash", "CrashHistory", "Task", "Verdict"]
 
@@ -95,10 +95,7 @@
 
     def record(self, row: CrashRow, address: str, now_ms: float) -> Crash | None:
         """Record a reported crash; return None if it is known, unreadable or too old."""
-        numbers = (row.age_ms, *(number for each in row.suspects for number in _numbers(each)))
-        if row.worker in self._crashes or not all(map(math.isfinite, numbers)):
-            return None
-        if row.age_ms > RETENTION_MS:
+        if row.worker in self._crashes or not _is_finite(row) or row.age_ms > RETENTION_MS:
             return None
         crash = Crash(row, address, now_ms - max(0.0, row.age_ms))
         self._separate_common_causes(crash)
@@ -196,5 +193,8 @@
                 each.blames = each.is_evident
 
 
-def _numbers(row: SuspectRow) -> tuple[float, float]:
-    return row.ran_ms, row.share
+def _is_finite(row: CrashRow) -> bool:
+    numbers = [row.age_ms, *(each.surprise for each in row.queues)]
+    for suspect in row.suspects:
+        numbers += [suspect.ran_ms, suspect.share]
+    return all(map(math.isfinite, numbers))
--- a/src/currantbarrow/direct/crashes.py
+++ b/src/currantbarrow/direct/crashes.py
@@ -98,18 +98,14 @@
     def describe(self, instance: WorkerInstance, now_ms: float) -> CrashRow:
         """Return a description of the crash of a worker instance, which was noticed now."""
         crashed_ms = instance.contact_lost_ms or now_ms
-        is_time_known = now_ms - crashed_ms <= BLAME_SILENCE_MS
         runs = [
             run
             for run in instance.runs.values()
             if run.phase is not RunPhase.WAITING and 0 < run.sent_ms <= crashed_ms
         ]
         runs = sorted(runs, key=lambda run: -run.sent_ms)[:SUSPECTS_PER_CRASH]
-        weights = [1 / (crashed_ms - run.sent_ms + TIMING_ERROR_MS) for run in runs]
-        total = sum(weights)
-        if not any(run.isolated for run in runs):
-            # Something else may have crashed the worker, but hardly so while a suspect ran alone.
-            total += 1 / UNRELATED_MS
+        is_time_known = now_ms - crashed_ms <= BLAME_SILENCE_MS
+        shares = _shares(runs, crashed_ms) if is_time_known else [0.0] * len(runs)
         suspects = [
             SuspectRow(
                 run.name.job,
@@ -117,18 +113,29 @@
                 run.name.index,
                 run.queue,
                 crashed_ms - run.sent_ms,
-                weight / total if is_time_known else 0.0,
+                share,
             )
-            for run, weight in zip(runs, weights, strict=True)
+            for run, share in zip(runs, shares, strict=True)
         ]
+        queues = self._describe_queues(runs, crashed_ms) if is_time_known else []
+        service = instance.announcement.service
+        return CrashRow(instance.identity, service, now_ms - crashed_ms, suspects, queues)
+
+    def _describe_queues(self, runs: list[Run], crashed_ms: float) -> list[QueueRow]:
         last_ms: dict[str, float] = {}
         for run in runs:
             last_ms[run.queue] = max(run.sent_ms, last_ms.get(run.queue, 0.0))
-        queues = [
+        return [
             QueueRow(name, self._rates.surprise(name, crashed_ms - sent_ms, crashed_ms))
             for name, sent_ms in last_ms.items()
-            if is_time_known
         ]
-        service = instance.announcement.service
-        name = f"{instance.worker}@{instance.born_ms}" if instance.born_ms else instance.worker
-        return CrashRow(name, service, now_ms - crashed_ms, suspects, queues)
+
+
+def _shares(runs: list[Run], crashed_ms: float) -> list[float]:
+    """Return the probability that each run has crashed the worker."""
+    weights = [1 / (crashed_ms - run.sent_ms + TIMING_ERROR_MS) for run in runs]
+    total = sum(weights)
+    if not any(run.isolated for run in runs):
+        # Something else may have crashed the worker, but hardly so while a suspect ran alone.
+        total += 1 / UNRELATED_MS
+    return [weight / total for weight in weights]
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -108,6 +108,11 @@
         """Return when this instance started, in Unix milliseconds, or 0 if it does not say."""
         return self.announcement.born_ms
 
+    @property
+    def identity(self) -> str:
+        """Return id and birth, which together name the instance."""
+        return f"{self.worker}@{self.born_ms}" if self.born_ms else self.worker
+
     @property
     def announced(self) -> bool:
         """Return whether the instance has announced its capacity and labels."""
--- a/tests/test_direct_containment.py
+++ b/tests/test_direct_containment.py
@@ -90,6 +90,8 @@
         assert history.record(create_row("worker", {JOB: value}), "side", 0.0) is None
         row = CrashRow("worker", "work", value, [], [])
         assert history.record(row, "side", 0.0) is None
+        row = create_row("worker", {JOB: 0.5}, {"fares": value})
+        assert history.record(row, "side", 0.0) is None
 
     def test_repeated_report_counts_once_and_is_forgotten_in_time(self) -> None:
         history = CrashHistory()
