Spread the callers of a confined queue whose workers are down

All of them were told to come back in 5 s, at the same time as one another. Retry-After is drawn between 5 and 10 s now. The test checks as well that they are refused at once, and that another queue is served.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -60,8 +60,10 @@
 DEFAULT_RETRY_S = 1
 # The retry delay if there are too few workers for a job, which changes seldom.
 SPREAD_RETRY_S = 5
-# The retry delay for jobs of a confined queue while all workers of its cell are down.
-CONFINED_RETRY_S = 5
+# The retry delays for jobs of a confined queue while all workers of its cell are down, which come
+# back after some seconds. Callers that all came back at the same time would be refused again.
+CONFINED_RETRY_MIN_S = 5
+CONFINED_RETRY_MAX_S = 10
 STANDING_BY_STATE = {
     JobState.COMPLETED: Standing.COMPLETED,
     JobState.FAILED: Standing.FAILED,
@@ -513,7 +515,8 @@
         if is_confined:
             cell_capacity = self.risks.cell_capacity(job)
             if cell_capacity is None:
-                return Refusal("confined", CONFINED_RETRY_S, 0.0)
+                retry_s = self._rng.randint(CONFINED_RETRY_MIN_S, CONFINED_RETRY_MAX_S)
+                return Refusal("confined", retry_s, 0.0)
             capacity = cell_capacity
             waiting = [each for each in waiting if each.queue.name == job.queue.name]
         return self.scarcity.admit(job, waiting, capacity, now_ms, confined=is_confined)
--- a/tests/test_direct_crashes.py
+++ b/tests/test_direct_crashes.py
@@ -9,9 +9,11 @@
 import msgspec
 import pytest
 
+from currantbarrow.direct.admission import Refusal
 from currantbarrow.direct.job import OpenJob
 from currantbarrow.direct.leases import LEASE_END_LIMIT_MS
 from currantbarrow.direct.model import JobState, Resources, WorkQueue
+from currantbarrow.protocol.direct import CrashRow, QueueRow, SuspectRow
 from currantbarrow.standins.direct_fleet import QUEUE, DirectFleet, DirectPlan
 from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
 
@@ -326,3 +328,36 @@
             assert took_ms <= LEASE_END_LIMIT_MS + 300.0 + MARGIN_MS
 
         run_fleet(scenario, DirectPlan(sides=8))
+
+
+class TestRefusal:
+    def test_jobs_of_a_confined_queue_are_refused_at_once_while_its_workers_are_down(self) -> None:
+        """Guards against callers who wait for workers that are known to be down."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            entry = fleet.entries["entry-0"]
+            entry.dispatcher.risks.record_crash(create_crash("w-1"), "side-0:1")
+            entry.dispatcher.risks.record_crash(create_crash("w-2"), "side-1:1")
+            cell = entry.dispatcher.risks.cell(QUEUE.name, QUEUE.service)
+            assert len(cell) == 2
+            for name, worker in fleet.workers.items():
+                if f"{name}:1" in cell:
+                    worker.leaving = True
+            await asyncio.sleep(1.0)
+            delays = set()
+            for number in range(20):
+                spec = fleet.build_job(f"{number:016x}", 1, 100.0)
+                refusal = await entry.submit(spec, QUEUE, 1500.0)
+                assert isinstance(refusal, Refusal) and refusal.reason == "confined"
+                delays.add(refusal.retry_after_s)
+            assert len(delays) > 1
+            other = msgspec.structs.replace(QUEUE, name="other")
+            outcome = await entry.submit(fleet.build_job("e" * 16, 1, 100.0), other, 1500.0)
+            assert isinstance(outcome, OpenJob)
+
+        run_fleet(scenario, DirectPlan(sides=6))
+
+
+def create_crash(worker: str) -> CrashRow:
+    suspects = [SuspectRow("f" * 16, 0, 0, QUEUE.name, 8.0, 0.5)]
+    return CrashRow(worker, "work", 0.0, suspects, [QueueRow(QUEUE.name, 4.0)])
