Give a job up only if a task of it has crashed a worker on which it started alone

Three workers of a rack crashed; two of its tasks were on one of them, with a share of 0.65. When its runs counted as lost, it was sent to an idle worker that had crashed as well, over a connection that was still open; the start was not answered, and the run was blamed for that crash too. Shares now add up to no verdict: a task has to be on crashed workers of two hosts, and to have been alone, certainly started, on one of them. A start counts as certain if it was confirmed or the worker had just answered; the side process asks it before a start alone. Three unit tests; the two that guard innocent jobs failed before.

--- a/src/currantbarrow/direct/commands.py
+++ b/src/currantbarrow/direct/commands.py
@@ -115,6 +115,7 @@
                 break
             token = instance.token
             run.sent_ms = requested_ms
+            run.sent_in_contact = instance.is_in_contact(requested_ms)
             try:
                 answer = await self._control.start(
                     instance.worker,
--- a/src/currantbarrow/direct/crash_history.py
+++ b/src/currantbarrow/direct/crash_history.py
@@ -23,13 +23,10 @@
 
 Task = tuple[str, int, int]
 
-# A job is given up if a task of it was on the crashed workers of this many hosts, and its tasks
-# have probably caused the crashes.
-PROBABLE_HOSTS = 2
-PROBABLE_SHARE = 0.9
-# After crashes on more hosts, a lower probability is enough.
-POSSIBLE_HOSTS = 3
-POSSIBLE_SHARE = 0.6
+# A job is given up if a task of it was on the crashed workers of this many hosts, and has evidently
+# caused one of the crashes, which takes a start alone.
+EVIDENT_HOSTS = 2
+EVIDENT_SHARE = 0.9
 # Whatever the probabilities, a task is not started again after so many crashes.
 CRASHES_LIMIT = 4
 # A task waits after so many crashes and lost workers that may have crashed, until it is known
@@ -43,8 +40,6 @@
 SIMULTANEOUS_MS = 30.0
 # The common cause is a job that was started on all of the workers within this time.
 JUST_STARTED_MS = 100.0
-# A crash needs no common cause if a run that has just started has this probability.
-EVIDENT_SHARE = 0.9
 
 
 class Crash:
@@ -142,26 +137,26 @@
         """Return why a job is given up, or None if it is not."""
         crashes: collections.Counter[tuple[int, int]] = collections.Counter()
         # A host whose worker crashes again and again may be the cause itself, so it counts once.
-        blamed: collections.defaultdict[tuple[int, int], set[str]] = collections.defaultdict(set)
-        share, queue = 0.0, ""
+        hosts: collections.defaultdict[tuple[int, int], set[str]] = collections.defaultdict(set)
+        evident: set[tuple[int, int]] = set()
+        queue = ""
         for crash in self._by_job.get(job, ()):
-            rows = [each for each in crash.row.suspects if each.job == job]
-            crashes.update((each.step, each.index) for each in rows)
-            if crash.blames:
-                for each in rows:
-                    blamed[each.step, each.index].add(crash.address)
-                share += sum(each.share for each in rows)
-            queue = rows[0].queue
-        if not crashes:
-            return None
-        (_, index), most = crashes.most_common(1)[0]
-        if blamed:
-            (_, index), hosts = max(blamed.items(), key=lambda item: len(item[1]))
-            most_blamed = len(hosts)
-            is_probable = most_blamed >= PROBABLE_HOSTS and share >= PROBABLE_SHARE
-            if is_probable or (most_blamed >= POSSIBLE_HOSTS and share >= POSSIBLE_SHARE):
-                return Verdict(queue, index, most_blamed)
-        return Verdict(queue, index, most) if most >= CRASHES_LIMIT else None
+            for row in crash.row.suspects:
+                if row.job != job:
+                    continue
+                queue, task = row.queue, (row.step, row.index)
+                crashes[task] += 1
+                if crash.blames:
+                    hosts[task].add(crash.address)
+                    if row.share >= EVIDENT_SHARE and row.started:
+                        evident.add(task)
+        for task in evident:
+            if len(hosts[task]) >= EVIDENT_HOSTS:
+                return Verdict(queue, task[1], crashes[task])
+        for task, count in crashes.items():
+            if count >= CRASHES_LIMIT:
+                return Verdict(queue, task[1], count)
+        return None
 
     def expire(self, now_ms: float) -> None:
         """Remove crashes past their retention time."""
--- a/src/currantbarrow/direct/crashes.py
+++ b/src/currantbarrow/direct/crashes.py
@@ -114,6 +114,7 @@
                 run.queue,
                 crashed_ms - run.sent_ms,
                 share,
+                run.has_started or run.sent_in_contact,
             )
             for run, share in zip(runs, shares, strict=True)
         ]
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -567,6 +567,9 @@
 
     async def _start(self, instance: WorkerInstance, run: Run) -> None:
         self._work_available.set()
+        if run.isolated:
+            # Shows that the worker is up, so that a crash is certainly due to the run.
+            await self._poll(instance, at_once=True)
         starting = asyncio.ensure_future(self._commands.start(instance, run))
         done, _ = await asyncio.wait({starting}, timeout=START_ANSWER_TIMEOUT_MS / 1000)
         if not done and run.phase is RunPhase.STARTING:
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -25,6 +25,9 @@
 # The longest time after which commands were seen to be carried out, 12 s, with a margin.
 LATE_COMMAND_LIMIT_MS = 13_000.0
 
+# A worker that has answered a command within this time is taken to be up.
+CONTACT_MS = 100.0
+
 # How long nothing else is started beside a run that may crash the worker.
 ISOLATION_MS = 250.0
 
@@ -148,6 +151,10 @@
         )
         return self.silent
 
+    def is_in_contact(self, now_ms: float) -> bool:
+        """Return whether the worker has just answered a command."""
+        return not self._unanswered_calls and now_ms - self._last_answer_ms <= CONTACT_MS
+
     def timeout_ms(self, base_ms: float) -> float:
         """Return the timeout of a call, doubled for each unanswered call after the first."""
         return min(base_ms * 2.0 ** max(0, self._unanswered_calls - 1), TIMEOUT_LIMIT_MS)
--- a/src/currantbarrow/direct/runs.py
+++ b/src/currantbarrow/direct/runs.py
@@ -41,6 +41,7 @@
         "queue",
         "reported",
         "resources",
+        "sent_in_contact",
         "sent_ms",
         "session",
         "start_due_ms",
@@ -76,6 +77,8 @@
         self.phase = RunPhase.WAITING
         # When the last start was sent that may have reached the worker, 0 if there is none.
         self.sent_ms = 0.0
+        # Whether the worker had answered another command just before.
+        self.sent_in_contact = False
         self.started_ms = 0.0
         self.unconfirmed_ms = 0.0
         # When the worker confirmed that the run is stopped, or will never start.
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -185,6 +185,8 @@
     ran_ms: float
     # The probability that this run crashed the worker; 0 if unknown.
     share: float
+    # Whether the worker was certainly up when the run was sent; otherwise it may not have started.
+    started: bool = True
 
 
 class QueueRow(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/test_direct_containment.py
+++ b/tests/test_direct_containment.py
@@ -5,6 +5,7 @@
 import math
 import random
 
+import msgspec
 import pytest
 
 from currantbarrow.direct.containment import (
@@ -41,18 +42,35 @@
 
 
 class TestCrashHistory:
-    def test_task_on_two_crashed_workers_is_given_up_if_it_is_the_probable_cause(self) -> None:
+    def test_task_on_two_crashed_workers_is_given_up_if_it_has_evidently_crashed_one(self) -> None:
         history = CrashHistory()
         record(history, 1, {JOB: 0.3, OTHER: 0.1}, 0.0)
         assert history.verdict(JOB) is None
         assert history.suspected_ms((JOB, 0, 0)) == 0.0
         assert history.suspected_ms((JOB, 0, 1)) is None
         assert history.suspected_ms((OTHER, 0, 0)) is None
-        record(history, 2, {JOB: 0.9, OTHER: 0.1}, 1000.0)
+        record(history, 2, {JOB: 1.0}, 1000.0)
         verdict = history.verdict(JOB)
         assert verdict is not None and verdict.crashes == 2 and verdict.queue == "fares"
         assert history.verdict(OTHER) is None
 
+    def test_task_beside_others_on_crashed_workers_is_not_given_up(self) -> None:
+        """Guards against jobs that are shown as failed since their workers crashed by chance."""
+        history = CrashHistory()
+        for number in range(3):
+            record(history, number, {JOB: 0.6, OTHER: 0.3}, number * 1000.0)
+            assert history.verdict(JOB) is None
+
+    def test_task_whose_start_may_not_have_arrived_is_not_given_up(self) -> None:
+        """Guards against blame for the crash of an idle worker, which its next start discovers."""
+        history = CrashHistory()
+        record(history, 1, {JOB: 0.6}, 0.0)
+        row = create_row("worker-2", {JOB: 1.0})
+        suspects = [msgspec.structs.replace(each, started=False) for each in row.suspects]
+        row = msgspec.structs.replace(row, suspects=suspects)
+        assert history.record(row, "side-2", 1000.0) is not None
+        assert history.verdict(JOB) is None
+
     def test_crashes_of_one_host_count_as_one(self) -> None:
         history = CrashHistory()
         for number in range(3):
