--- a/src/currantbarrow/direct/crash_history.py
+++ b/src/currantbarrow/direct/crash_history.py
@@ -84,7 +84,7 @@
     __slots__ = ("_by_job", "_crashes")
 
     def __init__(self) -> None:
-        # By the worker instance, oldest first.
+        # By the worker instance, in the order of their reports.
         self._crashes: collections.OrderedDict[str, Crash] = collections.OrderedDict()
         self._by_job: dict[str, list[Crash]] = {}
 
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -130,8 +130,8 @@
         self.dispatch_waiting()
         return job
 
-    def has_given_up(self, spec: JobSpec, queue: WorkQueue) -> bool:
-        """Return whether a submitted job has crashed too many workers to be run again."""
+    def give_up_submitted(self, spec: JobSpec, queue: WorkQueue) -> bool:
+        """Give up a submitted job that has crashed workers before; return whether it has."""
         verdict = self.risks.verdict(spec.job_id)
         if verdict is None:
             return False
@@ -199,7 +199,7 @@
         self._settle_run(*entry, handle, row.end, row.ran_ms)
 
     def worker_crashed(self, handle: SideHandle, row: CrashRow) -> None:
-        """Handle the crash of a worker: give up the jobs that have probably crashed several."""
+        """Handle the crash of a worker, and give up the open jobs that are convicted by it."""
         for job_id, verdict in self.risks.record_crash(row, handle.address).items():
             if job_id in self.jobs:
                 self._metrics.incr("entry.job_crashed_workers")
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -242,7 +242,7 @@
             return job
         if answer is not None:
             return answer
-        if self.dispatcher.has_given_up(spec, queue):
+        if self.dispatcher.give_up_submitted(spec, queue):
             return Standing.FAILED
         outcome = self.dispatcher.check_spread(spec, queue) or self.dispatcher.submit(
             spec, queue, caller_timeout_ms
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -19,6 +19,7 @@
 from currantbarrow.direct.model import Resources, StepSpec
 from currantbarrow.direct.session import ORDER_END_LIMIT_MS, LinkActivity, SideLiveness
 from currantbarrow.direct.speeds import WorkerOffer
+from currantbarrow.direct.worker import name_instance
 from currantbarrow.exceptions import LinkError
 from currantbarrow.observe import logger
 from currantbarrow.protocol import Hello, Message, Reply, RpcClient
@@ -155,7 +156,7 @@
     @property
     def instance(self) -> str:
         """Return the worker's name and birth; a restart under its name changes the latter."""
-        return f"{self.worker}@{self.born_ms}" if self.born_ms else self.worker
+        return name_instance(self.worker, self.born_ms)
 
     def free_resources(self) -> Resources:
         """Return the free capacity of the worker, as far as this entry knows."""
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -7,7 +7,7 @@
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.reservations import ResourceReservations
 from currantbarrow.direct.runs import Run, RunPhase
-from currantbarrow.direct.worker import NOT_ANNOUNCED, Announcement, RunName
+from currantbarrow.direct.worker import NOT_ANNOUNCED, Announcement, RunName, name_instance
 from currantbarrow.protocol.direct import WorkerState
 
 __all__ = ["LATE_COMMAND_LIMIT_MS", "NO_WORKER", "TIMEOUT_LIMIT_MS", "WorkerInstance"]
@@ -114,7 +114,7 @@
     @property
     def identity(self) -> str:
         """Return id and birth, which together name the instance."""
-        return f"{self.worker}@{self.born_ms}" if self.born_ms else self.worker
+        return name_instance(self.worker, self.born_ms)
 
     @property
     def announced(self) -> bool:
--- a/src/currantbarrow/direct/separation.py
+++ b/src/currantbarrow/direct/separation.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from currantbarrow.direct.candidates import WorkerCandidate
+from currantbarrow.direct.crash_history import Task
 from currantbarrow.direct.crash_risks import CrashRisks
 from currantbarrow.direct.job import JobTask, OpenJob
 from currantbarrow.direct.placement import TaskRequest
@@ -98,7 +99,7 @@
                 excluded |= self._workers(cell)
         return msgspec.structs.replace(request, avoid=request.avoid | tried, excluded=excluded)
 
-    def _is_suspected(self, task: tuple[str, int, int]) -> bool:
+    def _is_suspected(self, task: Task) -> bool:
         return self._risks.suspected_ms(task) is not None
 
     def _workers(self, addresses: frozenset[str], *, outside: bool = False) -> frozenset[str]:
--- a/src/currantbarrow/direct/worker.py
+++ b/src/currantbarrow/direct/worker.py
@@ -21,6 +21,7 @@
     "WorkerEnd",
     "PollResult",
     "create_unknown_announcement",
+    "name_instance",
 ]
 
 # Precedes every sequence number that a worker sends.
@@ -64,6 +65,11 @@
     cold_remaining_ms: float = 0.0
 
 
+def name_instance(worker: str, born_ms: int) -> str:
+    """Return the name of a worker instance: the id, and the birth in Unix milliseconds if known."""
+    return f"{worker}@{born_ms}" if born_ms else worker
+
+
 def create_unknown_announcement(worker: str, born_ms: int) -> Announcement:
     """Create the placeholder for an instance that has not announced itself yet."""
     return Announcement(worker, "", Resources(), frozenset(), False, NOT_ANNOUNCED, born_ms)
--- a/tests/test_direct_crashes.py
+++ b/tests/test_direct_crashes.py
@@ -195,8 +195,8 @@
 LOAD_S = 12.0
 PLAN = DirectPlan(sides=11)
 IN_TIME_SHARE = 0.95
-# A queue under which workers crash may use this share of the workers, beside those that it has
-# crashed before that shows.
+# While workers crash under it, a queue may use this share of the workers, beside those that it has
+# crashed before it is confined.
 CELL_SHARE = 0.5
 FIRST_CRASHES = 4
 
