Count lost jobs by cause from the entries' log files

After a bad minute operators had to read the account of each job to tell why jobs were refused or late. 'currantbarrow losses' takes the last submission of each job, says what became of it and for which cause, by period and queue.

--- a/src/currantbarrow/cli/main.py
+++ b/src/currantbarrow/cli/main.py
@@ -16,6 +16,7 @@
 from currantbarrow.cli.jobs import JOB_COMMANDS
 from currantbarrow.cli.load import LoadCommand
 from currantbarrow.cli.logs import LogsCommand
+from currantbarrow.cli.losses import LossesCommand
 from currantbarrow.cli.members import MembersCommand, RetireCommand, StatusCommand
 from currantbarrow.cli.settings import SettingsCheckCommand
 from currantbarrow.cli.timeline import TimelineCommand
@@ -29,6 +30,7 @@
     TimelineCommand,
     LogsCommand,
     EvacuationsCommand,
+    LossesCommand,
     SettingsCheckCommand,
     DemoCommand,
     LoadCommand,
--- a/tests/test_cli_logs.py
+++ b/tests/test_cli_logs.py
@@ -95,3 +95,74 @@
     _, out = run(f"evacuations {write_evacuations(tmp_path)} --data-centre d2 --json")
     (row,) = json.loads(out)
     assert (row["data_centre"], row["process"], row["in_force"]) == ("d2", "side", False)
+
+
+def write_losses(folder: Path) -> str:
+    """Write the lines of entries about one job for each outcome."""
+    overload = {"reason": "overload", "released_per_s": 100, "ahead_cores": 90}
+    done = {"state": "completed", "objective_ms": 100}
+    lines: list[tuple[str, str, str, dict[str, object]]] = [
+        ("000", "started", "", {}),
+        ("010", "job accepted", "in-time", {}),
+        ("060", "job ended", "in-time", done),
+        ("020", "job refused", "no-cores", overload),
+        ("030", "job refused", "overtaken", {**overload, "urgent_per_s": 80}),
+        ("040", "job accepted", "given-up", {}),
+        ("240", "job ended", "given-up", {"state": "refused", "reason": "its time passed"}),
+        ("050", "job accepted", "waited", {}),
+        ("190", "tasks ordered", "waited", {"slack_ms": -20}),
+        ("250", "job ended", "waited", done),
+        ("060", "job accepted", "slow", {}),
+        ("061", "tasks ordered", "slow", {"slack_ms": 30, "reason": "late_everywhere"}),
+        ("260", "job ended", "slow", done),
+        ("070", "job accepted", "repeated", {}),
+        ("080", "run ended without a result", "repeated", {"reason": "lost"}),
+        ("270", "job ended", "repeated", done),
+        # Refused first, and completed soon after it was accepted.
+        ("080", "job refused", "again", overload),
+        ("300", "job accepted", "again", {}),
+        ("310", "job ended", "again", done),
+        ("090", "job accepted", "died-with-entry", {}),
+        ("400", "started", "", {}),
+        ("410", "job accepted", "unfinished", {}),
+    ]
+    text = "\n".join(
+        json.dumps(
+            {
+                "asctime": f"{DAY},{ms}",
+                "process": "entry-0",
+                "message": message,
+                "job": job,
+                "queue": "q1",
+                **fields,
+            }
+        )
+        for ms, message, job, fields in lines
+    )
+    (folder / "entry-0.log").write_text(text)
+    return f"{folder}/entry-0.log"
+
+
+def test_lost_jobs_are_counted_by_outcome_and_cause(tmp_path: Path) -> None:
+    code, out = run(f"losses {write_losses(tmp_path)}")
+    assert code == 0
+    assert [" ".join(line.split()) for line in out.splitlines()[1:]] == [
+        "in time 1",
+        "refused overload: too few cores 1",
+        "refused overload: more urgent jobs arrive 1",
+        "given up untried its time passed 1",
+        "late waited for resources 1",
+        "late only slow workers had room 1",
+        "late run again (lost) 1",
+        "late submitted again 1",
+        "entry lost 1",
+        "open 1",
+        "all 10",
+    ]
+
+
+def test_lost_jobs_of_a_period_are_listed(tmp_path: Path) -> None:
+    _, out = run(f"losses {write_losses(tmp_path)} --jobs --since 10:00:00,090 --queue q1")
+    assert [line.split()[1] for line in out.splitlines()[1:]] == ["died-with-entry", "unfinished"]
+    _, out = run(f"losses {write_losses(tmp_path)} --json --until 10:00:00,025")
+    assert [row["job"] for row in json.loads(out)] == ["no-cores"]
