Expect waits from released cores and more urgent arrivals, and remove displacement

Jobs with 250 ms of slack were refused although the cores ahead of them are released within 7 to 30 ms: the oldest job had waited because it had time, and more urgent ones were started first.

Change: the wait is the missing cores over what is released less what more urgent arrivals take, within the half second over which these are measured. The release rate follows from the mix of arrivals, so that a restarted entry needs no ended run.

--- a/src/currantbarrow/direct/admission.py
+++ b/src/currantbarrow/direct/admission.py
@@ -5,28 +5,23 @@
 
 The waiting time of a job depends on the rate at which resources are released, not on the run times
 of the tasks ahead of it: four long tasks occupy the next four places that are released, and the
-fifth place goes to the next job. More urgent jobs that arrive later are not part of this estimate;
-the waiting time of the oldest job of the same queue shows their effect.
+fifth place goes to the next job. While the job waits, more urgent ones arrive, and take a part of
+what is released.
 """
 
 from __future__ import annotations
 
 import msgspec
 
-__all__ = ["Backlog", "ReleaseRate", "Refusal", "check_admission"]
+__all__ = ["Backlog", "Refusal", "check_admission"]
 
 # A job starts in parts, so it waits only for this share of its own cores.
 OWN_CORES_SHARE = 0.5
-# Jobs of a queue start in order of arrival, so a new job waits longer than the oldest one has
-# waited so far: about 1.5 times as long during a burst.
-WAIT_GROWTH_FACTOR = 1.5
+# The rate of arrivals is measured over about this time, and says little about later ones.
+ARRIVALS_HORIZON_S = 0.5
 # Bounds of the retry delay returned to callers.
 MIN_RETRY_S = 1
 MAX_RETRY_S = 30
-# The weight of a new run in the moving averages, which cover about fifty runs.
-LEARNING_RATE = 0.02
-# The assumed run time before the first run has ended.
-INITIAL_RUN_MS = 500.0
 
 
 class Backlog(msgspec.Struct, frozen=True):
@@ -44,18 +39,19 @@
     cores: float
     # Cores per second released to this entry while the fleet is fully used.
     released_per_s: float
-    # Waiting time of the oldest unstarted job of the same queue that is dispatched before this
-    # one. Late jobs are excluded: they are dispatched last, so their waiting time says nothing
-    # about this job.
-    oldest_ms: float = 0.0
+    # Cores per second of arriving tasks that are dispatched before the job.
+    urgent_per_s: float = 0.0
 
     def wait_ms(self) -> float:
         """Return how long the job is expected to wait for resources."""
         missing_cores = self.ahead_cores + OWN_CORES_SHARE * self.own_cores - self.free_cores
-        return max(
-            max(0.0, missing_cores) / self.released_per_s * 1000,
-            WAIT_GROWTH_FACTOR * self.oldest_ms,
-        )
+        if missing_cores <= 0:
+            return 0.0
+        left_per_s = self.released_per_s - self.urgent_per_s
+        if missing_cores <= left_per_s * ARRIVALS_HORIZON_S:
+            return missing_cores / left_per_s * 1000
+        overtaking_cores = self.urgent_per_s * ARRIVALS_HORIZON_S
+        return (missing_cores + overtaking_cores) / self.released_per_s * 1000
 
     def drain_s(self) -> float:
         """Return the estimated time to serve all waiting work."""
@@ -77,25 +73,6 @@
     may_have_run: bool = False
 
 
-class ReleaseRate:
-    """Estimate the rate at which a fully used fleet releases cores."""
-
-    __slots__ = ("_core_ms", "_cores")
-
-    def __init__(self) -> None:
-        self._cores = 1.0
-        self._core_ms = INITIAL_RUN_MS
-
-    def record_run(self, cores: float, ran_ms: float) -> None:
-        """Record a completed run."""
-        self._cores += LEARNING_RATE * (cores - self._cores)
-        self._core_ms += LEARNING_RATE * (cores * ran_ms - self._core_ms)
-
-    def per_s(self, cores: float) -> float:
-        """Return the cores released per second by a number of busy cores."""
-        return cores * self._cores / self._core_ms * 1000
-
-
 def check_admission(backlog: Backlog, slack_ms: float) -> Refusal | None:
     """Return a refusal if the expected wait exceeds a job's slack, None to admit it."""
     if backlog.cores <= 0:
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -17,7 +17,6 @@
 from currantbarrow.direct.isolation import ISOLATION_MIN_MS, IsolationGuard
 from currantbarrow.direct.job import JobTask, OpenJob, longest_chain_ms
 from currantbarrow.direct.model import JobSpec, JobState, WorkQueue
-from currantbarrow.direct.placement import ReleaseForecast
 from currantbarrow.direct.placing import PlacementPass, TaskBatch
 from currantbarrow.direct.scarcity import Scarcity
 from currantbarrow.direct.spread import can_be_spread
@@ -86,7 +85,7 @@
         self.risks = CrashRisks(clock, metrics)
         # The addresses of the other entries.
         self.peers: tuple[str, ...] = ()
-        self.scarcity = Scarcity(rng, metrics)
+        self.scarcity = Scarcity(rng)
         # How much longer a task takes on a worker that is far from its data.
         self.far_factor = 1.0
         self.run_time_estimator = RunTimeEstimator()
@@ -247,11 +246,13 @@
         if now_ms < self._holdoff_until_ms or now_ms - self._last_tick_ms > STALL_THRESHOLD_MS:
             return
         candidates = self._collect_candidates(now_ms)
-        forecast = ReleaseForecast(self.scarcity.released_share_per_ms())
+        release_shares = {
+            service: self.scarcity.released_share_per_ms(service, now_ms) for service in candidates
+        }
         placing = PlacementPass(
             self.fleet,
             candidates,
-            forecast,
+            release_shares,
             self.far_factor,
             self.risks,
             self._rng,
--- a/src/currantbarrow/direct/inflow.py
+++ b/src/currantbarrow/direct/inflow.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Sequence
 
-from currantbarrow.direct.demand import BAND_COUNT, find_band
+import msgspec
+
+from currantbarrow.direct.demand import BAND_COUNT, BAND_EDGES_MS, find_band
 from currantbarrow.protocol.direct import DemandRow
 
-__all__ = ["InflowMeter", "RunCost"]
+__all__ = ["FleetInflow", "InflowMeter", "RunCost", "sum_inflow"]
 
 # The time constant of the measured rates. It is about the slack of the longest common jobs: a surge
 # is noticed before the jobs that it brings have used up theirs.
@@ -20,37 +22,19 @@
 class InflowMeter:
     """Measure the rate of submitted work, whether accepted or not, as a decaying average."""
 
-    __slots__ = ("_by_priority", "_core_ms", "_cores", "_job_cores", "_updated_ms")
+    __slots__ = ("_core_ms", "_cores", "_updated_ms")
 
     def __init__(self) -> None:
-        # The mean cores of a job.
-        self._job_cores = 0.0
         self._cores = [0.0] * BAND_COUNT
         self._core_ms = [0.0] * BAND_COUNT
-        # Core-milliseconds by priority, for each band.
-        self._by_priority: list[dict[int, float]] = [{} for _ in range(BAND_COUNT)]
         self._updated_ms = 0.0
 
-    def record(
-        self, run_ms: float, cores: float, core_ms: float, priority: int, now_ms: float
-    ) -> None:
+    def record(self, run_ms: float, cores: float, core_ms: float, now_ms: float) -> None:
         """Record a submitted job by the expected run time of its longest task."""
         self._decay(now_ms)
-        self._job_cores += LEARNING_RATE * (cores - self._job_cores)
         band = find_band(run_ms)
         self._cores[band] += cores * 1000 / WINDOW_MS
         self._core_ms[band] += core_ms * 1000 / WINDOW_MS
-        work = self._by_priority[band]
-        work[priority] = work.get(priority, 0.0) + core_ms * 1000 / WINDOW_MS
-
-    def core_ms_by_priority(self, band: int) -> Mapping[int, float]:
-        """Return the core-milliseconds that arrive per second in a band, by priority."""
-        return self._by_priority[band]
-
-    @property
-    def job_cores(self) -> float:
-        """Return the mean cores of a job."""
-        return self._job_cores
 
     def row(self, service: str, now_ms: float) -> DemandRow:
         """Return cores and core-milliseconds that arrive per second."""
@@ -66,9 +50,50 @@
         self._updated_ms = now_ms
         self._cores = [each * factor for each in self._cores]
         self._core_ms = [each * factor for each in self._core_ms]
-        for work in self._by_priority:
-            for priority in work:
-                work[priority] *= factor
+
+
+class FleetInflow(msgspec.Struct, frozen=True):
+    """Describe what arrives per second at all entries, by band of run time."""
+
+    # Cores of arriving tasks per second.
+    cores_per_s: list[float]
+    # Cores that the arriving work keeps busy, as it is expected to run.
+    busy_cores: list[float]
+
+    def released_per_s(self, cores: float) -> float:
+        """Return the cores that busy ones release per second while they run what arrives."""
+        arriving_cores, busy_cores = sum(self.cores_per_s), sum(self.busy_cores)
+        return cores * arriving_cores / busy_cores if busy_cores > 0 else 0.0
+
+    def cores_below(self, run_ms: float) -> float:
+        """Return the cores per second of tasks that run for less than a time.
+
+        Tasks are spread evenly over each band. Those of the last one count as longer.
+        """
+        below = lower_ms = 0.0
+        for cores, edge_ms in zip(self.cores_per_s, BAND_EDGES_MS, strict=False):
+            below += cores * min(1.0, max(0.0, (run_ms - lower_ms) / (edge_ms - lower_ms)))
+            lower_ms = edge_ms
+        return below
+
+
+def sum_inflow(rows: Sequence[DemandRow]) -> FleetInflow:
+    """Return the inflow of all entries that report theirs.
+
+    Others count as none, and so does their share of the capacity.
+    """
+    cores = [0.0] * BAND_COUNT
+    busy = [0.0] * BAND_COUNT
+    for row in rows:
+        if not all(0 <= each < math.inf for each in (*row.cores, *row.core_ms)):
+            # A malformed row must not affect the estimates of all jobs.
+            continue
+        for band, (each_cores, each_core_ms) in enumerate(
+            zip(row.cores[:BAND_COUNT], row.core_ms, strict=False)
+        ):
+            cores[band] += each_cores
+            busy[band] += each_core_ms / 1000
+    return FleetInflow(cores, busy)
 
 
 class RunCost:
@@ -77,24 +102,15 @@
     It is more than 1 if workers are slow, runs fail, or estimates are too low.
     """
 
-    __slots__ = ("_expected_core_ms", "_overrun_share", "_ran_core_ms")
+    __slots__ = ("_expected_core_ms", "_ran_core_ms")
 
     def __init__(self) -> None:
         self._ran_core_ms = self._expected_core_ms = 1.0
-        self._overrun_share = 0.0
 
     def record_run(self, cores: float, ran_ms: float, expected_ms: float) -> None:
         """Record a run; one that failed took time but did none of the expected work."""
         self._ran_core_ms += LEARNING_RATE * (cores * ran_ms - self._ran_core_ms)
         self._expected_core_ms += LEARNING_RATE * (cores * expected_ms - self._expected_core_ms)
-        if expected_ms > 0:
-            overrun = min(1.0, max(0.0, ran_ms / expected_ms - 1))
-            self._overrun_share += LEARNING_RATE * (overrun - self._overrun_share)
-
-    @property
-    def overrun_share(self) -> float:
-        """Return by how much runs exceed the expected time on average, 0 for those that do not."""
-        return self._overrun_share
 
     @property
     def ratio(self) -> float:
--- a/src/currantbarrow/direct/placing.py
+++ b/src/currantbarrow/direct/placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 
 import msgspec
 
@@ -90,8 +91,8 @@
         "_chosen_racks",
         "_far_factor",
         "_fleet",
-        "_forecast",
         "_metrics",
+        "_release_shares",
         "_risks",
         "_rng",
         "_services",
@@ -101,7 +102,7 @@
         self,
         fleet: SideFleet,
         candidates: dict[str, list[WorkerCandidate]],
-        forecast: ReleaseForecast,
+        release_shares: Mapping[str, float],
         far_factor: float,
         risks: CrashRisks,
         rng: random.Random,
@@ -113,7 +114,8 @@
         self._far_factor = far_factor
         # The racks chosen in this pass for steps without an ordered task.
         self._chosen_racks: dict[tuple[str, int], str] = {}
-        self._forecast = forecast
+        # The cores of each service that this entry gets from one busy core in a millisecond.
+        self._release_shares = release_shares
         self._rng = rng
         self._metrics = metrics
         self._services: dict[str, _ServicePass] = {}
@@ -126,6 +128,7 @@
         offers = service.open_offers()
         job.record_workers()
         separation = service.separation
+        release_share = self._release_shares.get(job.queue.service, 0.0)
         for task in job.ready_tasks(now_ms):
             if task.lost_ms and self._risks.must_wait(job, task):
                 continue
@@ -136,7 +139,7 @@
                 placement = Placement(None, PlacementReason.HELD)
             else:
                 held_cores = service.held_cores.get(request.near_rack, 0.0)
-                forecast = ReleaseForecast(self._forecast.share_per_ms, held_cores)
+                forecast = ReleaseForecast(release_share, held_cores)
                 placement = choose_worker(request, offers, service.speeds, self._rng, forecast)
             if placement.reason is PlacementReason.NO_ROOM:
                 placed.no_room = True
--- a/src/currantbarrow/direct/scarcity.py
+++ b/src/currantbarrow/direct/scarcity.py
@@ -1,4 +1,4 @@
-"""Measure how scarce capacity is, and decide with it which submitted jobs to admit.
+"""Measure the load of the fleet, and decide with it which submitted jobs to admit.
 
 Designed for seconds in which more work arrives than the fleet can do, at entries that see different
 parts of it. The state is rebuilt from submissions, ends of runs and pings within seconds, so that a
@@ -13,28 +13,13 @@
 
 import msgspec
 
-from currantbarrow.direct.admission import (
-    MIN_RETRY_S,
-    Backlog,
-    Refusal,
-    ReleaseRate,
-    check_admission,
-)
-from currantbarrow.direct.demand import DemandBands, PeerDemand, WorkAhead, find_band
-from currantbarrow.direct.displacement import (
-    FleetInflow,
-    admitted_shares,
-    is_predictable,
-    sum_inflow,
-    usable_cores,
-)
+from currantbarrow.direct.admission import Backlog, Refusal, check_admission
+from currantbarrow.direct.demand import DemandBands, PeerDemand, WorkAhead
 from currantbarrow.direct.fleet import FleetCapacity
-from currantbarrow.direct.floors import AdmissionFloors
-from currantbarrow.direct.inflow import InflowMeter, RunCost
+from currantbarrow.direct.inflow import FleetInflow, InflowMeter, RunCost, sum_inflow
 from currantbarrow.direct.job import OpenJob
 from currantbarrow.direct.retry import RefusedWork, choose_retry_s
 from currantbarrow.protocol.direct import DemandRow
-from currantbarrow.types import Metrics
 
 __all__ = ["Scarcity"]
 
@@ -59,17 +44,14 @@
 class Scarcity:
     """Track the load of the fleet as this entry and its peers see it."""
 
-    def __init__(self, rng: random.Random, metrics: Metrics) -> None:
+    def __init__(self, rng: random.Random) -> None:
         self.peers = PeerDemand()
         self._rng = rng
-        self._metrics = metrics
         # The addresses of the other entries that accept jobs.
         self._addresses: tuple[str, ...] = ()
         self._inflow: dict[str, InflowMeter] = {}
         self._fleet_inflow: dict[str, _FleetInflow] = {}
         self._cost = RunCost()
-        self._release_rate = ReleaseRate()
-        self._floors = AdmissionFloors()
         self._refused = RefusedWork()
         self._rows = _Rows(-math.inf, [], [])
 
@@ -86,7 +68,6 @@
 
     def record_run(self, cores: float, ran_ms: float, expected_ms: float) -> None:
         """Record a completed run."""
-        self._release_rate.record_run(cores, ran_ms)
         self._cost.record_run(cores, ran_ms, expected_ms)
 
     def record_failure(self, cores: float, ran_ms: float) -> None:
@@ -106,18 +87,11 @@
 
         For the job of a confined queue, the capacity and the waiting jobs are those of its cell.
         """
-        service = job.queue.service
         core_ms, run_ms = job.waiting_core_ms(), max(job.expected_ms, default=0.0)
-        meter = self._inflow.setdefault(service, InflowMeter())
-        meter.record(run_ms, job.waiting_cores(), core_ms, job.queue.priority, now_ms)
+        meter = self._inflow.setdefault(job.queue.service, InflowMeter())
+        meter.record(run_ms, job.waiting_cores(), core_ms, now_ms)
         backlog = self.create_backlog(job, waiting, capacity, now_ms, confined=confined)
-        slack_ms = job.times.latest_start_ms - now_ms
-        # Runs that take longer than expected leave less time to wait.
-        refusal = check_admission(backlog, slack_ms - run_ms * self._cost.overrun_share)
-        share = 1.0 if confined else self._admitted_share(job, capacity, backlog, now_ms)
-        kind = self._floors.kind_of(job.queue.name, core_ms)
-        if not self._floors.admits(kind, share, refusal is None) and refusal is None:
-            refusal = Refusal("displacement", MIN_RETRY_S, 0.0, backlog)
+        refusal = check_admission(backlog, job.times.latest_start_ms - now_ms)
         if refusal is None:
             return None
         self._refused.record(core_ms, now_ms)
@@ -142,17 +116,14 @@
         """Return the work ahead of a job at this entry and at the peers that report theirs."""
         service = job.queue.service
         rank = job.rank(now_ms)
-        ahead_cores = oldest_ms = 0.0
+        ahead_cores = 0.0
         total_core_ms = job.waiting_core_ms()
         for other in waiting:
             if other is job or other.queue.service != service:
                 continue
             total_core_ms += other.waiting_core_ms()
-            if other.rank(now_ms) >= rank:
-                continue
-            ahead_cores += other.waiting_cores()
-            if other.queue.name == job.queue.name and not other.started:
-                oldest_ms = max(oldest_ms, now_ms - other.times.received_ms)
+            if other.rank(now_ms) < rank:
+                ahead_cores += other.waiting_cores()
         slack_ms = job.times.latest_start_ms - now_ms
         if confined:
             # Peers do not report the work of single queues, so each entry counts on its own part.
@@ -161,10 +132,14 @@
             elsewhere = self.peers.work_ahead(service, slack_ms, self._addresses, now_ms)
         known_entries = self.entry_count - elsewhere.unknown_entries
         cores = capacity.cores * known_entries / self.entry_count
-        released_per_s = self._release_rate.per_s(cores)
-        if confined:
-            # Only runs of the queue release cores of its cell.
-            released_per_s = cores * 1000 / max((1.0, *job.expected_ms))
+        inflow = self.inflow(service, now_ms)
+        run_ms = max((1.0, *job.expected_ms))
+        released_per_s = inflow.released_per_s(cores) / self._cost.ratio
+        # Jobs of shorter tasks have less slack.
+        urgent_per_s = inflow.cores_below(run_ms)
+        if confined or released_per_s <= 0:
+            # In a cell, or as long as no arrivals are measured, only runs like the job's count.
+            released_per_s, urgent_per_s = cores * 1000 / run_ms, 0.0
         return Backlog(
             ahead_cores + elsewhere.cores,
             job.waiting_cores(),
@@ -172,7 +147,7 @@
             total_core_ms + elsewhere.total_core_ms,
             cores,
             released_per_s,
-            oldest_ms,
+            urgent_per_s,
         )
 
     def rows(
@@ -196,9 +171,10 @@
         self._rows = _Rows(now_ms, demand, offered)
         return demand, offered
 
-    def released_share_per_ms(self) -> float:
+    def released_share_per_ms(self, service: str, now_ms: float) -> float:
         """Return the cores that this entry gets from one busy core in a millisecond."""
-        return self._release_rate.per_s(1.0) / 1000 / self.entry_count
+        released_per_s = self.inflow(service, now_ms).released_per_s(1.0) / self._cost.ratio
+        return released_per_s / 1000 / self.entry_count
 
     def inflow(self, service: str, now_ms: float) -> FleetInflow:
         """Return what arrives per second at all entries."""
@@ -210,25 +186,3 @@
         inflow = sum_inflow((meter.row(service, now_ms), *peers))
         self._fleet_inflow[service] = _FleetInflow(now_ms, inflow)
         return inflow
-
-    def _admitted_share(
-        self, job: OpenJob, capacity: FleetCapacity, backlog: Backlog, now_ms: float
-    ) -> float:
-        """Return the share of jobs like this one to admit, 1 unless capacity is scarce."""
-        service = job.queue.service
-        run_ms = max(job.expected_ms, default=0.0)
-        slack_ms = job.times.latest_start_ms - now_ms
-        band = find_band(run_ms)
-        inflow = self.inflow(service, now_ms)
-        busy_cores = [each * self._cost.ratio for each in inflow.busy_cores]
-        meter = self._inflow[service]
-        usable = usable_cores(busy_cores, meter.job_cores, capacity.cores)
-        self._metrics.gauge("entry.wanted_cores", sum(busy_cores))
-        self._metrics.gauge("entry.usable_cores", usable)
-        needed_cores = inflow.needed_cores(band, slack_ms) + backlog.ahead_cores
-        if capacity.free_cores - backlog.own_cores >= needed_cores:
-            return 1.0
-        if not is_predictable(busy_cores, meter.job_cores, capacity.cores):
-            return 1.0
-        shares = admitted_shares(busy_cores, usable)
-        return shares.for_priority(band, job.queue.priority, meter.core_ms_by_priority(band))
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -6,19 +6,24 @@
 import collections
 import math
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
+from typing import Any
 
 import msgspec
+import pytest
 
-from currantbarrow.direct.admission import Refusal
+from currantbarrow.direct.admission import OWN_CORES_SHARE, Backlog, Refusal
 from currantbarrow.direct.job import OpenJob
 from currantbarrow.direct.model import JobSpec, JobState, Resources, StepSpec, WorkQueue
+from currantbarrow.direct.scarcity import Scarcity
 from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
 from currantbarrow.standins.virtual import run_virtual
 
 STRETCH, TARGET_MS = 1.6, 61.0
 SIZE_SPREAD = 0.4
 BUCKET_MS = 10.0
+# The former rule expected a new job to wait longer than the oldest one by this factor.
+OLDEST_WAIT_FACTOR = 1.5
 # Jobs are of the largest of their queue if they need more than this many times its mean core time.
 LARGEST_FACTOR = 2.0
 
@@ -279,6 +284,48 @@
     return replayed.result
 
 
+def replay_former_rule(load: Load) -> LoadResult:
+    """Replay a load with the wait estimated from the oldest unstarted job of the queue."""
+    create_backlog = Scarcity.create_backlog
+
+    def create_former_backlog(
+        scarcity: Scarcity,
+        job: OpenJob,
+        waiting: Collection[OpenJob],
+        capacity: Any,
+        now_ms: float,
+        **options: Any,
+    ) -> Backlog:
+        backlog = create_backlog(scarcity, job, waiting, capacity, now_ms, **options)
+        oldest_ms = max(
+            (
+                now_ms - each.times.received_ms
+                for each in waiting
+                if each.queue.name == job.queue.name
+                and not each.started
+                and each.rank(now_ms) < job.rank(now_ms)
+            ),
+            default=0.0,
+        )
+        backlog = msgspec.structs.replace(backlog, urgent_per_s=0.0)
+        wait_ms = max(backlog.wait_ms(), OLDEST_WAIT_FACTOR * oldest_ms)
+        missing_cores = wait_ms / 1000 * backlog.released_per_s
+        ahead_cores = missing_cores + backlog.free_cores - OWN_CORES_SHARE * backlog.own_cores
+        return msgspec.structs.replace(backlog, ahead_cores=max(0.0, ahead_cores))
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Scarcity, "create_backlog", create_former_backlog)
+        return replay_load(load)
+
+
+def replay_in_order_of_arrival(load: Load) -> LoadResult:
+    """Replay a load with every job admitted and dispatched in order of arrival."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Scarcity, "admit", lambda *_: None)
+        patch.setattr(OpenJob, "rank", lambda job, now_ms: (0, job.times.received_ms))
+        return replay_load(load)
+
+
 def find_clairvoyant_result(load: Load, capacity_cores: float, floor: float) -> LoadResult:
     """Return the outcomes if all arrivals and run times were known, and cores were one pool.
 
