Let failed and very slow runs not stop admission

The release rate was divided by the core time of all runs over that expected of completed ones: with failed runs only, the quotient grew to 80, the expected wait to 3 s, and no run could show that the fleet had recovered.

A failed run holds its cores no longer than others, so only completed runs count, and the quotient is limited to the slowness up to which a worker counts in the capacity.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -407,8 +407,6 @@
                 task.not_before_ms = now_ms + REJECTION_PAUSE_MS
         elif end is RunEnd.FAILED:
             task.failures += 1
-            cores = job.spec.steps[task.step].resources.cpu_millis / 1000
-            self.scarcity.record_failure(cores, ran_ms)
             task.avoid |= {handle.ended_on or handle.instance}
             if task.failures >= job.queue.max_attempts:
                 self._end_job(
--- a/src/currantbarrow/direct/inflow.py
+++ b/src/currantbarrow/direct/inflow.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from currantbarrow.direct.demand import BAND_COUNT, BAND_EDGES_MS, find_band
+from currantbarrow.direct.health import UNHEALTHY_SLOWNESS
 from currantbarrow.protocol.direct import DemandRow
 
 __all__ = ["FleetInflow", "InflowMeter", "RunCost", "sum_inflow"]
@@ -97,9 +98,10 @@
 
 
 class RunCost:
-    """Measure the core time that runs take, relative to what is expected of them.
+    """Measure the core time that completed runs take, relative to what is expected of them.
 
-    It is more than 1 if workers are slow, runs fail, or estimates are too low.
+    It is more than 1 if workers are slow or estimates are too low. Failed runs say nothing about
+    how long others hold their cores.
     """
 
     __slots__ = ("_expected_core_ms", "_ran_core_ms")
@@ -108,11 +110,15 @@
         self._ran_core_ms = self._expected_core_ms = 1.0
 
     def record_run(self, cores: float, ran_ms: float, expected_ms: float) -> None:
-        """Record a run; one that failed took time but did none of the expected work."""
+        """Record a completed run."""
         self._ran_core_ms += LEARNING_RATE * (cores * ran_ms - self._ran_core_ms)
         self._expected_core_ms += LEARNING_RATE * (cores * expected_ms - self._expected_core_ms)
 
     @property
     def ratio(self) -> float:
-        """Return the core time taken per core time expected."""
-        return self._ran_core_ms / max(1.0, self._expected_core_ms)
+        """Return the core time taken per core time expected.
+
+        Slower workers are not part of the capacity. Without the limit, a fleet that was slow could
+        refuse all the jobs whose runs would show that it has recovered.
+        """
+        return min(UNHEALTHY_SLOWNESS, self._ran_core_ms / max(1.0, self._expected_core_ms))
--- a/src/currantbarrow/direct/scarcity.py
+++ b/src/currantbarrow/direct/scarcity.py
@@ -70,10 +70,6 @@
         """Record a completed run."""
         self._cost.record_run(cores, ran_ms, expected_ms)
 
-    def record_failure(self, cores: float, ran_ms: float) -> None:
-        """Record a run that failed, which took time but did nothing of what is expected."""
-        self._cost.record_run(cores, ran_ms, 0.0)
-
     def admit(
         self,
         job: OpenJob,
