Connect at once to a side process that has started

After a loss of power of all hosts entries start 0.1 to 0.2 s before the side processes.

A side process sends its row to the seed entries when it starts, and publishes it in the directory with a new incarnation. Both now end the pause before the next attempt. Test: eight cases of a side process that was away for 0.3 to 2.9 s, all red before, with up to 0.6 s until the link was open; 15 ms now.

--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -474,6 +474,7 @@
             if isinstance(message, ShareHosts):
                 for row in message.hosts:
                     self._evidence.record_registered(row)
+                    self.fleet.connect_now(row.address)
                 self.add_processes(message.hosts)
         except LinkError as error:
             logger.info("link closed", extra={"peer": link.peer.name, "error": str(error)})
@@ -510,8 +511,11 @@
     def _add_process(self, row: HostRow) -> None:
         if row.address == self.options.link_address:
             return
-        if row.address not in self._processes:
+        former = self._processes.get(row.address)
+        if former is None:
             logger.info("process added", extra={"role": row.role, "address": row.address})
+        elif former.incarnation != row.incarnation:
+            self.fleet.connect_now(row.address)
         self._processes[row.address] = row
         if row.role == Role.SIDE.value:
             self.fleet.add(row.address)
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -288,6 +288,10 @@
             asyncio.get_running_loop().call_soon(self._connect_new)
         self._new_addresses.add(address)
 
+    def connect_now(self, address: str) -> None:
+        """Connect without delay to a side process that has started, unless its link is open."""
+        self._connector.connect_now(address)
+
     def remove(self, address: str) -> None:
         """Close the link to the side process at an address."""
         self._new_addresses.discard(address)
--- a/src/currantbarrow/direct/links.py
+++ b/src/currantbarrow/direct/links.py
@@ -41,6 +41,8 @@
         self._background = BackgroundTasks(metrics)
         # The task that maintains the link to each address, connected or not.
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
+        # Set while a process is known to listen at an address since the last attempt.
+        self._listening: dict[str, asyncio.Event] = {}
 
     @property
     def addresses(self) -> list[str]:
@@ -50,14 +52,21 @@
     def add(self, address: str, delay_ms: float = 0.0) -> None:
         """Connect to an address after a delay, and keep reconnecting to it."""
         if address not in self._link_tasks:
+            self._listening[address] = asyncio.Event()
             self._link_tasks[address] = self._background.spawn(self._maintain(address, delay_ms))
 
     def remove(self, address: str) -> None:
         """Close the link to an address and stop reconnecting to it."""
+        self._listening.pop(address, None)
         task = self._link_tasks.pop(address, None)
         if task is not None:
             task.cancel()
 
+    def connect_now(self, address: str) -> None:
+        """Do not wait before the next attempt, since a process has started at an address."""
+        if address in self._listening:
+            self._listening[address].set()
+
     def stop(self) -> None:
         """Close all links and stop reconnecting."""
         self._background.cancel_all()
@@ -66,11 +75,13 @@
         if first_delay_ms:
             await self._clock.sleep_ms(first_delay_ms)
         delay_ms = RECONNECT_BACKOFF_MIN_MS
+        listening = self._listening[address]
         while True:
+            listening.clear()
             try:
                 link = await self._network.connect(address, self._hello)
             except LinkError:
-                await self._clock.sleep_ms(self._rng.uniform(0.5, 1.0) * delay_ms)
+                await self._pause(self._rng.uniform(0.5, 1.0) * delay_ms, listening)
                 delay_ms = min(delay_ms * 2, RECONNECT_BACKOFF_MAX_MS)
                 continue
             delay_ms = RECONNECT_BACKOFF_MIN_MS
@@ -85,4 +96,16 @@
                 logger.exception("link handler failed", extra={"address": address})
             finally:
                 link.abort()
-            await self._clock.sleep_ms(self._rng.uniform(0.5, 1.0) * delay_ms)
+            await self._pause(self._rng.uniform(0.5, 1.0) * delay_ms, listening)
+
+    async def _pause(self, delay_ms: float, ended: asyncio.Event) -> None:
+        """Wait for a time, or until an event."""
+        waits = [
+            asyncio.ensure_future(self._clock.sleep_ms(delay_ms)),
+            asyncio.ensure_future(ended.wait()),
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from currantbarrow.direct.aperture import WARM_LINKS
 from currantbarrow.direct.model import JobState
 from currantbarrow.standins.direct_fleet import QUEUE, DirectFleet, DirectPlan
@@ -206,6 +208,26 @@
 
         run_fleet(scenario)
 
+    def test_fleet_that_was_slow_does_not_refuse_the_jobs_that_show_its_recovery(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            async def submit_each_100_ms(count: int, first: int) -> list[JobState]:
+                jobs = []
+                for number in range(first, first + count):
+                    job = fleet.build_job(f"{number:016x}", 2, 200.0)
+                    jobs.append(asyncio.create_task(fleet.submit("entry-0", job, 1500.0)))
+                    await asyncio.sleep(0.1)
+                return await asyncio.gather(*jobs)
+
+            for worker in fleet.workers.values():
+                worker.faults.slowness = 30.0
+            await submit_each_100_ms(60, 0)
+            for worker in fleet.workers.values():
+                worker.faults.slowness = 1.0
+            await submit_each_100_ms(80, 100)
+            assert set(await submit_each_100_ms(10, 200)) == {JobState.COMPLETED}
+
+        run_fleet(scenario)
+
     def test_worker_that_fails_every_task_is_soon_avoided(self) -> None:
         async def scenario(fleet: DirectFleet) -> None:
             fleet.workers["side-2"].faults.fails = True
@@ -311,6 +333,30 @@
 
         run_fleet(scenario)
 
+    @pytest.mark.parametrize("away_s", [0.3, 0.7, 1.1, 2.9])
+    @pytest.mark.parametrize("has_directory", [True, False])
+    def test_entries_do_not_wait_to_reconnect_to_a_side_process_that_is_back(
+        self, away_s: float, has_directory: bool
+    ) -> None:
+        """After a power loss, the backoff of vain attempts kept known workers out of use."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            await fleet.kill_side("side-1")
+            fleet.directory.down = not has_directory
+            await asyncio.sleep(away_s)
+            await fleet.start_side("side-1")
+            # A few messages between hosts, each of which takes half a millisecond.
+            await asyncio.sleep(0.015)
+            linked = [
+                name
+                for name, entry in fleet.entries.items()
+                if any(handle.address == "side-1:1" for handle in entry.fleet.handles())
+            ]
+            # Without the directory, only the seed entry is told.
+            assert linked == (list(fleet.entries) if has_directory else ["entry-0"])
+
+        run_fleet(scenario)
+
     def test_new_side_process_is_discovered_without_the_directory(self) -> None:
         async def scenario(fleet: DirectFleet) -> None:
             await fleet.kill_side("side-1")
