Bound the excess of run times below as well

Runs that are reported as taking no time would let the quotient of the release rate fall towards 0, by which it divides. The bound is the inverse of the upper one. Found in reading; no run has shown it.

--- a/src/currantbarrow/direct/inflow.py
+++ b/src/currantbarrow/direct/inflow.py
@@ -118,7 +118,8 @@
     def ratio(self) -> float:
         """Return the core time taken per core time expected.
 
-        Slower workers are not part of the capacity. Without the limit, a fleet that was slow could
-        refuse all the jobs whose runs would show that it has recovered.
+        Slower workers are not part of the capacity. Without the upper limit, a fleet that was slow
+        could refuse all the jobs whose runs would show that it has recovered.
         """
-        return min(UNHEALTHY_SLOWNESS, self._ran_core_ms / max(1.0, self._expected_core_ms))
+        ratio = self._ran_core_ms / max(1.0, self._expected_core_ms)
+        return min(UNHEALTHY_SLOWNESS, max(1 / UNHEALTHY_SLOWNESS, ratio))
--- a/tests/test_direct_scarcity_rules.py
+++ b/tests/test_direct_scarcity_rules.py
@@ -198,6 +198,9 @@
         for _ in range(2000):
             cost.record_run(2.0, 3000.0, 100.0)
         assert cost.ratio == UNHEALTHY_SLOWNESS
+        for _ in range(2000):
+            cost.record_run(2.0, 0.0, 100.0)
+        assert cost.ratio == 1 / UNHEALTHY_SLOWNESS
 
     def test_each_band_holds_times_up_to_its_edge(self) -> None:
         assert [find_band(edge) for edge in BAND_EDGES_MS] == list(range(1, len(BAND_EDGES_MS) + 1))
