Show that a cancelling that reached nobody is acknowledged with 410

Cause: DirectEntry.cancel reports a job as unknown if neither the peer that has it nor the side processes confirm in time, and does not repeat the cancelling.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -210,6 +210,63 @@
             self._writer.transport.abort()
 
 
+class LinkProxy:
+    """Forward the connections between processes to one of them."""
+
+    def __init__(self, ip: str, target_ip: str) -> None:
+        self._ip, self._target_ip = ip, target_ip
+        self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
+
+    async def listen(self) -> None:
+        self._server = await asyncio.start_server(self._serve, self._ip, LINK_PORT)
+
+    def silence_open(self) -> int:
+        """Let all open connections go silent for good, without a reset; new ones work."""
+        self._silent |= self._open
+        return len(self._silent)
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._open):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(self._target_ip, LINK_PORT)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._open |= {writer, far_writer}
+        try:
+            copying = {
+                asyncio.create_task(self._copy(reader, far_writer)),
+                asyncio.create_task(self._copy(far_reader, writer)),
+            }
+            await asyncio.wait(copying, return_when=asyncio.FIRST_COMPLETED)
+            for task in copying:
+                task.cancel()
+        finally:
+            self._open -= {writer, far_writer}
+            writer.transport.abort()
+            far_writer.transport.abort()
+
+    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65536):
+                if writer in self._silent:
+                    await asyncio.Event().wait()
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        if writer in self._silent:
+            # The end of a connection that has gone silent does not reach the other side, either.
+            await asyncio.Event().wait()
+
+
 class Store:
     """The platform's store: a log with keyed topics, of which each has one partition."""
 
@@ -517,7 +574,15 @@
 class Deployment:
     """Entries, side processes, workers and the store on loopback addresses."""
 
-    def __init__(self, record: Record, folder: Path, entries: int = 3, sides: int = 3) -> None:
+    def __init__(
+        self,
+        record: Record,
+        folder: Path,
+        entries: int = 3,
+        sides: int = 3,
+        *,
+        proxied: bool = False,
+    ) -> None:
         self.record = record
         self.folder = folder
         network = _free_network()
@@ -527,6 +592,8 @@
         self.entries: list[Program] = []
         self.sides: list[Program] = []
         self.workers: list[Worker] = []
+        # In front of the link address of each process, if the case needs them.
+        self.proxies: list[LinkProxy] = []
         self._tasks: list[asyncio.Task[None]] = []
         seeds = [f"{network}.1.{number + 1}:{CONTROL_PORT}" for number in range(min(3, entries))]
         for number in range(entries):
@@ -540,6 +607,16 @@
             settings["service"] = SERVICE
             self.sides.append(Program("side", number, ip, settings))
             self.workers.append(Worker(number, ip, settings["zone"], record))
+        for number, program in enumerate([*self.entries, *self.sides] if proxied else []):
+            target_ip = f"{network}.4.{number + 1}"
+            program.settings["link_listener"] = f"{target_ip}:{LINK_PORT}"
+            self.proxies.append(LinkProxy(program.ip, target_ip))
+
+    def silence_connections(self) -> None:
+        """Let all open connections between machines, to the store and to workers go silent."""
+        servers = [self.store.server, *(worker.server for worker in self.workers)]
+        count = sum(each.silence_open() for each in [*servers, *self.proxies])
+        self.record.write(f"open connections go silent, new ones work ({count} ends)")
 
     def _settings(
         self, role: str, machine_class: str, number: int, ip: str, seeds: list[str]
@@ -603,6 +680,8 @@
         """Start everything, and wait until it has been calm for `contact_ms`."""
         await self.store.server.listen(self._store_ip, STORE_PORT)
         await self.configure([PREFIX])
+        for proxy in self.proxies:
+            await proxy.listen()
         for worker, side in zip(self.workers, self.sides, strict=True):
             await worker.server.listen(worker.ip, APP_PORT)
             control = side.settings["listen_addrs"]["control"]
@@ -682,7 +761,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*(program.kill() for program in [*self.entries, *self.sides]))
-        for server in [self.store.server, *(worker.server for worker in self.workers)]:
+        servers = [self.store.server, *(worker.server for worker in self.workers)]
+        for server in [*servers, *self.proxies]:
             server.close()
 
 
@@ -734,13 +814,13 @@
 Scenario = Callable[[Deployment, bool], Awaitable[bool]]
 
 
-def run_case(folder: Path, scenario: Scenario, *, entries: int = 3, sides: int = 3) -> None:
+def run_case(folder: Path, scenario: Scenario, **options: Any) -> None:
     """Run a scenario, which returns whether the rule held, and exit with the case's status."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.write(f"trouble: {trouble}")
     try:
-        held = asyncio.run(_run(record, scenario, trouble, entries, sides))
+        held = asyncio.run(_run(record, scenario, trouble, options))
     except Exception as error:
         record.write(f"the case could not run: {error!r}")
         print(f"the case could not run: {error!r}", file=sys.stderr)
@@ -750,10 +830,10 @@
     sys.exit(HELD if held else BROKEN)
 
 
-async def _run(record: Record, scenario: Scenario, trouble: bool, entries: int, sides: int) -> bool:
+async def _run(record: Record, scenario: Scenario, trouble: bool, options: dict[str, Any]) -> bool:
     keep = os.environ.get("KEEP_LOGS")
     with tempfile.TemporaryDirectory() as name:
-        deployment = Deployment(record, Path(keep or name), entries, sides)
+        deployment = Deployment(record, Path(keep or name), **options)
         stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
