--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -73,6 +73,7 @@
 STOP_S = BOUNDS["stop_timeout_ms"] / 1000
 CONFIG_APPLY_S = BOUNDS["config_apply_ms"] / 1000
 RETRANSMIT_S = BOUNDS["retransmit_ms"] / 1000
+GRACE_S = float(BOUNDS["grace_s"])
 HEARTBEAT_S = 1.5
 LIMIT_S = 115.0
 
