--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -116,6 +116,16 @@
     return first, headers, body
 
 
+_kept_tasks: set[asyncio.Task[Any]] = set()
+
+
+def keep_task(task: asyncio.Task[Any] | None) -> None:
+    """Keep a reference to a task: one that waits for ever would otherwise be collected."""
+    if task is not None:
+        _kept_tasks.add(task)
+        task.add_done_callback(_kept_tasks.discard)
+
+
 Handler = Callable[[str, str, dict[str, str], bytes], Awaitable[Answer | None]]
 
 
@@ -128,6 +138,7 @@
         self.connections: set[asyncio.StreamWriter] = set()
         # Connections that have gone silent for good: nothing more is read or written on them.
         self._silent: set[asyncio.StreamWriter] = set()
+        self._never = asyncio.Event()
 
     async def listen(self, ip: str, port: int) -> None:
         self._server = await asyncio.start_server(self._serve, ip, port)
@@ -145,15 +156,16 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections.add(writer)
+        keep_task(asyncio.current_task())
         try:
             while True:
                 first, headers, body = await read_message(reader)
                 if writer in self._silent:
-                    await asyncio.Event().wait()
+                    await self._never.wait()
                 method, path, _ = first.split(" ", 2)
                 answer = await self._handler(method, path, headers, body)
                 if answer is None or writer in self._silent:
-                    await asyncio.Event().wait()
+                    await self._never.wait()
                     return
                 status, content = answer
                 writer.write(
@@ -219,6 +231,7 @@
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
         self._silent: set[asyncio.StreamWriter] = set()
+        self._never = asyncio.Event()
 
     async def listen(self) -> None:
         self._server = await asyncio.start_server(self._serve, self._ip, LINK_PORT)
@@ -235,6 +248,7 @@
             writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        keep_task(asyncio.current_task())
         try:
             far_reader, far_writer = await asyncio.open_connection(self._target_ip, LINK_PORT)
         except OSError:
@@ -258,14 +272,14 @@
         try:
             while data := await reader.read(65536):
                 if writer in self._silent:
-                    await asyncio.Event().wait()
+                    await self._never.wait()
                 writer.write(data)
                 await writer.drain()
         except OSError:
             pass
         if writer in self._silent:
             # The end of a connection that has gone silent does not reach the other side, either.
-            await asyncio.Event().wait()
+            await self._never.wait()
 
 
 class Store:
