--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import struct
@@ -226,15 +227,24 @@
 class LinkProxy:
     """Forward the connections between processes to one of them."""
 
-    def __init__(self, ip: str, target_ip: str) -> None:
-        self._ip, self._target_ip = ip, target_ip
+    def __init__(
+        self, ip: str, target_ip: str, name: str, port: int = LINK_PORT, source: str = ""
+    ) -> None:
+        self._ip, self._target_ip, self._port = ip, target_ip, port
+        # The only process that connects, if it is known beforehand.
+        self._source = source
+        # The process that is connected to.
+        self.name = name
+        # The processes that connected, as their greeting names them.
+        self._sources: dict[asyncio.StreamWriter, str] = {}
+        self._partition: Partition | None = None
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
         self._silent: set[asyncio.StreamWriter] = set()
         self._never = asyncio.Event()
 
     async def listen(self) -> None:
-        self._server = await asyncio.start_server(self._serve, self._ip, LINK_PORT)
+        self._server = await asyncio.start_server(self._serve, self._ip, self._port)
 
     def silence_open(self) -> int:
         """Let all open connections go silent for good, without a reset; new ones work."""
@@ -249,38 +259,93 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         keep_task(asyncio.current_task())
+        if self._partition is not None and (
+            not self._source or self._partition.divides(self._source, self.name)
+        ):
+            # A connection that is opened meanwhile hangs, also one between links' processes on
+            # the same side, since its dialer is not known yet.
+            await self._partition.ended.wait()
         try:
-            far_reader, far_writer = await asyncio.open_connection(self._target_ip, LINK_PORT)
+            far_reader, far_writer = await asyncio.open_connection(self._target_ip, self._port)
         except OSError:
             writer.transport.abort()
             return
         self._open |= {writer, far_writer}
         try:
             copying = {
-                asyncio.create_task(self._copy(reader, far_writer)),
-                asyncio.create_task(self._copy(far_reader, writer)),
+                asyncio.create_task(self._copy(reader, far_writer, far_writer)),
+                asyncio.create_task(self._copy(far_reader, writer, far_writer)),
             }
             await asyncio.wait(copying, return_when=asyncio.FIRST_COMPLETED)
             for task in copying:
                 task.cancel()
         finally:
             self._open -= {writer, far_writer}
+            self._sources.pop(far_writer, None)
             writer.transport.abort()
             far_writer.transport.abort()
 
-    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def divide(self, partition: Partition) -> None:
+        """Hold back what passes from one side of a partition to the other until it ends."""
+        self._partition = partition
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        connection: asyncio.StreamWriter,
+    ) -> None:
+        greeting = b""
         try:
             while data := await reader.read(65536):
+                if writer is connection and connection not in self._sources:
+                    greeting += data
+                    name = find_dialer(greeting)
+                    if name:
+                        self._sources[connection] = name
+                await self._wait_for_passage(connection)
                 if writer in self._silent:
                     await self._never.wait()
                 writer.write(data)
                 await writer.drain()
         except OSError:
             pass
+        # The end of a connection does not reach the other side, either.
+        await self._wait_for_passage(connection)
         if writer in self._silent:
-            # The end of a connection that has gone silent does not reach the other side, either.
             await self._never.wait()
 
+    async def _wait_for_passage(self, connection: asyncio.StreamWriter) -> None:
+        if self._partition is not None:
+            source = self._source or self._sources.get(connection, "")
+            if self._partition.divides(source, self.name):
+                await self._partition.ended.wait()
+
+
+class Partition:
+    """Divide some machines from all others for a time; those on one side reach each other."""
+
+    def __init__(self, names: set[str]) -> None:
+        self._names = names
+        self.ended = asyncio.Event()
+
+    def divides(self, one: str, other: str) -> bool:
+        return not self.ended.is_set() and (one in self._names) != (other in self._names)
+
+
+def find_dialer(data: bytes) -> str:
+    """Return the name in the first message of a link, or an empty string before it has come."""
+    frame = data.partition(b"\r\n\r\n")[2]
+    if len(frame) < 8:
+        return ""
+    start = 2 if frame[1] & 127 < 126 else 4
+    length = frame[1] & 127 if start == 2 else int.from_bytes(frame[2:4])
+    mask = frame[start : start + 4]
+    payload = frame[start + 4 : start + 4 + length]
+    text = bytes(byte ^ mask[position % 4] for position, byte in enumerate(payload))
+    found = re.search(rb"(?:frontend|side)-[a-z]+-\d+", text)
+    return found[0].decode() if found else ""
+
 
 class Store:
     """The platform's store: a log with keyed topics, of which each has one partition."""
@@ -597,9 +662,12 @@
         sides: int = 3,
         *,
         proxied: bool = False,
+        lost_zones: int = 0,
     ) -> None:
         self.record = record
         self.folder = folder
+        # The zones whose loss is to be borne.
+        self._lost_zones = lost_zones
         network = _free_network()
         self._store_ip = f"{network}.3.1"
         self.store = Store()
@@ -625,7 +693,27 @@
         for number, program in enumerate([*self.entries, *self.sides] if proxied else []):
             target_ip = f"{network}.4.{number + 1}"
             program.settings["link_listener"] = f"{target_ip}:{LINK_PORT}"
-            self.proxies.append(LinkProxy(program.ip, target_ip))
+            self.proxies.append(LinkProxy(program.ip, target_ip, program.name))
+            store_ip = f"{network}.6.{number + 1}"
+            program.settings["platform"]["address"] = f"{store_ip}:{STORE_PORT}"
+            self.proxies.append(
+                LinkProxy(store_ip, self._store_ip, "store", STORE_PORT, program.name)
+            )
+        # In front of the address for callers of the first entry.
+        self.callers_ip = f"{network}.5.1"
+        if proxied:
+            first = self.entries[0]
+            self.proxies.append(
+                LinkProxy(self.callers_ip, first.ip, first.name, FRONTEND_PORT, "callers")
+            )
+
+    def cut_off(self, programs: list[Program]) -> Partition:
+        """Put machines behind a partition from all others, their callers and the store."""
+        partition = Partition({program.name for program in programs})
+        for proxy in self.proxies:
+            proxy.divide(partition)
+        self.record.write(f"{[program.name for program in programs]} are behind a partition")
+        return partition
 
     def silence_connections(self) -> None:
         """Let all open connections between machines, to the store and to workers go silent."""
@@ -671,7 +759,7 @@
                 *("base", "drain", "config", "cost", "recover"),
                 *("sched", "platform", "advice", "upkeep", "sharing"),
             ],
-            "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0},
+            "fault_tolerance": {"machines": 2, "zones": self._lost_zones, "regions": 0},
             "bounds": BOUNDS,
             "commands": "request",
             "platform": {
