--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -917,10 +917,10 @@
 Scenario = Callable[[Deployment, bool], Awaitable[bool]]
 
 
-def run_case(folder: Path, scenario: Scenario, **options: Any) -> None:
+def run_case(path: Path, scenario: Scenario, **options: Any) -> None:
     """Run a scenario, which returns whether the rule held, and exit with the case's status."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
+    record = Record(path)
     record.write(f"trouble: {trouble}")
     try:
         held = asyncio.run(_run(record, scenario, trouble, options))
