Log how long a caller waits and which side processes a takeover could not ask

Nothing says until when a caller waits for an accepted job, nor that a takeover has left out side processes without a link.

Change: 'job accepted' names the caller's timeout; 'runs of job stopped at side processes' names the wait and the number of known side processes that had no link. No change of behaviour.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -125,7 +125,14 @@
         self._waiting[spec.job_id] = job
         self._history.record_accepted(spec.job_id)
         self._metrics.incr("entry.job_accepted")
-        self._log_job("job accepted", job, "", tasks=len(job.tasks), expected_ms=round(chain_ms))
+        self._log_job(
+            "job accepted",
+            job,
+            "",
+            tasks=len(job.tasks),
+            expected_ms=round(chain_ms),
+            timeout_ms=round(caller_timeout_ms),
+        )
         self.dispatch_waiting()
         return job
 
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -347,10 +347,17 @@
     async def _clear_job(self, job_id: str, *, cancelled: bool = False) -> bool:
         """Have side processes stop other entries' runs of a job; return whether all confirmed."""
         self.history.record_cleared(job_id)
+        began_ms = self._clock.monotonic_ms()
         everywhere = await self.fleet.clear_job(job_id, cancelled=cancelled)
         logger.info(
             "runs of job stopped at side processes",
-            extra={"job": job_id, "everywhere": everywhere, "cancelled": cancelled},
+            extra={
+                "job": job_id,
+                "everywhere": everywhere,
+                "cancelled": cancelled,
+                "took_ms": round(self._clock.monotonic_ms() - began_ms),
+                "unlinked": len(self.fleet.unlinked()),
+            },
         )
         return everywhere
 
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -313,6 +313,10 @@
         """Return whether the link to a side process is open."""
         return address in self._handles
 
+    def unlinked(self) -> list[str]:
+        """Return the addresses of the known side processes without an open link."""
+        return [each for each in self._connector.addresses if each not in self._handles]
+
     def handles(self) -> list[SideHandle]:
         """Return the open links on which a report was received recently."""
         now_ms = self._clock.monotonic_ms()
