Refuse a call whose caller has left before the entry reads it

Cause: an entry that is busy accepts connections and reads calls late. Of a connection that was reset or closed meanwhile it still reads the call, accepts the job and orders its tasks; that the caller has gone it learns only when the event loop comes to the end of the connection, 10 to 70 ms later. The caller is back at another entry 1.3 s after it has left. If that one is as late, or this one is later than 1.3 s, both start the tasks, and neither knows of the other's acceptance yet.

Change: before it accepts a job, the entry asks the system whether the connection has ended, which it knows although the event loop has not read it yet (poll with POLLRDHUP). Such a call is refused as 'caller_left', and nothing is run.

Measured: the test with real connections covers reset, closed and open ones on both event loops; with a caller that is taken to be there, test_job_whose_caller_has_left_does_not_run_beside_its_resubmission fails as the present code did.

--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -32,7 +32,7 @@
 from currantbarrow.direct.peers import EntryPeers
 from currantbarrow.direct.processes import ProcessEvidence
 from currantbarrow.direct.routing import Configuration
-from currantbarrow.direct.submissions import PendingSubmission, PendingSubmissions
+from currantbarrow.direct.submissions import Caller, PendingSubmission, PendingSubmissions
 from currantbarrow.direct.supervision import Loop, start_loops
 from currantbarrow.exceptions import ConfigurationError, LinkError
 from currantbarrow.observe import logger
@@ -222,7 +222,11 @@
         await self._network.stop()
 
     async def submit(
-        self, spec: JobSpec, queue: WorkQueue, caller_timeout_ms: float
+        self,
+        spec: JobSpec,
+        queue: WorkQueue,
+        caller_timeout_ms: float,
+        caller: Caller | None = None,
     ) -> OpenJob | Refusal | Standing:
         """Accept or join a job, or return its refusal or its earlier outcome."""
         received_ms = self._clock.monotonic_ms()
@@ -249,7 +253,8 @@
         if caller_timeout_ms > 0:
             caller_timeout_ms -= self._clock.monotonic_ms() - received_ms
             is_late = caller_timeout_ms <= 0
-        if is_late:
+        # A busy entry reads a call long after its caller has left and submitted the job elsewhere.
+        if is_late or (caller is not None and caller.has_left()):
             return self._refuse_earlier(spec.job_id, "caller_left")
         outcome = self.dispatcher.check_spread(spec, queue) or self.dispatcher.submit(
             spec, queue, caller_timeout_ms
--- a/src/currantbarrow/direct/submissions.py
+++ b/src/currantbarrow/direct/submissions.py
@@ -4,10 +4,18 @@
 
 import contextlib
 from collections.abc import Iterator
+from typing import Protocol
 
 from currantbarrow.types import Clock
 
-__all__ = ["PendingSubmission", "PendingSubmissions"]
+__all__ = ["Caller", "PendingSubmission", "PendingSubmissions"]
+
+
+class Caller(Protocol):
+    """Represent the caller that waits for the end of a job."""
+
+    def has_left(self) -> bool:
+        """Return whether the caller no longer waits."""
 
 
 class PendingSubmission:
--- a/src/currantbarrow/platform/callers.py
+++ b/src/currantbarrow/platform/callers.py
@@ -14,6 +14,7 @@
 from currantbarrow.direct.model import JobState, WorkQueue
 from currantbarrow.exceptions import JobInvalid
 from currantbarrow.observe import logger
+from currantbarrow.platform.connections import CallConnection
 from currantbarrow.platform.jobs import parse_job
 from currantbarrow.protocol.direct import Standing
 from currantbarrow.types import Metrics
@@ -96,7 +97,9 @@
             return self._refuse_invalid(
                 job_id, queue, JobInvalid("not served: advice", code="unsupported")
             )
-        outcome = await self._entry.submit(spec, queue, _read_timeout_ms(request))
+        outcome = await self._entry.submit(
+            spec, queue, _read_timeout_ms(request), CallConnection(request)
+        )
         if isinstance(outcome, Refusal):
             refuse = _refuse_interrupted if outcome.may_have_run else _refuse
             return refuse(outcome.reason, outcome.retry_after_s)
--- a/tests/test_direct_partitions.py
+++ b/tests/test_direct_partitions.py
@@ -7,12 +7,13 @@
 
 import pytest
 
+from currantbarrow.direct.admission import Refusal
 from currantbarrow.direct.dispatcher import TICK_INTERVAL_MS
 from currantbarrow.direct.leases import RUN_END_LIMIT_MS
 from currantbarrow.direct.model import JobState
 from currantbarrow.direct.patience import keep_until_ms
 from currantbarrow.direct.session import CLOCK_DRIFT_FACTOR
-from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
+from currantbarrow.standins.direct_fleet import QUEUE, DirectFleet, DirectPlan
 from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
 
 JOB = "a" * 16
@@ -97,3 +98,24 @@
             await asyncio.sleep(3.0)
 
         run_fleet(scenario, TWO_ZONES)
+
+
+class LateCaller:
+    """Stand in for a caller that has left before its call is read."""
+
+    def has_left(self) -> bool:
+        return True
+
+
+class TestCallsReadLate:
+    def test_job_whose_caller_has_left_does_not_run_beside_its_resubmission(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            spec = fleet.build_job(JOB, 4, 500.0)
+            again = asyncio.create_task(fleet.submit("entry-1", spec))
+            await asyncio.sleep(0.02)
+            # Busy entries read both calls of the job at about the same time.
+            late = await fleet.entries["entry-0"].submit(spec, QUEUE, 3000.0, LateCaller())
+            assert isinstance(late, Refusal)
+            assert await again == JobState.COMPLETED
+
+        run_fleet(scenario)
--- /dev/null
+++ b/tests/test_platform_callers.py
@@ -0,0 +1,82 @@
+"""Test how the callers' API treats calls whose callers are gone, over real connections."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any, cast
+
+import pytest
+import uvloop
+
+from currantbarrow.direct.admission import Refusal
+from currantbarrow.direct.entry import DirectEntry
+from currantbarrow.direct.model import JobSpec, WorkQueue
+from currantbarrow.direct.routing import Configuration
+from currantbarrow.direct.submissions import Caller
+from currantbarrow.observe import MetricsRegistry
+from currantbarrow.platform.callers import create_callers_app
+from currantbarrow.platform.serving import serve_app
+
+JOB = "0123456789abcdef"
+BODY = b'{"spec": "s", "phases": [{"count": 1, "cpu": 500}], "best_effort": true}'
+CALL = (
+    f"POST /p/{JOB} HTTP/1.1\r\nHost: host\r\nX-Deadline-Ms: 3000\r\n"
+    f"Content-Length: {len(BODY)}\r\n\r\n"
+).encode() + BODY
+QUEUE = WorkQueue("queue", "host", "/p/", "service", 0, 60.0, 1.6, 4, 0.0)
+LIMIT_S = 5.0
+
+
+class RecordingEntry:
+    """Record for each submission whether its caller has left."""
+
+    current_configuration = Configuration(1, [QUEUE], frozenset({"service"}), 1 << 18, b"")
+    draining = False
+
+    def __init__(self) -> None:
+        self.left: list[bool] = []
+        self.submitted = asyncio.Event()
+
+    async def submit(
+        self, spec: JobSpec, queue: WorkQueue, caller_timeout_ms: float, caller: Caller
+    ) -> Refusal:
+        self.left.append(caller.has_left())
+        self.submitted.set()
+        return Refusal("overload", 1, 0.0)
+
+
+def reset(client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+def keep_open(client: socket.socket) -> None:
+    pass
+
+
+class TestCallsReadLate:
+    @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+    @pytest.mark.parametrize(
+        ("end", "left"), [(reset, True), (socket.socket.close, True), (keep_open, False)]
+    )
+    def test_call_whose_connection_has_ended_before_it_was_read_has_no_caller(
+        self, run: Callable[[Any], None], end: Callable[[socket.socket], None], left: bool
+    ) -> None:
+        async def scenario() -> None:
+            entry = RecordingEntry()
+            app = create_callers_app(cast(DirectEntry, entry), MetricsRegistry())
+            runner = await serve_app(app, "127.0.0.1:0", "frontend", cancel=True)
+            # The event loop does not run until the call is sent and its connection has ended.
+            client = socket.create_connection(runner.addresses[0][:2])
+            client.sendall(CALL)
+            end(client)
+            async with asyncio.timeout(LIMIT_S):
+                await entry.submitted.wait()
+            assert entry.left == [left]
+            client.close()
+            await runner.cleanup()
+
+        run(scenario())
