Never run a cancelled job again, wherever a copy of its submission arrives

Callers saw: a job was cancelled and its DELETE acknowledged; seconds later a copy of its POST arrived, at the same entry or another one, and ran to its end (UNASKED).

Cause: the history kept one standing, CANCELLED, for a job whose caller had left and for one that its caller had cancelled. The first has to run when it is submitted again, so the second did, too. Other entries were not told of a cancelling at all.

Of the 11 tests of tests/test_direct_standings.py all fail on the former code: copies at the same and at another entry 0.5 to 30 s late, at an entry that was restarted or cut off meanwhile, before the submission, and an entry that was out of contact and ordered the cancelled job again.

Why this works: a job whose caller left ends as abandoned, and only abandoned, refused and moved jobs may run again. Pings report it to the peers, the first ping over a new link reports all that are known, and those of a peer whose link is lost are reported by the others. Ids that no job can have are not kept.

--- a/src/currantbarrow/direct/confirmation.py
+++ b/src/currantbarrow/direct/confirmation.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.dispatcher import JobDispatcher
 from currantbarrow.direct.isolation import ISOLATION_MIN_MS
 from currantbarrow.direct.peers import EntryPeers
 from currantbarrow.observe import logger
-from currantbarrow.protocol.direct import TakenRow
+from currantbarrow.protocol.direct import CancelledRow, TakenRow
 from currantbarrow.types import Clock, Metrics
 
 __all__ = ["RESUBMISSION_MIN_AGE_MS", "JobConfirmation", "move_resubmitted"]
@@ -26,15 +26,30 @@
 class JobConfirmation:
     """Ask the peers about the open jobs after this entry was out of contact."""
 
-    __slots__ = ("_asked_ms", "_background", "_clock", "_dispatcher", "_metrics", "_peers")
+    __slots__ = (
+        "_asked_ms",
+        "_background",
+        "_clock",
+        "_dispatcher",
+        "_metrics",
+        "_on_cancelled",
+        "_peers",
+    )
 
     def __init__(
-        self, dispatcher: JobDispatcher, peers: EntryPeers, clock: Clock, metrics: Metrics
+        self,
+        dispatcher: JobDispatcher,
+        peers: EntryPeers,
+        clock: Clock,
+        metrics: Metrics,
+        on_cancelled: Callable[[list[CancelledRow], str], None],
     ) -> None:
         self._dispatcher = dispatcher
         self._peers = peers
         self._clock = clock
         self._metrics = metrics
+        # Called with the jobs that were cancelled meanwhile, and the address of the peer.
+        self._on_cancelled = on_cancelled
         self._background = BackgroundTasks(metrics)
         # When each peer was last asked, by its address.
         self._asked_ms: dict[str, float] = {}
@@ -66,14 +81,15 @@
 
     async def _ask(self, address: str, jobs: list[TakenRow], asked_ms: float) -> None:
         self._metrics.incr("entry.jobs_reported", len(jobs))
-        taken = await self._peers.report_jobs(address, jobs)
-        if taken is None:
+        answer = await self._peers.report_jobs(address, jobs)
+        if answer is None:
             return
         logger.info(
             "peer answered after isolation",
-            extra={"address": address, "jobs": len(jobs), "taken": len(taken)},
+            extra={"address": address, "jobs": len(jobs), "taken": len(answer.taken)},
         )
-        move_resubmitted(self._dispatcher, taken, address, self._clock.monotonic_ms())
+        self._on_cancelled(answer.cancelled, address)
+        move_resubmitted(self._dispatcher, answer.taken, address, self._clock.monotonic_ms())
         self._dispatcher.isolation.record_answer(address, asked_ms)
         self._dispatcher.dispatch_waiting()
 
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -67,6 +67,7 @@
     JobState.COMPLETED: Standing.COMPLETED,
     JobState.FAILED: Standing.FAILED,
     JobState.CANCELLED: Standing.CANCELLED,
+    JobState.ABANDONED: Standing.ABANDONED,
     JobState.REFUSED: Standing.REFUSED,
     JobState.MOVED: Standing.UNKNOWN,
 }
@@ -161,11 +162,17 @@
         return refusal
 
     def cancel(self, job: OpenJob, reason: str) -> None:
-        """Cancel an open job."""
+        """Cancel an open job, which then never runs again."""
         if job.state is JobState.OPEN:
             self._metrics.incr("entry.job_cancelled")
             self._end_job(job, JobState.CANCELLED, reason)
 
+    def abandon(self, job: OpenJob) -> None:
+        """Give up an open job whose caller has left, and may submit it again."""
+        if job.state is JobState.OPEN:
+            self._metrics.incr("entry.job_abandoned")
+            self._end_job(job, JobState.ABANDONED, "its caller left")
+
     def move(self, job: OpenJob, reason: str = "sent again to another entry") -> None:
         """Release an open job, which its caller submits to another entry."""
         if job.state is JobState.OPEN:
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -25,19 +25,21 @@
 from currantbarrow.direct.dispatcher import JobDispatcher
 from currantbarrow.direct.evacuation import STORE_SOURCE, EvacuationState, KnownEvacuations
 from currantbarrow.direct.fleet import SideFleet
-from currantbarrow.direct.history import Acceptance, JobHistory
+from currantbarrow.direct.history import RETENTION_MS, Acceptance, JobHistory
 from currantbarrow.direct.hosts import ConfigurationSource, HostDirectory
 from currantbarrow.direct.job import OpenJob
 from currantbarrow.direct.model import JobSpec, WorkQueue
 from currantbarrow.direct.peers import EntryPeers
 from currantbarrow.direct.processes import ProcessEvidence
 from currantbarrow.direct.routing import Configuration
+from currantbarrow.direct.standings import FINAL_STANDINGS, earlier_outcome
 from currantbarrow.direct.submissions import PendingSubmission, PendingSubmissions
 from currantbarrow.direct.supervision import Loop, start_loops
 from currantbarrow.exceptions import ConfigurationError, LinkError
 from currantbarrow.observe import logger
 from currantbarrow.protocol import Hello, Role
 from currantbarrow.protocol.direct import (
+    CancelledRow,
     DemandRow,
     EntryPing,
     HostRow,
@@ -152,7 +154,9 @@
             metrics=metrics,
             evacuations=self.evacuations,
         )
-        self._confirmation = JobConfirmation(self.dispatcher, self.peers, clock, metrics)
+        self._confirmation = JobConfirmation(
+            self.dispatcher, self.peers, clock, metrics, self._handle_cancelled
+        )
 
     async def start(self) -> None:
         """Listen for links, publish this entry and discover other processes."""
@@ -229,10 +233,10 @@
         if job is not None:
             self._metrics.incr("entry.job_joined")
             return job
-        ended = self.history.final_standing(spec.job_id)
-        if ended in (Standing.COMPLETED, Standing.FAILED):
+        outcome = earlier_outcome(self.history.known(spec.job_id))
+        if outcome is not None:
             self._metrics.incr("entry.job_repeated")
-            return ended
+            return outcome
         if self.draining and not self._accepts_while_draining():
             return Refusal("draining", 1, 0.0)
         answer = await self._end_earlier_runs(spec.job_id)
@@ -244,15 +248,17 @@
             return answer
         if self.dispatcher.give_up_submitted(spec, queue):
             return Standing.FAILED
-        outcome = self.dispatcher.check_spread(spec, queue) or self.dispatcher.submit(
+        accepted = self.dispatcher.check_spread(spec, queue) or self.dispatcher.submit(
             spec, queue, caller_timeout_ms
         )
-        if isinstance(outcome, Refusal) and self.history.attempts_used(spec.job_id):
-            return msgspec.structs.replace(outcome, may_have_run=True)
-        return outcome
+        if isinstance(accepted, Refusal) and self.history.attempts_used(spec.job_id):
+            return msgspec.structs.replace(accepted, may_have_run=True)
+        return accepted
 
     async def cancel(self, job_id: str) -> bool:
         """Cancel a job here or at a peer; return whether it was known."""
+        # A submission that arrives after this, here or elsewhere, must not run, known or not.
+        self.history.record_cancelled(job_id)
         self._submissions.withdraw(job_id)
         job = self.dispatcher.jobs.get(job_id)
         if job is not None:
@@ -276,7 +282,7 @@
         """Wait until earlier runs of a job have ended; return why it can't be accepted, if so."""
         with self._submissions.hold(job_id) as submission:
             standing = await self._release_elsewhere(job_id, submission)
-            if standing in (Standing.COMPLETED, Standing.FAILED):
+            if standing in FINAL_STANDINGS:
                 return standing
         if submission.withdrawn:
             reason = "withdrawn"
@@ -303,7 +309,7 @@
             if acceptance is not None and acceptance.incarnation not in asked:
                 asked.add(acceptance.incarnation)
                 standing = await self._take_over(job_id, acceptance)
-                if standing in (Standing.COMPLETED, Standing.FAILED, Standing.OPEN):
+                if standing in FINAL_STANDINGS or standing is Standing.OPEN:
                     return standing
             if not await self.dispatcher.ending.wait_for_runs(job_id, EARLIER_RUNS_TIMEOUT_MS):
                 return Standing.OPEN
@@ -328,7 +334,7 @@
                 "standing": answer and answer.standing.value,
             },
         )
-        if answer is not None and answer.standing in (Standing.COMPLETED, Standing.FAILED):
+        if answer is not None and answer.standing in FINAL_STANDINGS:
             return answer.standing
         if answer is None or answer.standing is Standing.OPEN or answer.cleared:
             # That entry is unreachable or still has runs, which the side processes stop; or it has
@@ -423,32 +429,44 @@
         open_job = self.dispatcher.jobs.get(job_id)
         if open_job is not None:
             self.dispatcher.move(open_job)
-        standing = self.history.final_standing(job_id)
-        if standing in (Standing.COMPLETED, Standing.FAILED):
-            return standing
+        outcome = earlier_outcome(self.history.known(job_id))
+        if outcome is not None:
+            return outcome
         if not await self.dispatcher.ending.wait_for_runs(job_id, RELEASE_TIMEOUT_MS):
             return Standing.OPEN
-        return standing
+        return self.history.final_standing(job_id)
 
-    def stop_job(self, job_id: str) -> Standing:
+    def stop_job(self, job_id: str, address: str) -> Standing:
         """Cancel a job, and return its standing before."""
         standing = self.standing_of(job_id)
-        self._submissions.withdraw(job_id)
-        if job_id in self.dispatcher.jobs:
-            self.dispatcher.cancel(self.dispatcher.jobs[job_id], "cancelled through another entry")
+        self._handle_cancelled([CancelledRow(job_id, 0.0)], address)
         return standing
 
+    def _handle_cancelled(self, rows: list[CancelledRow], address: str) -> None:
+        """Cancel jobs that a peer reports as cancelled, and run no later submissions of them."""
+        for row in rows:
+            # An age that is not a number would never expire.
+            if not 0 <= row.age_ms <= RETENTION_MS:
+                continue
+            self.history.record_cancelled_elsewhere(row, address)
+            self._submissions.withdraw(row.job)
+            if row.job in self.dispatcher.jobs:
+                job = self.dispatcher.jobs[row.job]
+                self.dispatcher.cancel(job, "cancelled through another entry")
+
     def handle_peer_ping(self, ping: EntryPing, incarnation: str) -> None:
         """Record the jobs that a peer accepted, and release those resubmitted to it."""
         self._set_draining(ping.address, ping.draining)
         self.dispatcher.scarcity.peers.record(ping, self._clock.monotonic_ms())
+        self._handle_cancelled(ping.cancelled, ping.address)
         self._handle_taken(ping.address, incarnation, ping.taken)
 
     def answer_reported_jobs(self, call: ReportJobs, incarnation: str) -> ReportedJobs:
         """Record the jobs of a peer that was out of contact, and return their acceptances."""
         self._handle_taken(call.address, incarnation, call.jobs)
-        taken = self.history.acceptances([row.job for row in call.jobs], incarnation)
-        return ReportedJobs(call.call_id, taken)
+        jobs = [row.job for row in call.jobs]
+        taken = self.history.acceptances(jobs, incarnation)
+        return ReportedJobs(call.call_id, taken, self.history.cancellings(jobs))
 
     def _handle_taken(self, address: str, incarnation: str, rows: list[TakenRow]) -> None:
         # An age that is not a number would hide all later acceptances of the job.
--- a/src/currantbarrow/direct/history.py
+++ b/src/currantbarrow/direct/history.py
@@ -4,12 +4,13 @@
 
 import collections
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Generic, TypeVar
 
 import msgspec
 
-from currantbarrow.protocol.direct import Standing, TakenRow
+from currantbarrow.direct.standings import KnownJob
+from currantbarrow.protocol.direct import CancelledRow, Standing, TakenRow
 from currantbarrow.types import Clock
 
 __all__ = ["RETENTION_MS", "Acceptance", "JobHistory"]
@@ -35,6 +36,14 @@
     accepted_ms: float
 
 
+class _Cancelling(msgspec.Struct, frozen=True):
+    """Describe the cancelling of a job."""
+
+    cancelled_ms: float
+    # The address of the peer that reported it, or empty if this entry reports it to the peers.
+    reporter: str
+
+
 class _JobRecords(Generic[ValueT]):
     """Keep one value per job for the retention time."""
 
@@ -54,10 +63,21 @@
         record = self._records.get(job)
         return record[0] if record is not None else default
 
+    def find(self, job: str) -> ValueT | None:
+        record = self._records.get(job)
+        return record[0] if record is not None else None
+
     def set_ms(self, job: str) -> float:
         record = self._records.get(job)
         return record[1] if record is not None else -math.inf
 
+    def since(self, since_ms: float) -> Iterator[tuple[str, ValueT]]:
+        """Yield the jobs and values that were set since a time, newest first."""
+        for job, (value, set_ms) in reversed(self._records.items()):
+            if set_ms < since_ms:
+                return
+            yield job, value
+
     def remove(self, job: str) -> None:
         self._records.pop(job, None)
 
@@ -69,7 +89,16 @@
 class JobHistory:
     """Record the outcomes of jobs at this entry, and the entries that have accepted jobs."""
 
-    __slots__ = ("_accepted", "_attempts", "_cleared", "_clock", "_ended", "_open", "_peer_jobs")
+    __slots__ = (
+        "_accepted",
+        "_attempts",
+        "_cancelled",
+        "_cleared",
+        "_clock",
+        "_ended",
+        "_open",
+        "_peer_jobs",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -77,6 +106,8 @@
         # The last acceptance of a job at another entry.
         self._peer_jobs: _JobRecords[Acceptance | None] = _JobRecords()
         self._cleared: _JobRecords[bool] = _JobRecords()
+        # The jobs that were cancelled here or, as far as is known, through another entry.
+        self._cancelled: _JobRecords[_Cancelling] = _JobRecords()
         # The highest attempt number that this entry has used for a job that ended here.
         self._attempts: _JobRecords[int] = _JobRecords()
         # When the open jobs were accepted.
@@ -96,6 +127,8 @@
         now_ms = self._clock.monotonic_ms()
         self._open.pop(job, None)
         self._ended.set(job, standing, now_ms)
+        if standing is Standing.CANCELLED:
+            self.record_cancelled(job)
         if attempts:
             self._attempts.set(job, attempts, now_ms)
 
@@ -103,6 +136,56 @@
         """Return the outcome of a job at this entry, UNKNOWN if there is none."""
         return self._ended.get(job, Standing.UNKNOWN)
 
+    def known(self, job: str) -> KnownJob:
+        """Return what this entry knows of a job."""
+        standing = Standing.OPEN if job in self._open else self.final_standing(job)
+        return KnownJob(standing, self.was_cancelled(job))
+
+    def record_cancelled(self, job: str) -> None:
+        """Record that the caller of a job has cancelled it through this entry."""
+        if not self.was_cancelled(job):
+            now_ms = self._clock.monotonic_ms()
+            self._cancelled.set(job, _Cancelling(now_ms, ""), now_ms)
+
+    def record_cancelled_elsewhere(self, row: CancelledRow, reporter: str) -> None:
+        """Record that a peer has reported the cancelling of a job."""
+        if not self.was_cancelled(row.job):
+            now_ms = self._clock.monotonic_ms()
+            cancelling = _Cancelling(now_ms - row.age_ms, reporter)
+            self._cancelled.set(row.job, cancelling, now_ms)
+
+    def take_over_cancellings(self, reporter: str) -> None:
+        """Report the cancellings that a lost peer may not have reported to all others."""
+        now_ms = self._clock.monotonic_ms()
+        reported = list(self._cancelled.since(-math.inf))
+        for job, each in reversed(reported):
+            if each.reporter == reporter:
+                self._cancelled.set(job, msgspec.structs.replace(each, reporter=""), now_ms)
+
+    def was_cancelled(self, job: str) -> bool:
+        """Return whether the caller of a job has cancelled it, as far as this entry knows."""
+        return self._cancelled.find(job) is not None
+
+    def cancellings(self, jobs: Iterable[str]) -> list[CancelledRow]:
+        """Return the cancellings of jobs through any entry."""
+        now_ms = self._clock.monotonic_ms()
+        known = ((job, self._cancelled.find(job)) for job in jobs)
+        return [CancelledRow(job, now_ms - each.cancelled_ms) for job, each in known if each]
+
+    def cancelled_since(self, since_ms: float) -> list[CancelledRow]:
+        """Return the cancellings to report to a peer that was last reported to at a time.
+
+        A peer that was not reported to may have missed those through other entries.
+        """
+        now_ms = self._clock.monotonic_ms()
+        is_first = math.isinf(since_ms)
+        rows = [
+            CancelledRow(job, now_ms - each.cancelled_ms)
+            for job, each in self._cancelled.since(since_ms)
+            if is_first or not each.reporter
+        ]
+        return [row for row in rows if row.age_ms <= RETENTION_MS]
+
     def attempts_used(self, job: str) -> int:
         """Return the highest attempt number that earlier runs of a job may have."""
         own = self._attempts.get(job, 0)
@@ -173,4 +256,5 @@
         self._ended.expire(now_ms)
         self._peer_jobs.expire(now_ms)
         self._cleared.expire(now_ms)
+        self._cancelled.expire(now_ms)
         self._attempts.expire(now_ms)
--- a/src/currantbarrow/direct/model.py
+++ b/src/currantbarrow/direct/model.py
@@ -94,6 +94,8 @@
     COMPLETED = "completed"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    # The caller has left.
+    ABANDONED = "abandoned"
     # No task of the job has run or will run.
     REFUSED = "refused"
     # Another entry has taken over the job.
--- a/src/currantbarrow/direct/peers.py
+++ b/src/currantbarrow/direct/peers.py
@@ -84,7 +84,7 @@
     async def answer_standing(self, call: ShowStanding) -> JobStanding:
         """Answer with the standing of a job, after releasing it if the call requests it."""
 
-    def stop_job(self, job_id: str) -> Standing:
+    def stop_job(self, job_id: str, address: str) -> Standing:
         """Cancel a job, and return its standing before."""
 
     def handle_peer_ping(self, ping: EntryPing, incarnation: str) -> None:
@@ -197,13 +197,13 @@
         """Return whether this entry has an open link to a peer."""
         return address in self._peers
 
-    async def report_jobs(self, address: str, jobs: list[TakenRow]) -> list[TakenRow] | None:
-        """Report jobs to a peer, and return their later acceptances; None without an answer."""
+    async def report_jobs(self, address: str, jobs: list[TakenRow]) -> ReportedJobs | None:
+        """Report jobs to a peer, and return what it knows of them; None without an answer."""
         peer = self._peers.get(address)
         if peer is None:
             return None
         try:
-            answer = await peer.rpc.call(
+            return await peer.rpc.call(
                 lambda call_id: ReportJobs(call_id, jobs, self._address),
                 ReportedJobs,
                 STANDING_TIMEOUT_MS,
@@ -214,14 +214,15 @@
                 extra={"address": address, "jobs": len(jobs), "error": str(error)},
             )
             return None
-        return answer.taken
 
     async def stop_job(self, job: str) -> bool:
         """Cancel a job at every peer; return whether any of them knew it."""
         replies = await asyncio.gather(
             *(
                 peer.rpc.call(
-                    lambda call_id: StopJob(call_id, job), JobStanding, STANDING_TIMEOUT_MS
+                    lambda call_id: StopJob(call_id, job, self._address),
+                    JobStanding,
+                    STANDING_TIMEOUT_MS,
                 )
                 for peer in self._peers.values()
             ),
@@ -280,7 +281,8 @@
                 case ShowStanding():
                     self._background.spawn(self._answer_standing(link, message))
                 case StopJob():
-                    link.post(JobStanding(message.call_id, self._listener.stop_job(message.job)))
+                    standing = self._listener.stop_job(message.job, message.address)
+                    link.post(JobStanding(message.call_id, standing))
                 case ReportJobs():
                     # The peer may not know processes that have started meanwhile.
                     link.post(ShareHosts(self._listener.known_processes()))
@@ -296,13 +298,15 @@
         version, _ = self._listener.configuration()
         reported = (version, self._listener.draining)
         taken = self._history.accepted_since(peer.last_ping_ms)
+        cancelled = self._history.cancelled_since(peer.last_ping_ms)
         peers_wait = self._listener.has_waiting_peers()
         interval_ms = DEMAND_INTERVAL_MS if peers_wait else KEEPALIVE_INTERVAL_MS
         is_due = now_ms - peer.last_ping_ms >= interval_ms
         demand, offered = self._listener.demand()
         # The peer has to learn that no work is left, too.
         has_demand = bool(demand or offered) or peer.reported_demand
-        if not (taken or is_due or always or has_demand or reported != peer.reported):
+        has_news = bool(taken or cancelled) or has_demand or reported != peer.reported
+        if not (has_news or is_due or always):
             return
         peer.reported_demand = bool(demand or offered)
         answer = peer.record_ping(reported, now_ms)
@@ -317,6 +321,7 @@
                     self._evacuations.position,
                     demand=demand,
                     offered=offered,
+                    cancelled=cancelled,
                 )
             )
         except LinkError:
@@ -366,6 +371,7 @@
             peer.rpc.close()
             if self._peers.get(address) is peer:
                 del self._peers[address]
+            self._history.take_over_cancellings(address)
 
     async def _handle_next(self, peer: _PeerHandle) -> None:
         message = await peer.link.receive()
--- a/src/currantbarrow/platform/callers.py
+++ b/src/currantbarrow/platform/callers.py
@@ -14,7 +14,7 @@
 from currantbarrow.direct.model import JobState, WorkQueue
 from currantbarrow.exceptions import JobInvalid
 from currantbarrow.observe import logger
-from currantbarrow.platform.jobs import parse_job
+from currantbarrow.platform.jobs import is_job_id, parse_job
 from currantbarrow.protocol.direct import Standing
 from currantbarrow.types import Metrics
 
@@ -75,7 +75,8 @@
         if request.method == "GET":
             return self._get_state(queue, job_id)
         if request.method == "DELETE":
-            known = await self._entry.cancel(job_id)
+            # Entries remember each cancelling, so others must not be able to fill their memory.
+            known = is_job_id(job_id) and await self._entry.cancel(job_id)
             return _reply(200 if known else 410, _StateBody("cancelled"))
         return _reply(405, _ErrorBody("method_not_allowed"))
 
@@ -120,7 +121,7 @@
             await job.ended.wait()
         except asyncio.CancelledError:
             if job.waiters == 1:
-                self._entry.dispatcher.cancel(job, "its caller left")
+                self._entry.dispatcher.abandon(job)
             raise
         finally:
             job.waiters -= 1
--- a/src/currantbarrow/platform/jobs.py
+++ b/src/currantbarrow/platform/jobs.py
@@ -9,7 +9,7 @@
 from currantbarrow.direct.model import JobSpec, Resources, StepSpec
 from currantbarrow.exceptions import JobInvalid
 
-__all__ = ["MAX_TASKS", "parse_job"]
+__all__ = ["MAX_TASKS", "is_job_id", "parse_job"]
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 MAX_SPEC_BYTES = 4000
@@ -51,9 +51,14 @@
     start_at_ms: float = 0.0
 
 
+def is_job_id(job_id: str) -> bool:
+    """Return whether a job may have this id."""
+    return JOB_ID.fullmatch(job_id) is not None
+
+
 def parse_job(job_id: str, body: bytes) -> JobSpec:
     """Parse a job; raise JobInvalid, with code "unsupported" for unsupported features."""
-    if JOB_ID.fullmatch(job_id) is None:
+    if not is_job_id(job_id):
         raise JobInvalid("the id has to have 16 hexadecimal digits", field="id")
     try:
         request = msgspec.json.decode(body, type=_Body)
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -9,6 +9,7 @@
 from currantbarrow.protocol.messages import Call, Message, Reply
 
 __all__ = [
+    "CancelledRow",
     "ClearJob",
     "ClearedJob",
     "CrashRow",
@@ -67,8 +68,11 @@
     OPEN = "open"
     COMPLETED = "completed"
     FAILED = "failed"
+    # Its caller has cancelled it, so it never runs again.
     CANCELLED = "cancelled"
     REFUSED = "refused"
+    # Its caller has left, and may submit it again.
+    ABANDONED = "abandoned"
 
     @classmethod
     def _missing_(cls, value: object) -> Standing:
@@ -238,6 +242,13 @@
     age_ms: float
 
 
+class CancelledRow(msgspec.Struct, array_like=True, frozen=True):
+    """Report a job that its caller has cancelled, with the time since then."""
+
+    job: str
+    age_ms: float
+
+
 class DemandRow(msgspec.Struct, array_like=True, frozen=True):
     """Report the work of one service that waits at an entry, by the time it can still wait."""
 
@@ -271,6 +282,8 @@
     demand: list[DemandRow] | None = None
     # The work that arrives at the sender per second, by bands of run time; None if it does not say.
     offered: list[DemandRow] | None = None
+    # The jobs cancelled through the sender since the last ping, and through any entry in the first.
+    cancelled: list[CancelledRow] = []
 
 
 class PeerPing(Message, frozen=True):
@@ -301,6 +314,8 @@
     """Ask a peer to cancel a job."""
 
     job: str
+    # Address at which the sender accepts links.
+    address: str = ""
 
 
 class JobStanding(Reply, frozen=True):
@@ -326,3 +341,5 @@
     """Return the last acceptances of the reported jobs at other entries, as the receiver knows."""
 
     taken: list[TakenRow]
+    # The reported jobs that their callers have cancelled.
+    cancelled: list[CancelledRow] = []
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -16,7 +16,7 @@
 from currantbarrow.direct.worker import Announcement
 from currantbarrow.observe import MetricsRegistry
 from currantbarrow.protocol import Hello
-from currantbarrow.protocol.direct import HostRow, Standing
+from currantbarrow.protocol.direct import HostRow
 from currantbarrow.standins.direct_operators import QUEUE, MemoryConfigurations
 from currantbarrow.standins.direct_worker import MemoryWorker, RunRecorder
 from currantbarrow.standins.fleet import LoopClock
@@ -317,7 +317,7 @@
             return outcome.state
         if isinstance(outcome, Refusal):
             return JobState.REFUSED
-        return JobState.COMPLETED if outcome is Standing.COMPLETED else JobState.FAILED
+        return JobState(outcome.value)
 
     async def _announce(self, name: str, side: DirectSide) -> None:
         while True:
--- /dev/null
+++ b/tests/test_direct_standings.py
@@ -0,0 +1,143 @@
+"""Test that a cancelling holds at every entry, and that only an abandoned job runs again."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from currantbarrow.direct.model import JobSpec, JobState
+from currantbarrow.standins.direct_fleet import DirectFleet
+from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
+
+JOB = "a" * 16
+TASKS = 4
+RUN_MS = 8000.0
+# Long enough for the peers to learn which entry has the job.
+RUNNING_S = 0.5
+# Time for new links and the first pings over them.
+RECONNECTED_S = 1.5
+# The bound on starts, and on runs that go on, after a cancelling was acknowledged.
+CANCEL_S = 3.0
+
+
+def submit(fleet: DirectFleet, entry: str) -> asyncio.Task[JobState]:
+    return asyncio.create_task(fleet.submit(entry, build_job(fleet)))
+
+
+def build_job(fleet: DirectFleet) -> JobSpec:
+    return fleet.build_job(JOB, TASKS, RUN_MS)
+
+
+def cut_off(fleet: DirectFleet, name: str) -> None:
+    for other in (*fleet.sides, *fleet.entries):
+        if other != name:
+            fleet.fabric.cut(name, other)
+
+
+def reconnect(fleet: DirectFleet, name: str) -> None:
+    for other in (*fleet.sides, *fleet.entries):
+        if other != name:
+            fleet.fabric.restore(name, other)
+
+
+async def cancel_running_job(fleet: DirectFleet) -> None:
+    """Cancel a job at the entry at which it runs."""
+    first = submit(fleet, "entry-0")
+    await asyncio.sleep(RUNNING_S)
+    assert await fleet.entries["entry-0"].cancel(JOB)
+    assert await first == JobState.CANCELLED
+
+
+async def check_copy(fleet: DirectFleet, entry: str) -> None:
+    """Submit a late copy of the job, and check that it is not run."""
+    before = len(fleet.runs.started)
+    async with asyncio.timeout(1.0):
+        assert await fleet.submit(entry, build_job(fleet)) == JobState.CANCELLED
+    assert len(fleet.runs.started) == before
+
+
+class TestLateCopyOfCancelledJob:
+    @pytest.mark.parametrize("entry", ["entry-0", "entry-1"])
+    @pytest.mark.parametrize("late_s", [0.5, 4.0, 30.0])
+    def test_is_not_run(self, entry: str, late_s: float) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            await cancel_running_job(fleet)
+            await asyncio.sleep(late_s)
+            await check_copy(fleet, entry)
+
+        run_fleet(scenario)
+
+    def test_is_not_run_by_an_entry_that_starts_later(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            await cancel_running_job(fleet)
+            await asyncio.sleep(1.0)
+            await fleet.kill_entry("entry-1")
+            await asyncio.sleep(1.0)
+            await fleet.start_entry("entry-1")
+            await asyncio.sleep(RECONNECTED_S)
+            await check_copy(fleet, "entry-1")
+
+        run_fleet(scenario)
+
+    def test_is_not_run_by_an_entry_that_was_cut_off_and_hears_of_it_from_another(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            cut_off(fleet, "entry-1")
+            await cancel_running_job(fleet)
+            await asyncio.sleep(RECONNECTED_S)
+            await fleet.kill_entry("entry-0")
+            reconnect(fleet, "entry-1")
+            await asyncio.sleep(RECONNECTED_S)
+            await check_copy(fleet, "entry-1")
+
+        run_fleet(scenario)
+
+    def test_is_not_run_if_the_cancelling_overtook_the_submission(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            await fleet.entries["entry-0"].cancel(JOB)
+            await asyncio.sleep(RUNNING_S)
+            for entry in ("entry-0", "entry-1"):
+                await check_copy(fleet, entry)
+
+        run_fleet(scenario)
+
+    def test_is_stopped_at_an_entry_that_ran_it_before_it_heard_of_the_cancelling(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            for other in ("entry-0", "entry-2"):
+                fleet.fabric.cut("entry-1", other)
+            await cancel_running_job(fleet)
+            await asyncio.sleep(RUNNING_S)
+            copy = submit(fleet, "entry-1")
+            await asyncio.sleep(2.0)
+            for other in ("entry-0", "entry-2"):
+                fleet.fabric.restore("entry-1", other)
+            async with asyncio.timeout(RECONNECTED_S):
+                assert await copy == JobState.CANCELLED
+            await asyncio.sleep(0.1)
+            assert not fleet.runs.running
+
+        run_fleet(scenario)
+
+
+class TestCancelledWhileOutOfContact:
+    def test_entry_that_returns_does_not_order_the_job_again(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            first = submit(fleet, "entry-0")
+            await asyncio.sleep(RUNNING_S)
+            cut_off(fleet, "entry-0")
+            # Longer than the leases of its runs.
+            await asyncio.sleep(CANCEL_S)
+            await fleet.entries["entry-1"].cancel(JOB)
+            # Neither pings of the peers nor side processes tell the entry, only answers.
+            for peer in ("entry-1", "entry-2"):
+                fleet.entries[peer].peers.remove("entry-0:1")
+            for side in list(fleet.sides):
+                await fleet.kill_side(side)
+                await fleet.start_side(side)
+            before = len(fleet.runs.started)
+            reconnect(fleet, "entry-0")
+            async with asyncio.timeout(RECONNECTED_S + RESUBMIT_AFTER_S):
+                assert await first == JobState.CANCELLED
+            assert len(fleet.runs.started) == before
+
+        run_fleet(scenario)
