Ask the peers about a cancelled job that its caller had left here

Callers saw: a job's connection to entry 1 broke, it was submitted again to entry 2 and ran there. A DELETE at entry 1 was answered 200 at once, and the job ran on at entry 2 (UNASKED).

Cause: DirectEntry.cancel returned as soon as the history had any outcome of the job here, also one that says nothing of other entries: its caller had left, it was refused or moved.

The tests test_job_has_ended_at_the_entry_that_accepted_it_since fail on the former code 0.1, 0.5 and 3 s after the acceptance elsewhere: the job is still open there when the DELETE is answered.

Why this works: only completed, failed and cancelled end the search; for all others the peers are asked, and cancel the job, before the answer.

--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -264,13 +264,15 @@
         if job is not None:
             self.dispatcher.cancel(job, "cancelled by its caller")
             return True
-        if self.history.final_standing(job_id) is not Standing.UNKNOWN:
+        standing = self.history.final_standing(job_id)
+        if standing in FINAL_STANDINGS:
             return True
+        # A job that was abandoned, refused or moved may have been accepted elsewhere since.
         known = await self.peers.stop_job(job_id)
         if not known and self.history.accepted_elsewhere(job_id):
             # The peer that has the job is unreachable, so the side processes stop its runs.
             known = await self._clear_job(job_id, cancelled=True)
-        return known
+        return known or standing is not Standing.UNKNOWN
 
     def standing_of(self, job_id: str) -> Standing:
         """Return the current standing of a job at this entry, without changing it."""
--- a/tests/test_direct_standings.py
+++ b/tests/test_direct_standings.py
@@ -141,3 +141,37 @@
             assert len(fleet.runs.started) == before
 
         run_fleet(scenario)
+
+
+class TestCancelledWhereItsCallerHadLeft:
+    @pytest.mark.parametrize("accepted_for_s", [0.1, RUNNING_S, CANCEL_S])
+    def test_job_has_ended_at_the_entry_that_accepted_it_since(self, accepted_for_s: float) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            dispatcher = fleet.entries["entry-0"].dispatcher
+            submit(fleet, "entry-0")
+            await asyncio.sleep(RUNNING_S)
+            dispatcher.abandon(dispatcher.jobs[JOB])
+            await asyncio.sleep(RESUBMIT_AFTER_S)
+            again = submit(fleet, "entry-1")
+            await asyncio.sleep(accepted_for_s)
+            assert len(fleet.runs.running) == TASKS
+            assert await fleet.entries["entry-0"].cancel(JOB)
+            assert JOB not in fleet.entries["entry-1"].dispatcher.jobs
+            assert await again == JobState.CANCELLED
+
+        run_fleet(scenario)
+
+    def test_abandoned_job_runs_again_but_not_after_it_was_cancelled(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            for entry in ("entry-0", "entry-1"):
+                dispatcher = fleet.entries[entry].dispatcher
+                running = submit(fleet, entry)
+                await asyncio.sleep(RESUBMIT_AFTER_S)
+                assert len(fleet.runs.running) == TASKS
+                dispatcher.abandon(dispatcher.jobs[JOB])
+                assert await running == JobState.ABANDONED
+            assert await fleet.entries["entry-2"].cancel(JOB)
+            for entry in fleet.entries:
+                await check_copy(fleet, entry)
+
+        run_fleet(scenario)
