Acknowledge a cancelling only once it holds, and repeat it until then

Callers saw: all open connections went silent, and a DELETE at another entry 0 to 1 s later was answered 410 after 1.5 s.

Cause: failures were reported as facts. A peer that did not answer counted as one that does not know the job; a side process without a link, as one that had confirmed; and what nobody had confirmed was answered as "unknown" and never repeated.

DirectEntry.cancel returns a CancelOutcome, which is always true in a condition; the tests of draining and resubmission that asserted its truth now compare it with CANCELLED.

--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -17,6 +17,7 @@
 
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.direct.admission import Refusal
+from currantbarrow.direct.cancelling import JobCancelling
 from currantbarrow.direct.confirmation import (
     RESUBMISSION_MIN_AGE_MS,
     JobConfirmation,
@@ -32,7 +33,7 @@
 from currantbarrow.direct.peers import EntryPeers
 from currantbarrow.direct.processes import ProcessEvidence
 from currantbarrow.direct.routing import Configuration
-from currantbarrow.direct.standings import FINAL_STANDINGS, earlier_outcome
+from currantbarrow.direct.standings import FINAL_STANDINGS, CancelOutcome, earlier_outcome
 from currantbarrow.direct.submissions import PendingSubmission, PendingSubmissions
 from currantbarrow.direct.supervision import Loop, start_loops
 from currantbarrow.exceptions import ConfigurationError, LinkError
@@ -154,6 +155,9 @@
             metrics=metrics,
             evacuations=self.evacuations,
         )
+        self._cancelling = JobCancelling(
+            self.history, self.peers, self.fleet, self, clock=clock, metrics=metrics
+        )
         self._confirmation = JobConfirmation(
             self.dispatcher, self.peers, clock, metrics, self._handle_cancelled
         )
@@ -221,6 +225,7 @@
             task.cancel()
         self._background.cancel_all()
         self._confirmation.stop()
+        self._cancelling.stop()
         self.fleet.stop()
         self.peers.stop()
         await self._network.stop()
@@ -255,24 +260,29 @@
             return msgspec.structs.replace(accepted, may_have_run=True)
         return accepted
 
-    async def cancel(self, job_id: str) -> bool:
-        """Cancel a job here or at a peer; return whether it was known."""
+    async def cancel(self, job_id: str) -> CancelOutcome:
+        """Cancel a job here and at the other processes, and return what is known of it."""
         # A submission that arrives after this, here or elsewhere, must not run, known or not.
         self.history.record_cancelled(job_id)
         self._submissions.withdraw(job_id)
         job = self.dispatcher.jobs.get(job_id)
         if job is not None:
             self.dispatcher.cancel(job, "cancelled by its caller")
-            return True
-        standing = self.history.final_standing(job_id)
-        if standing in FINAL_STANDINGS:
-            return True
+        if self.history.final_standing(job_id) in FINAL_STANDINGS:
+            return CancelOutcome.CANCELLED
         # A job that was abandoned, refused or moved may have been accepted elsewhere since.
-        known = await self.peers.stop_job(job_id)
-        if not known and self.history.accepted_elsewhere(job_id):
-            # The peer that has the job is unreachable, so the side processes stop its runs.
-            known = await self._clear_job(job_id, cancelled=True)
-        return known or standing is not Standing.UNKNOWN
+        return await self._cancelling.cancel(job_id)
+
+    def awaited_entries(self) -> set[str]:
+        """Return the other entries that may have jobs, whether or not they are linked."""
+        entries = {*self.options.seeds, *self.dispatcher.peers} - {self.options.link_address}
+        return self._evidence.awaited(entries, self._clock.monotonic_ms())
+
+    def awaited_sides(self) -> set[str]:
+        """Return the side processes that may have runs, whether or not they are linked."""
+        rows = self._processes.values()
+        sides = {row.address for row in rows if row.role == Role.SIDE.value}
+        return self._evidence.awaited(sides, self._clock.monotonic_ms())
 
     def standing_of(self, job_id: str) -> Standing:
         """Return the current standing of a job at this entry, without changing it."""
@@ -352,15 +362,14 @@
             standing = answer.standing if answer is not None else Standing.OPEN
         return standing
 
-    async def _clear_job(self, job_id: str, *, cancelled: bool = False) -> bool:
-        """Have side processes stop other entries' runs of a job; return whether all confirmed."""
+    async def _clear_job(self, job_id: str) -> None:
+        """Have side processes stop other entries' runs of a job."""
         self.history.record_cleared(job_id)
-        everywhere = await self.fleet.clear_job(job_id, cancelled=cancelled)
+        everywhere = await self.fleet.clear_job(job_id)
         logger.info(
             "runs of job stopped at side processes",
-            extra={"job": job_id, "everywhere": everywhere, "cancelled": cancelled},
+            extra={"job": job_id, "everywhere": everywhere},
         )
-        return everywhere
 
     def configuration(self) -> tuple[int, bytes]:
         """Return version and document of the current configuration."""
@@ -517,6 +526,9 @@
 
     def _forget_departed(self) -> None:
         """Remove processes of which neither the directory nor a link shows that they exist."""
+        self._evidence.record_links(
+            {*self.options.seeds, *self._processes}, self._is_linked, self._clock.monotonic_ms()
+        )
         addresses = [each for each in self._processes if each not in self.options.seeds]
         for address in self._evidence.find_departed(
             addresses, self._is_linked, self._clock.monotonic_ms()
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -435,7 +435,16 @@
                 # The side process stops them by itself once the link has ended.
                 self._metrics.incr("entry.drop_unsent")
 
-    async def clear_job(self, job: str, *, cancelled: bool = False) -> bool:
+    async def cancel_job(self, job: str, addresses: Collection[str]) -> set[str]:
+        """Stop all runs of a cancelled job, and have later orders for it rejected.
+
+        Return the addresses of the side processes that confirmed it, among those given.
+        """
+        asked = [handle for handle in self.handles() if handle.address in addresses]
+        confirmed = await self._ask_to_clear(asked, job, cancelled=True)
+        return {handle.address for handle in confirmed}
+
+    async def clear_job(self, job: str) -> bool:
         """Stop other entries' runs of a job, and have their later orders for it rejected.
 
         Return whether all linked side processes confirmed it. The runs have ended either way,
@@ -443,9 +452,7 @@
         """
         began_ms = self._clock.monotonic_ms()
         asked = self.handles()
-        confirmed = await self._ask_to_clear(asked, job, cancelled)
-        if cancelled:
-            return len(confirmed) == len(asked)
+        confirmed = await self._ask_to_clear(asked, job)
         # Side processes behind links that were lost recently were not asked.
         answered = {handle.address for handle in confirmed}
         ended_ms = [
@@ -460,10 +467,10 @@
             await self._clock.sleep_ms(wait_ms)
         # Links that were lost before the call arrived may have been opened again.
         unasked = [handle for handle in self.handles() if handle not in confirmed]
-        return len(await self._ask_to_clear(unasked, job, cancelled)) == len(unasked)
+        return len(await self._ask_to_clear(unasked, job)) == len(unasked)
 
     async def _ask_to_clear(
-        self, handles: list[SideHandle], job: str, cancelled: bool
+        self, handles: list[SideHandle], job: str, *, cancelled: bool = False
     ) -> set[SideHandle]:
         """Send a request to clear a job, and return the links over which it was confirmed."""
         replies = await asyncio.gather(
--- a/src/currantbarrow/direct/history.py
+++ b/src/currantbarrow/direct/history.py
@@ -139,7 +139,7 @@
     def known(self, job: str) -> KnownJob:
         """Return what this entry knows of a job."""
         standing = Standing.OPEN if job in self._open else self.final_standing(job)
-        return KnownJob(standing, self.was_cancelled(job))
+        return KnownJob(standing, self.was_cancelled(job), self.accepted_elsewhere(job) is not None)
 
     def record_cancelled(self, job: str) -> None:
         """Record that the caller of a job has cancelled it through this entry."""
--- a/src/currantbarrow/direct/peers.py
+++ b/src/currantbarrow/direct/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Collection
 from typing import Protocol
 
 from currantbarrow.background import BackgroundTasks
@@ -215,21 +216,38 @@
             )
             return None
 
-    async def stop_job(self, job: str) -> bool:
-        """Cancel a job at every peer; return whether any of them knew it."""
-        replies = await asyncio.gather(
-            *(
-                peer.rpc.call(
-                    lambda call_id: StopJob(call_id, job, self._address),
-                    JobStanding,
-                    STANDING_TIMEOUT_MS,
-                )
-                for peer in self._peers.values()
-            ),
-            return_exceptions=True,
+    async def stop_job(
+        self, job: str, addresses: Collection[str] | None = None
+    ) -> dict[str, Standing]:
+        """Cancel a job at the linked peers, all or those given; return its standings before."""
+        peers = {
+            address: peer
+            for address, peer in self._peers.items()
+            if addresses is None or address in addresses
+        }
+        standings = await asyncio.gather(
+            *(self._stop_job(address, peer, job) for address, peer in peers.items())
         )
-        known = [reply for reply in replies if isinstance(reply, JobStanding)]
-        return any(reply.standing is not Standing.UNKNOWN for reply in known)
+        return {
+            address: standing
+            for address, standing in zip(peers, standings, strict=True)
+            if standing is not None
+        }
+
+    async def _stop_job(self, address: str, peer: _PeerHandle, job: str) -> Standing | None:
+        try:
+            answer = await peer.rpc.call(
+                lambda call_id: StopJob(call_id, job, self._address),
+                JobStanding,
+                STANDING_TIMEOUT_MS,
+            )
+        except LinkError as error:
+            logger.info(
+                "peer did not confirm cancelling",
+                extra={"job": job, "address": address, "error": str(error)},
+            )
+            return None
+        return answer.standing
 
     async def run(self) -> None:
         """Ping the peers periodically, until cancelled."""
--- a/src/currantbarrow/direct/processes.py
+++ b/src/currantbarrow/direct/processes.py
@@ -24,7 +24,7 @@
     and from peers, so absence from the directory alone proves nothing.
     """
 
-    __slots__ = ("_own_address", "_published", "_unlinked_since_ms", "_withdrawn")
+    __slots__ = ("_linked_ms", "_own_address", "_published", "_unlinked_since_ms", "_withdrawn")
 
     def __init__(self, own_address: str) -> None:
         self._own_address = own_address
@@ -34,6 +34,8 @@
         self._withdrawn: collections.OrderedDict[str, None] = collections.OrderedDict()
         # Since when processes that are not in the directory have had no link.
         self._unlinked_since_ms: dict[str, float] = {}
+        # When the known processes last had a link, or became known.
+        self._linked_ms: dict[str, float] = {}
 
     def record_published(self, row: HostRow) -> None:
         """Record that the directory lists a process."""
@@ -62,6 +64,23 @@
         """Return whether a process that a peer knows has been withdrawn."""
         return row.incarnation in self._withdrawn
 
+    def record_links(
+        self, addresses: Iterable[str], is_linked: Callable[[str], bool], now_ms: float
+    ) -> None:
+        """Record which of the known processes are linked; called periodically."""
+        self._linked_ms = {
+            address: now_ms if is_linked(address) else self._linked_ms.get(address, now_ms)
+            for address in addresses
+        }
+
+    def awaited(self, addresses: Iterable[str], now_ms: float) -> set[str]:
+        """Return the addresses at which a process may run that is out of reach for the moment."""
+        return {
+            address
+            for address in addresses
+            if now_ms - self._linked_ms.get(address, now_ms) < FORGET_MS
+        }
+
     def find_departed(
         self, addresses: Iterable[str], is_linked: Callable[[str], bool], now_ms: float
     ) -> list[str]:
--- a/src/currantbarrow/platform/callers.py
+++ b/src/currantbarrow/platform/callers.py
@@ -12,6 +12,7 @@
 from currantbarrow.direct.entry import DirectEntry
 from currantbarrow.direct.job import OpenJob
 from currantbarrow.direct.model import JobState, WorkQueue
+from currantbarrow.direct.standings import CancelOutcome
 from currantbarrow.exceptions import JobInvalid
 from currantbarrow.observe import logger
 from currantbarrow.platform.jobs import is_job_id, parse_job
@@ -24,6 +25,8 @@
 # Retry-After while this entry has not received a configuration.
 UNCONFIGURED_RETRY_S = 1
 UNSUPPORTED_RETRY_S = 30
+# Retry-After while processes that may have a cancelled job do not answer.
+UNCONFIRMED_RETRY_S = 1
 READY_PATH = "/currantbarrow/readiness"
 STATE_BY_STANDING = {
     Standing.OPEN: "running",
@@ -76,8 +79,9 @@
             return self._get_state(queue, job_id)
         if request.method == "DELETE":
             # Entries remember each cancelling, so others must not be able to fill their memory.
-            known = is_job_id(job_id) and await self._entry.cancel(job_id)
-            return _reply(200 if known else 410, _StateBody("cancelled"))
+            if not is_job_id(job_id):
+                return _reply(410, _ErrorBody("job_unknown"))
+            return _report_cancelling(await self._entry.cancel(job_id))
         return _reply(405, _ErrorBody("method_not_allowed"))
 
     def _get_state(self, queue: WorkQueue, job_id: str) -> web.Response:
@@ -173,6 +177,18 @@
     )
 
 
+def _report_cancelling(outcome: CancelOutcome) -> web.Response:
+    match outcome:
+        case CancelOutcome.CANCELLED:
+            return _reply(200, _StateBody("cancelled"))
+        case CancelOutcome.UNKNOWN:
+            return _reply(410, _StateBody("cancelled"))
+        case CancelOutcome.UNCONFIRMED:
+            response = _reply(504, _ErrorBody("cancelling_unconfirmed"))
+            response.headers["Retry-After"] = str(UNCONFIRMED_RETRY_S)
+            return response
+
+
 def _refuse(reason: str, retry_after_s: int) -> web.Response:
     response = _reply(503, _ErrorBody("not_run", reason))
     response.headers["Retry-After"] = str(retry_after_s)
--- a/src/currantbarrow/standins/memory_network.py
+++ b/src/currantbarrow/standins/memory_network.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import random
+import weakref
 from collections.abc import Callable
 
 from currantbarrow.exceptions import LinkClosed, LinkTimeout
@@ -33,6 +34,8 @@
         self._arrived = asyncio.Event()
         self._closed = False
         self._last_arrival_s = 0.0
+        # Whether messages are lost, while neither end learns of it.
+        self.silent = False
 
     @property
     def closed(self) -> bool:
@@ -127,6 +130,7 @@
         self._stalled: list[tuple[_MemoryLink, _MemoryLink, Message | None]] = []
         self._link_delay_ms: dict[tuple[str, str], float] = {}
         self._silenced_incarnations: set[str] = set()
+        self._ends: weakref.WeakSet[_MemoryLink] = weakref.WeakSet()
 
     def cut(self, one: str, other: str) -> None:
         """Block all messages between two processes without closing their links."""
@@ -185,7 +189,7 @@
     def _transmit(
         self, sender: _MemoryLink, receiver: _MemoryLink, message: Message | None
     ) -> None:
-        if sender.local.incarnation in self._silenced_incarnations:
+        if sender.silent or sender.local.incarnation in self._silenced_incarnations:
             return
         one, other = sender.local.name, receiver.local.name
         if self.is_cut(one, other) or self.is_paused(one):
@@ -211,6 +215,11 @@
         self._silenced_incarnations.add(incarnation)
         self.drop_stalled_of_process(incarnation)
 
+    def silence_open_links(self) -> None:
+        """Drop all that is sent over the open links from now on; new ones work."""
+        for end in self._ends:
+            end.silent = True
+
     def drop_stalled_of_process(self, incarnation: str) -> None:
         """Drop the messages of a process that a cut or a pause holds up."""
         self._stalled = [
@@ -248,6 +257,7 @@
             raise LinkTimeout(f"{address} did not answer")
         local_end, remote_end = _MemoryLink(self, hello, peer), _MemoryLink(self, peer, hello)
         local_end.pair_with(remote_end)
+        self._ends.update((local_end, remote_end))
         task = asyncio.get_running_loop().create_task(self._handle_link(handler, remote_end))
         self._handler_tasks.add(task)
         task.add_done_callback(self._handler_tasks.discard)
--- a/tests/test_direct_draining.py
+++ b/tests/test_direct_draining.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from currantbarrow.direct.entry import DirectEntry
+from currantbarrow.direct.standings import CancelOutcome
 from currantbarrow.standins.direct_fleet import DirectFleet
 from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
 
@@ -27,7 +28,7 @@
             await asyncio.sleep(PINGS_EXCHANGED_S)
             draining = asyncio.create_task(fleet.entries["entry-0"].drain())
             await asyncio.sleep(PINGS_EXCHANGED_S)
-            assert await fleet.entries["entry-1"].cancel("a" * 16)
+            assert await fleet.entries["entry-1"].cancel("a" * 16) is CancelOutcome.CANCELLED
             assert await asyncio.wait_for(job, 0.2) == "cancelled"
             await draining
             assert len(fleet.runs.started) == 3
@@ -121,7 +122,7 @@
             orders_before = fleet.fabric.sent["RunTasks"]
             cancelled = asyncio.create_task(fleet.entries["entry-1"].cancel("1" * 16))
             assert await asyncio.wait_for(job, 2.5) == "cancelled"
-            assert await cancelled
+            assert await cancelled is CancelOutcome.CANCELLED
             # One message to each worker that had a task.
             assert fleet.fabric.sent["RunTasks"] - orders_before <= 3
 
--- a/tests/test_direct_resubmission.py
+++ b/tests/test_direct_resubmission.py
@@ -9,6 +9,7 @@
 from currantbarrow.direct.admission import Refusal
 from currantbarrow.direct.history import RECENT_JOBS_MS, RETENTION_MS, JobHistory
 from currantbarrow.direct.model import JobSpec, JobState
+from currantbarrow.direct.standings import CancelOutcome
 from currantbarrow.protocol.direct import Standing, TakenRow
 from currantbarrow.standins.direct_fleet import QUEUE, DirectFleet, DirectPlan
 from currantbarrow.standins.fleet import LoopClock
@@ -110,7 +111,7 @@
             end_job(fleet, "entry-0", JobState.ABANDONED)
             waiting = submit(fleet, "entry-0", spec)
             await asyncio.sleep(0.3)
-            assert await fleet.entries["entry-0"].cancel(JOB)
+            assert await fleet.entries["entry-0"].cancel(JOB) is CancelOutcome.CANCELLED
             assert await waiting == JobState.REFUSED
             assert len(fleet.runs.started) == 4
 
--- a/tests/test_direct_standings.py
+++ b/tests/test_direct_standings.py
@@ -7,6 +7,8 @@
 import pytest
 
 from currantbarrow.direct.model import JobSpec, JobState
+from currantbarrow.direct.processes import FORGET_MS
+from currantbarrow.direct.standings import CancelOutcome
 from currantbarrow.standins.direct_fleet import DirectFleet
 from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
 
@@ -17,6 +19,8 @@
 RUNNING_S = 0.5
 # Time for new links and the first pings over them.
 RECONNECTED_S = 1.5
+# Within this time a cancelling has to be acknowledged, or reported as not confirmed.
+ACKNOWLEDGE_S = 4.0
 # The bound on starts, and on runs that go on, after a cancelling was acknowledged.
 CANCEL_S = 3.0
 
@@ -45,10 +49,15 @@
     """Cancel a job at the entry at which it runs."""
     first = submit(fleet, "entry-0")
     await asyncio.sleep(RUNNING_S)
-    assert await fleet.entries["entry-0"].cancel(JOB)
+    assert await fleet.entries["entry-0"].cancel(JOB) is CancelOutcome.CANCELLED
     assert await first == JobState.CANCELLED
 
 
+async def cancel_in_time(fleet: DirectFleet, entry: str) -> CancelOutcome:
+    async with asyncio.timeout(ACKNOWLEDGE_S):
+        return await fleet.entries[entry].cancel(JOB)
+
+
 async def check_copy(fleet: DirectFleet, entry: str) -> None:
     """Submit a late copy of the job, and check that it is not run."""
     before = len(fleet.runs.started)
@@ -155,7 +164,7 @@
             again = submit(fleet, "entry-1")
             await asyncio.sleep(accepted_for_s)
             assert len(fleet.runs.running) == TASKS
-            assert await fleet.entries["entry-0"].cancel(JOB)
+            assert await fleet.entries["entry-0"].cancel(JOB) is CancelOutcome.CANCELLED
             assert JOB not in fleet.entries["entry-1"].dispatcher.jobs
             assert await again == JobState.CANCELLED
 
@@ -170,8 +179,87 @@
                 assert len(fleet.runs.running) == TASKS
                 dispatcher.abandon(dispatcher.jobs[JOB])
                 assert await running == JobState.ABANDONED
-            assert await fleet.entries["entry-2"].cancel(JOB)
+            assert await fleet.entries["entry-2"].cancel(JOB) is CancelOutcome.CANCELLED
             for entry in fleet.entries:
                 await check_copy(fleet, entry)
 
         run_fleet(scenario)
+
+
+class TestCancellingThatReachesNobody:
+    @pytest.mark.parametrize("cancelled_after_s", [0.0, 0.2, 0.4, 0.7, 1.0])
+    def test_is_repeated_over_new_links_once_the_open_ones_are_silent(
+        self, cancelled_after_s: float
+    ) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            first = submit(fleet, "entry-0")
+            await asyncio.sleep(1.0)
+            fleet.fabric.silence_open_links()
+            await asyncio.sleep(cancelled_after_s)
+            assert await cancel_in_time(fleet, "entry-1") is CancelOutcome.CANCELLED
+            async with asyncio.timeout(0.1):
+                assert await first == JobState.CANCELLED
+            await asyncio.sleep(0.1)
+            assert not fleet.runs.running
+
+        run_fleet(scenario)
+
+    def test_is_not_confirmed_by_an_entry_that_is_cut_off_and_holds_once_it_is_back(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            first = submit(fleet, "entry-0")
+            await asyncio.sleep(RUNNING_S)
+            cut_off(fleet, "entry-1")
+            assert await cancel_in_time(fleet, "entry-1") is CancelOutcome.UNCONFIRMED
+            reconnect(fleet, "entry-1")
+            async with asyncio.timeout(RECONNECTED_S):
+                assert await first == JobState.CANCELLED
+
+        run_fleet(scenario)
+
+    def test_ends_a_job_that_its_entry_has_not_reported_at_the_side_processes(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            for other in ("entry-1", "entry-2"):
+                fleet.fabric.cut("entry-0", other)
+            first = submit(fleet, "entry-0")
+            await asyncio.sleep(RUNNING_S)
+            assert await cancel_in_time(fleet, "entry-1") is CancelOutcome.CANCELLED
+            async with asyncio.timeout(0.1):
+                assert await first == JobState.CANCELLED
+
+        run_fleet(scenario)
+
+    def test_is_repeated_at_a_side_process_that_was_out_of_reach(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            for other in ("entry-1", "entry-2"):
+                fleet.fabric.cut("entry-0", other)
+            for side in fleet.sides:
+                fleet.fabric.cut("entry-1", side)
+            first = submit(fleet, "entry-0")
+            await asyncio.sleep(RESUBMIT_AFTER_S)
+            # Its new links are opened after the answer.
+            assert await cancel_in_time(fleet, "entry-1") is CancelOutcome.UNCONFIRMED
+            for side in fleet.sides:
+                fleet.fabric.restore("entry-1", side)
+            async with asyncio.timeout(CANCEL_S):
+                assert await first == JobState.CANCELLED
+
+        run_fleet(scenario)
+
+    def test_is_of_an_unknown_job_only_if_all_peers_have_answered(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            assert await cancel_in_time(fleet, "entry-1") is CancelOutcome.UNKNOWN
+            cut_off(fleet, "entry-2")
+            fleet.fabric.cut("entry-1", "side-0")
+            assert await cancel_in_time(fleet, "entry-1") is CancelOutcome.UNCONFIRMED
+
+        run_fleet(scenario)
+
+    def test_does_not_wait_for_processes_that_were_lost_long_ago(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            await fleet.kill_entry("entry-0")
+            await fleet.kill_side("side-0")
+            await asyncio.sleep(FORGET_MS / 1000 + 2.0)
+            async with asyncio.timeout(0.1):
+                assert await fleet.entries["entry-1"].cancel(JOB) is CancelOutcome.UNKNOWN
+
+        run_fleet(scenario)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,6 +19,7 @@
 from currantbarrow.direct.entry import DirectEntry
 from currantbarrow.direct.model import Resources, WorkQueue
 from currantbarrow.direct.routing import Configuration
+from currantbarrow.direct.standings import CancelOutcome
 from currantbarrow.direct.worker import Announcement, RunName, RunSpec, StartVerdict
 from currantbarrow.exceptions import (
     AppendUnknown,
@@ -344,6 +345,46 @@
         serve(api.handle, client)
 
 
+class CancellingEntry:
+    """Stand in for an entry that returns the same outcome for every cancelling."""
+
+    def __init__(self, outcome: CancelOutcome) -> None:
+        self._outcome = outcome
+        self.draining = False
+        self.cancelled: list[str] = []
+        queue = WorkQueue("r", "127.0.0.1", "/p/", "s", 0, 60.0, 1.6, 2, 0.0)
+        self.current_configuration = Configuration(1, [queue], frozenset({"s"}), 1 << 18, b"")
+
+    async def cancel(self, job_id: str) -> CancelOutcome:
+        self.cancelled.append(job_id)
+        return self._outcome
+
+
+class TestCancelling:
+    @pytest.mark.parametrize(
+        ("outcome", "status"),
+        [
+            (CancelOutcome.CANCELLED, 200),
+            (CancelOutcome.UNKNOWN, 410),
+            (CancelOutcome.UNCONFIRMED, 504),
+        ],
+    )
+    def test_is_acknowledged_only_if_it_holds(self, outcome: CancelOutcome, status: int) -> None:
+        entry = CancellingEntry(outcome)
+        api = CallersApi(cast(DirectEntry, entry), MetricsRegistry())
+
+        async def client(address: str) -> None:
+            async with aiohttp.ClientSession() as session:
+                async with session.delete(f"http://{address}/p/{JOB}") as answer:
+                    assert answer.status == status
+                # An id that no job can have is not remembered.
+                async with session.delete(f"http://{address}/p/{'x' * 4000}") as answer:
+                    assert answer.status == 410
+
+        serve(api.handle, client)
+        assert entry.cancelled == [JOB]
+
+
 class TestWorkerControl:
     @staticmethod
     def answer(status: int, body: object) -> Handler:
