Keep the record of a cancelled job at side processes when an entry takes it over

Callers saw, in virtual time: a job's entry was cut off from its peers, a DELETE at a second entry was acknowledged since all side processes had cleared the job, and a copy of its submission at a third entry, which was cut off from the second, ran to its end.

Cause: a side process keeps one record of a cleared job, and the third entry's ClearJob replaced the one that said that the job was cancelled.

Evidence: test_holds_at_side_processes_for_an_entry_that_takes_the_job_over fails without the change ("completed" instead of "cancelled").

Why this works: the record of a cancelled job is only replaced by another cancelling. Orders of the entry that takes the job over are rejected as cancelled, which ends the job there as such.

--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -456,9 +456,12 @@
 
     async def _clear_job(self, session: SideSession, call: ClearJob) -> None:
         now_ms = self._clock.monotonic_ms()
-        self._cleared_jobs[call.job] = _ClearedJobRecord(
-            session.link.peer.incarnation, call.cancelled, now_ms
-        )
+        cleared = self._cleared_jobs.get(call.job)
+        # An entry that takes over the job may have missed its cancelling.
+        if call.cancelled or cleared is None or not cleared.cancelled:
+            self._cleared_jobs[call.job] = _ClearedJobRecord(
+                session.link.peer.incarnation, call.cancelled, now_ms
+            )
         runs = [
             run
             for run in self.driver.runs()
--- a/tests/test_direct_standings.py
+++ b/tests/test_direct_standings.py
@@ -245,6 +245,25 @@
 
         run_fleet(scenario)
 
+    def test_holds_at_side_processes_for_an_entry_that_takes_the_job_over(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            first = submit(fleet, "entry-0")
+            await asyncio.sleep(RUNNING_S)
+            for one, other in (
+                ("entry-0", "entry-1"),
+                ("entry-0", "entry-2"),
+                ("entry-1", "entry-2"),
+            ):
+                fleet.fabric.cut(one, other)
+            assert await cancel_in_time(fleet, "entry-1") is CancelOutcome.CANCELLED
+            assert await first == JobState.CANCELLED
+            await asyncio.sleep(RESUBMIT_AFTER_S)
+            before = len(fleet.runs.started)
+            assert await fleet.submit("entry-2", build_job(fleet)) == JobState.CANCELLED
+            assert len(fleet.runs.started) == before
+
+        run_fleet(scenario)
+
     def test_is_of_an_unknown_job_only_if_all_peers_have_answered(self) -> None:
         async def scenario(fleet: DirectFleet) -> None:
             assert await cancel_in_time(fleet, "entry-1") is CancelOutcome.UNKNOWN
