Say in the refusal of a draining entry that a job may have run

Callers saw: a job that had run after an earlier submission was submitted again to an entry that drains, and refused with 503, which says that it has not run and never will.

Cause: the refusal was returned before the place at which other refusals are completed.

Evidence: test_refusal_of_a_draining_entry_says_so_too fails on the former code, for a job that was accepted there and for one accepted at another entry.

Why this works: both refusals go through one function, which looks at earlier acceptances here and elsewhere; the answer is then 502.

--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -243,7 +243,7 @@
             self._metrics.incr("entry.job_repeated")
             return outcome
         if self.draining and not self._accepts_while_draining():
-            return Refusal("draining", 1, 0.0)
+            return self._complete_refusal(spec.job_id, Refusal("draining", 1, 0.0))
         answer = await self._end_earlier_runs(spec.job_id)
         # The job may have been submitted here meanwhile.
         job = self.dispatcher.jobs.get(spec.job_id)
@@ -256,8 +256,8 @@
         accepted = self.dispatcher.check_spread(spec, queue) or self.dispatcher.submit(
             spec, queue, caller_timeout_ms
         )
-        if isinstance(accepted, Refusal) and self.history.attempts_used(spec.job_id):
-            return msgspec.structs.replace(accepted, may_have_run=True)
+        if isinstance(accepted, Refusal):
+            return self._complete_refusal(spec.job_id, accepted)
         return accepted
 
     async def cancel(self, job_id: str) -> CancelOutcome:
@@ -290,6 +290,12 @@
             Standing.OPEN if job_id in self.dispatcher.jobs else self.history.final_standing(job_id)
         )
 
+    def _complete_refusal(self, job_id: str, refusal: Refusal) -> Refusal:
+        """Say that a refused job may have run if it was accepted before, here or elsewhere."""
+        if not self.history.attempts_used(job_id):
+            return refusal
+        return msgspec.structs.replace(refusal, may_have_run=True)
+
     async def _end_earlier_runs(self, job_id: str) -> Refusal | Standing | None:
         """Wait until earlier runs of a job have ended; return why it can't be accepted, if so."""
         with self._submissions.hold(job_id) as submission:
--- a/tests/test_direct_resubmission.py
+++ b/tests/test_direct_resubmission.py
@@ -265,6 +265,23 @@
 
         run_fleet(scenario)
 
+    @pytest.mark.parametrize("entry", ["entry-0", "entry-1"])
+    def test_refusal_of_a_draining_entry_says_so_too(self, entry: str) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            earlier, new = (fleet.build_job(key * 16, 2, RUN_MS) for key in "bc")
+            submit(fleet, "entry-0", earlier)
+            await asyncio.sleep(RUNNING_S)
+            dispatcher = fleet.entries["entry-0"].dispatcher
+            dispatcher.abandon(dispatcher.jobs[earlier.job_id])
+            await fleet.entries[entry].drain()
+            for spec, may_have_run in ((earlier, True), (new, False)):
+                outcome = await fleet.entries[entry].submit(spec, QUEUE, 0.0)
+                assert isinstance(outcome, Refusal)
+                assert outcome.reason == "draining"
+                assert outcome.may_have_run == may_have_run
+
+        run_fleet(scenario)
+
 
 class TestLongJobs:
     """A job is open for longer than entries report or keep its acceptance."""
