--- a/tests/test_direct_resubmission.py
+++ b/tests/test_direct_resubmission.py
@@ -9,6 +9,7 @@
 from currantbarrow.direct.admission import Refusal
 from currantbarrow.direct.history import RECENT_JOBS_MS, RETENTION_MS, JobHistory
 from currantbarrow.direct.model import JobSpec, JobState
+from currantbarrow.direct.standings import CancelOutcome
 from currantbarrow.protocol.direct import Standing, TakenRow
 from currantbarrow.standins.direct_fleet import QUEUE, DirectFleet, DirectPlan
 from currantbarrow.standins.fleet import LoopClock
@@ -32,8 +33,8 @@
 
 def end_job(fleet: DirectFleet, entry: str, state: JobState) -> None:
     dispatcher = fleet.entries[entry].dispatcher
-    if state is JobState.CANCELLED:
-        dispatcher.cancel(dispatcher.jobs[JOB], "its caller left")
+    if state is JobState.ABANDONED:
+        dispatcher.abandon(dispatcher.jobs[JOB])
     else:
         dispatcher.move(dispatcher.jobs[JOB])
 
@@ -47,10 +48,10 @@
             spec = fleet.build_job(JOB, 8, RUN_MS)
             first = submit(fleet, "entry-0", spec)
             await asyncio.sleep(RUNNING_S)
-            end_job(fleet, "entry-0", JobState.CANCELLED)
+            end_job(fleet, "entry-0", JobState.ABANDONED)
             await asyncio.sleep(pause_ms / 1000)
             assert await fleet.submit("entry-0", spec) == JobState.COMPLETED
-            assert await first == JobState.CANCELLED
+            assert await first == JobState.ABANDONED
 
         # The reports take longer than the stops.
         run_fleet(scenario, DirectPlan(entries=1, sides=2, delay_ms=20.0))
@@ -63,7 +64,7 @@
             spec = fleet.build_job(JOB, 4, RUN_MS)
             submit(fleet, "entry-0", spec)
             await asyncio.sleep(RUNNING_S)
-            end_job(fleet, "entry-0", JobState.CANCELLED)
+            end_job(fleet, "entry-0", JobState.ABANDONED)
             await asyncio.sleep(pause_ms / 1000)
             before = len(fleet.runs.started)
             again = submit(fleet, "entry-0", spec)
@@ -81,12 +82,12 @@
             await asyncio.sleep(RUNNING_S)
             for side in ("side-0", "side-1"):
                 fleet.fabric.cut("entry-0", side)
-            end_job(fleet, "entry-0", JobState.CANCELLED)
+            end_job(fleet, "entry-0", JobState.ABANDONED)
             assert await fleet.submit("entry-0", spec) == JobState.COMPLETED
 
         run_fleet(scenario)
 
-    @pytest.mark.parametrize("state", [JobState.CANCELLED, JobState.MOVED])
+    @pytest.mark.parametrize("state", [JobState.ABANDONED, JobState.MOVED])
     def test_new_run_waits_for_the_end_of_an_earlier_one_whose_stop_is_lost(
         self, state: JobState
     ) -> None:
@@ -107,10 +108,10 @@
             spec = fleet.build_job(JOB, 4, RUN_MS)
             submit(fleet, "entry-0", spec)
             await asyncio.sleep(RUNNING_S)
-            end_job(fleet, "entry-0", JobState.CANCELLED)
+            end_job(fleet, "entry-0", JobState.ABANDONED)
             waiting = submit(fleet, "entry-0", spec)
             await asyncio.sleep(0.3)
-            assert await fleet.entries["entry-0"].cancel(JOB)
+            assert await fleet.entries["entry-0"].cancel(JOB) is CancelOutcome.CANCELLED
             assert await waiting == JobState.REFUSED
             assert len(fleet.runs.started) == 4
 
@@ -118,7 +119,7 @@
 
 
 class TestOtherEntry:
-    @pytest.mark.parametrize("state", [JobState.CANCELLED, JobState.MOVED])
+    @pytest.mark.parametrize("state", [JobState.ABANDONED, JobState.MOVED])
     def test_release_of_an_ended_job_waits_for_runs_whose_stops_are_lost(
         self, state: JobState
     ) -> None:
@@ -139,7 +140,7 @@
             spec = fleet.build_job(JOB, 4, RUN_MS)
             submit(fleet, "entry-0", spec)
             await asyncio.sleep(RUNNING_S)
-            end_job(fleet, "entry-0", JobState.CANCELLED)
+            end_job(fleet, "entry-0", JobState.ABANDONED)
             waiting = submit(fleet, "entry-0", spec)
             await asyncio.sleep(0.9)
             assert await fleet.submit("entry-1", spec) == JobState.COMPLETED
@@ -156,7 +157,7 @@
             await asyncio.sleep(RUNNING_S)
             for other in ("side-0", "side-1", "entry-1"):
                 fleet.fabric.cut("entry-0", other)
-            end_job(fleet, "entry-0", JobState.CANCELLED)
+            end_job(fleet, "entry-0", JobState.ABANDONED)
             waiting = submit(fleet, "entry-0", spec)
             await asyncio.sleep(RESUBMIT_AFTER_S)
             again = submit(fleet, "entry-1", spec)
@@ -252,7 +253,7 @@
             submit(fleet, "entry-0", earlier)
             await asyncio.sleep(RUNNING_S)
             dispatcher = fleet.entries["entry-0"].dispatcher
-            dispatcher.cancel(dispatcher.jobs[earlier.job_id], "its caller left")
+            dispatcher.abandon(dispatcher.jobs[earlier.job_id])
             await asyncio.sleep(RUNNING_S)
             for side in list(fleet.sides):
                 await fleet.kill_side(side)
@@ -264,6 +265,23 @@
 
         run_fleet(scenario)
 
+    @pytest.mark.parametrize("entry", ["entry-0", "entry-1"])
+    def test_refusal_of_a_draining_entry_says_so_too(self, entry: str) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            earlier, new = (fleet.build_job(key * 16, 2, RUN_MS) for key in "bc")
+            submit(fleet, "entry-0", earlier)
+            await asyncio.sleep(RUNNING_S)
+            dispatcher = fleet.entries["entry-0"].dispatcher
+            dispatcher.abandon(dispatcher.jobs[earlier.job_id])
+            await fleet.entries[entry].drain()
+            for spec, may_have_run in ((earlier, True), (new, False)):
+                outcome = await fleet.entries[entry].submit(spec, QUEUE, 0.0)
+                assert isinstance(outcome, Refusal)
+                assert outcome.reason == "draining"
+                assert outcome.may_have_run == may_have_run
+
+        run_fleet(scenario)
+
 
 class TestLongJobs:
     """A job is open for longer than entries report or keep its acceptance."""
@@ -273,8 +291,8 @@
         again = submit(fleet, "entry-1", spec)
         await asyncio.sleep(2.0)
         assert len(fleet.runs.running) == 4
-        end_job(fleet, "entry-1", JobState.CANCELLED)
-        assert await again == JobState.CANCELLED
+        end_job(fleet, "entry-1", JobState.ABANDONED)
+        assert await again == JobState.ABANDONED
 
     def test_entry_that_starts_later_learns_of_an_open_job(self) -> None:
         async def scenario(fleet: DirectFleet) -> None:
