Wait for runs that an unreachable entry may have at unreachable side processes

Cause: SideFleet.clear_job waits for the time that a side process serves an entry that it has lost, counted from the loss of its own link. That says nothing about another entry.

Change: entries report with each accepted job how long they keep it at most. An entry that takes a job over from one that does not answer waits for the known side processes that have not confirmed, until that time and the end of the leases, or until a later process is linked at the address of the first; for 3 s at most, and otherwise refuses the job at once as one that may have run. The report grows by a field at its end; entries that do not send it are treated as before.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -125,7 +125,7 @@
             return refusal
         self.jobs[spec.job_id] = job
         self._waiting[spec.job_id] = job
-        self._history.record_accepted(spec.job_id)
+        self._history.record_accepted(spec.job_id, times.keep_until_ms)
         self._metrics.incr("entry.job_accepted")
         self._log_job(
             "job accepted",
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -33,6 +33,7 @@
 from currantbarrow.direct.peers import EntryPeers
 from currantbarrow.direct.processes import ProcessEvidence
 from currantbarrow.direct.routing import Configuration
+from currantbarrow.direct.session import ORDER_END_LIMIT_MS
 from currantbarrow.direct.standings import FINAL_STANDINGS, CancelOutcome, earlier_outcome
 from currantbarrow.direct.submissions import Caller, PendingSubmission, PendingSubmissions
 from currantbarrow.direct.supervision import Loop, start_loops
@@ -373,7 +374,14 @@
         if answer is None or answer.standing is Standing.OPEN or answer.cleared:
             # That entry is unreachable or still has runs, which the side processes stop; or it has
             # cleared the job, so they reject the orders of this entry.
-            await self._clear_job(job_id)
+            confirmed = await self._clear_job(job_id)
+            if answer is None:
+                unseen_end_ms = self._unseen_runs_end_ms(acceptance, confirmed)
+                wait_ms = unseen_end_ms - self._clock.monotonic_ms()
+                if wait_ms > EARLIER_RUNS_TIMEOUT_MS:
+                    return Standing.OPEN
+                if wait_ms > 0:
+                    await self._clock.sleep_ms(wait_ms)
         # Side processes that this entry has no link to were not asked to stop the runs.
         standing = answer.standing if answer is not None else Standing.UNKNOWN
         for _ in range(RELEASE_REQUESTS - 1):
@@ -384,20 +392,33 @@
             standing = answer.standing if answer is not None else Standing.OPEN
         return standing
 
-    async def _clear_job(self, job_id: str) -> None:
-        """Have side processes stop other entries' runs of a job."""
+    def _unseen_runs_end_ms(self, acceptance: Acceptance, confirmed: set[str]) -> float:
+        """Return when the runs of an unreachable entry at unreachable side processes have ended.
+
+        They reach each other behind a partition, and the entry keeps the job while it believes that
+        its caller waits. An entry that has not said how long may do so is taken to have ended.
+        """
+        kept_until_ms = min(acceptance.kept_until_ms, self.peers.successor_since_ms(acceptance))
+        if math.isinf(kept_until_ms) or not self.awaited_sides() - confirmed:
+            return -math.inf
+        return kept_until_ms + ORDER_END_LIMIT_MS
+
+    async def _clear_job(self, job_id: str) -> set[str]:
+        """Have side processes stop other entries' runs of a job; return who confirmed it."""
         self.history.record_cleared(job_id)
         began_ms = self._clock.monotonic_ms()
-        everywhere = await self.fleet.clear_job(job_id)
+        confirmed = await self.fleet.clear_job(job_id)
+        missing = self.awaited_sides() - confirmed
         logger.info(
             "runs of job stopped at side processes",
             extra={
                 "job": job_id,
-                "everywhere": everywhere,
+                "everywhere": not missing,
                 "took_ms": round(self._clock.monotonic_ms() - began_ms),
-                "unlinked": len(self.fleet.unlinked()),
+                "unlinked": len(missing),
             },
         )
+        return confirmed
 
     def configuration(self) -> tuple[int, bytes]:
         """Return version and document of the current configuration."""
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -313,10 +313,6 @@
         """Return whether the link to a side process is open."""
         return address in self._handles
 
-    def unlinked(self) -> list[str]:
-        """Return the addresses of the known side processes without an open link."""
-        return [each for each in self._connector.addresses if each not in self._handles]
-
     def handles(self) -> list[SideHandle]:
         """Return the open links on which a report was received recently."""
         now_ms = self._clock.monotonic_ms()
@@ -448,11 +444,11 @@
         confirmed = await self._ask_to_clear(asked, job, cancelled=True)
         return {handle.address for handle in confirmed}
 
-    async def clear_job(self, job: str) -> bool:
+    async def clear_job(self, job: str) -> set[str]:
         """Stop other entries' runs of a job, and have their later orders for it rejected.
 
-        Return whether all linked side processes confirmed it. The runs have ended either way,
-        unless an unreachable entry still orders them from a side process that is unreachable, too.
+        Return the addresses of the side processes that confirmed it. The runs at the others have
+        ended, unless an entry that is out of reach still reaches them.
         """
         began_ms = self._clock.monotonic_ms()
         asked = self.handles()
@@ -471,7 +467,8 @@
             await self._clock.sleep_ms(wait_ms)
         # Links that were lost before the call arrived may have been opened again.
         unasked = [handle for handle in self.handles() if handle not in confirmed]
-        return len(await self._ask_to_clear(unasked, job)) == len(unasked)
+        confirmed |= await self._ask_to_clear(unasked, job)
+        return {handle.address for handle in confirmed}
 
     async def _ask_to_clear(
         self, handles: list[SideHandle], job: str, *, cancelled: bool = False
--- a/src/currantbarrow/direct/history.py
+++ b/src/currantbarrow/direct/history.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from currantbarrow.direct.session import CLOCK_DRIFT_FACTOR
 from currantbarrow.direct.standings import KnownJob
 from currantbarrow.protocol.direct import CancelledRow, Standing, TakenRow
 from currantbarrow.types import Clock
@@ -24,6 +25,9 @@
 # from those that the peer has used. It is not a limit on attempts.
 PEER_ATTEMPTS = 50
 
+# The shortest time that is reported for a job, as 0 means that it is not known.
+MIN_KEPT_MS = 1.0
+
 ValueT = TypeVar("ValueT")
 
 
@@ -34,6 +38,8 @@
     # A process that has restarted at the address does not know the jobs of the former one.
     incarnation: str
     accepted_ms: float
+    # Until when the entry may keep the job, infinity if it has not said.
+    kept_until_ms: float = math.inf
 
 
 class _Cancelling(msgspec.Struct, frozen=True):
@@ -96,6 +102,7 @@
         "_cleared",
         "_clock",
         "_ended",
+        "_kept_until_ms",
         "_open",
         "_peer_jobs",
     )
@@ -110,14 +117,16 @@
         self._cancelled: _JobRecords[_Cancelling] = _JobRecords()
         # The highest attempt number that this entry has used for a job that ended here.
         self._attempts: _JobRecords[int] = _JobRecords()
-        # When the open jobs were accepted.
+        # When the open jobs were accepted, and until when they are kept.
         self._open: dict[str, float] = {}
+        self._kept_until_ms: dict[str, float] = {}
         # Jobs, when they were accepted, and since when they are to be reported, oldest first.
         self._accepted: collections.deque[tuple[str, float, float]] = collections.deque()
 
-    def record_accepted(self, job: str) -> None:
-        """Record that this entry has accepted a job."""
+    def record_accepted(self, job: str, kept_until_ms: float = math.inf) -> None:
+        """Record that this entry has accepted a job, and until when it keeps it at most."""
         now_ms = self._clock.monotonic_ms()
+        self._kept_until_ms[job] = kept_until_ms
         self._open[job] = now_ms
         self._accepted.append((job, now_ms, now_ms))
         self._ended.remove(job)
@@ -126,6 +135,7 @@
         """Record the outcome of a job at this entry, and the highest attempt number used for it."""
         now_ms = self._clock.monotonic_ms()
         self._open.pop(job, None)
+        self._kept_until_ms.pop(job, None)
         self._ended.set(job, standing, now_ms)
         if standing is Standing.CANCELLED:
             self.record_cancelled(job)
@@ -204,7 +214,8 @@
         now_ms = self._clock.monotonic_ms()
         for row in rows:
             known = self._peer_jobs.get(row.job, None)
-            acceptance = Acceptance(address, incarnation, now_ms - row.age_ms)
+            kept_ms = row.kept_for_ms * CLOCK_DRIFT_FACTOR if row.kept_for_ms else math.inf
+            acceptance = Acceptance(address, incarnation, now_ms - row.age_ms, now_ms + kept_ms)
             if known is None or known.accepted_ms <= acceptance.accepted_ms:
                 self._peer_jobs.set(row.job, acceptance, now_ms)
             elif known.incarnation == incarnation:
@@ -243,7 +254,9 @@
         for job, accepted_ms, report_from_ms in reversed(self._accepted):
             if report_from_ms < since_ms:
                 break
-            rows.append(TakenRow(job, now_ms - accepted_ms))
+            left_ms = self._kept_until_ms.get(job, math.inf) - now_ms
+            kept_for_ms = max(left_ms, MIN_KEPT_MS) if math.isfinite(left_ms) else 0.0
+            rows.append(TakenRow(job, now_ms - accepted_ms, kept_for_ms))
         return rows
 
     def expire(self) -> None:
--- a/src/currantbarrow/direct/peers.py
+++ b/src/currantbarrow/direct/peers.py
@@ -103,13 +103,15 @@
         "asked_ms",
         "last_ping_ms",
         "link",
+        "opened_ms",
         "reported",
         "reported_demand",
         "rpc",
     )
 
-    def __init__(self, link: Link) -> None:
+    def __init__(self, link: Link, opened_ms: float) -> None:
         self.link = link
+        self.opened_ms = opened_ms
         self.rpc = RpcClient(link)
         # The jobs accepted before this time were sent to the peer.
         self.last_ping_ms = -math.inf
@@ -198,6 +200,13 @@
         """Return whether this entry has an open link to a peer."""
         return address in self._peers
 
+    def successor_since_ms(self, acceptance: Acceptance) -> float:
+        """Return since when a later process is linked at the address, infinity if none is."""
+        peer = self._peers.get(acceptance.address)
+        if peer is None or peer.link.peer.incarnation == acceptance.incarnation:
+            return math.inf
+        return peer.opened_ms
+
     async def report_jobs(self, address: str, jobs: list[TakenRow]) -> ReportedJobs | None:
         """Report jobs to a peer, and return what it knows of them; None without an answer."""
         peer = self._peers.get(address)
@@ -373,7 +382,7 @@
             link.post(answer)
 
     async def _serve_outgoing(self, address: str, link: Link) -> None:
-        peer = _PeerHandle(link)
+        peer = _PeerHandle(link, self._clock.monotonic_ms())
         self._peers[address] = peer
         self._evacuations.add(link)
         logger.info("peer connected", extra={"address": address, "peer": link.peer.name})
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -240,6 +240,8 @@
 
     job: str
     age_ms: float
+    # How long the sender keeps the job at most; 0 if it does not say.
+    kept_for_ms: float = 0.0
 
 
 class CancelledRow(msgspec.Struct, array_like=True, frozen=True):
