Reject numbers that are too large for sums and products of them

What callers saw: one worker whose announced capacity is a number of 400 digits made each entry answer all jobs of the service with an error (OverflowError in SideFleet.capacity), also those for the other workers.

Cause: JSON integers have any length in Python. Readers checked types, and some of them the sign, but no upper bound, so a number travelled from an announcement, from the stored one or from a configuration over links (CBOR has such integers, too) to whoever first divides it.

Change: Integer, Count and Number bound what is read to 2^53, where floats are exact, so that sums over all tasks and products with times are finite. The state of a worker has these bounds in its message, too: a side process of another version that reports larger ones loses its own link only.

--- a/src/currantbarrow/decoding.py
+++ b/src/currantbarrow/decoding.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
 from currantbarrow.exceptions import ValueUndecodable
 
-__all__ = ["MAX_JSON_BYTES", "decode_json"]
+__all__ = ["MAX_JSON_BYTES", "Count", "Integer", "Number", "decode_json"]
 
 # The longest frame between processes, which a document may be sent on in.
 MAX_JSON_BYTES = 8 * 1024 * 1024
 
+# Floats represent integers up to this exactly, and sums and products of such numbers are finite.
+MAX_NUMBER = 2**53
+
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Number = Annotated[float, msgspec.Meta(ge=-float(MAX_NUMBER), le=float(MAX_NUMBER))]
+
 ValueT = TypeVar("ValueT")
 
 
--- a/src/currantbarrow/direct/model.py
+++ b/src/currantbarrow/direct/model.py
@@ -6,15 +6,17 @@
 
 import msgspec
 
+from currantbarrow.decoding import Count
+
 __all__ = ["JobSpec", "JobState", "Resources", "StepSpec", "WorkQueue"]
 
 
 class Resources(msgspec.Struct, frozen=True):
     """Describe the resources that a task requires or that a worker has."""
 
-    cpu_millis: int = 0
-    memory_mb: int = 0
-    gpus: int = 0
+    cpu_millis: Count = 0
+    memory_mb: Count = 0
+    gpus: Count = 0
 
     def plus(self, other: Resources) -> Resources:
         """Return the sum."""
--- a/src/currantbarrow/direct/worker.py
+++ b/src/currantbarrow/direct/worker.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from currantbarrow.decoding import Count, Integer, Number
 from currantbarrow.direct.model import Resources
 from currantbarrow.protocol.direct import RunEnd
 
@@ -58,11 +59,11 @@
     labels: frozenset[str]
     leaving: bool
     # Increases with each announcement of one worker instance.
-    sequence: int
+    sequence: Integer
     # When the instance started, in Unix milliseconds; 0 if it does not say.
-    born_ms: int = 0
+    born_ms: Count = 0
     # How much longer the worker is slow after its start.
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: Number = 0.0
 
 
 def name_instance(worker: str, born_ms: int) -> str:
--- a/src/currantbarrow/logservice/records.py
+++ b/src/currantbarrow/logservice/records.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from currantbarrow.decoding import decode_json
+from currantbarrow.decoding import Integer, Number, decode_json
 from currantbarrow.exceptions import ConfigurationError, ValueUndecodable
 from currantbarrow.protocol import Role
 
@@ -46,7 +46,7 @@
     address: str
     data_centre: str
     rack: str
-    at_ms: int
+    at_ms: Integer
     operator_address: str = ""
 
 
@@ -60,7 +60,7 @@
     """Record that an incarnation has left, whether it announced this or was found to be gone."""
 
     incarnation: str
-    at_ms: int
+    at_ms: Integer
     goodbye: bool = False
     # The operator who retired a process that could not announce its own end. Such a record
     # is as conclusive as one with goodbye=True.
@@ -70,18 +70,18 @@
 class AssignmentChanged(Record, frozen=True):
     """Assign an owner to every shard; the first record with a given based_on version wins."""
 
-    based_on: int
+    based_on: Integer
     owners: list[str]
-    shards: list[int]
+    shards: list[Integer]
     panel: list[str]
-    closed_version: int = 0
-    at_ms: int = 0
+    closed_version: Integer = 0
+    at_ms: Integer = 0
 
 
 class ClassDefinition(msgspec.Struct, frozen=True):
     """Define the response target of a class of work, the only setting that a class has."""
 
-    target_ms: float
+    target_ms: Number
     description: str = ""
 
 
@@ -89,18 +89,18 @@
     """Change or remove a class; the first record with a given based_on revision wins."""
 
     name: str
-    based_on: int
+    based_on: Integer
     definition: ClassDefinition | None
-    at_ms: int = 0
+    at_ms: Integer = 0
     operator: str = ""
 
 
 class Snapshot(Record, frozen=True):
     """Capture the state of the stream after the record at an offset."""
 
-    offset: int
+    offset: Integer
     state: Any
-    at_ms: int = 0
+    at_ms: Integer = 0
 
 
 _AnyRecord: Any = (
--- a/src/currantbarrow/platform/announcements.py
+++ b/src/currantbarrow/platform/announcements.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Literal
 
 import msgspec
 from aiohttp import web
 
-from currantbarrow.decoding import decode_json
+from currantbarrow.decoding import Count, Number, decode_json
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.side import DirectSide
 from currantbarrow.direct.worker import NOT_ANNOUNCED, Announcement
@@ -18,25 +18,24 @@
 __all__ = ["create_announcements_app", "parse_announcement"]
 
 DRAINING = "draining"
-_Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class _Capacity(msgspec.Struct):
     # Thousandths of a core.
-    cpu: _Count
-    mem_mb: _Count = 0
-    gpus: _Count = 0
+    cpu: Count
+    mem_mb: Count = 0
+    gpus: Count = 0
 
 
 class _AnnouncementBody(msgspec.Struct):
     service: str
     state: Literal["ready", "draining"]
     capacity: _Capacity
-    sequence: _Count = 0
+    sequence: Count = 0
     labels: list[str] = []
     # Unix millisecond of the worker's start; workers of earlier versions do not send it.
-    born: _Count = 0
-    cold_remaining_ms: float = 0.0
+    born: Count = 0
+    cold_remaining_ms: Number = 0.0
 
 
 def parse_announcement(
--- a/src/currantbarrow/platform/configuration.py
+++ b/src/currantbarrow/platform/configuration.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from currantbarrow.decoding import decode_json
+from currantbarrow.decoding import Count, Integer, Number, decode_json
 from currantbarrow.direct.model import WorkQueue
 from currantbarrow.direct.routing import Configuration
 from currantbarrow.exceptions import ConfigurationError, ValueUndecodable
@@ -21,12 +21,12 @@
     host: str
     path_prefix: str
     service: str = ""
-    timeout_ms: float = 0.0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    timeout_ms: Number = 0.0
+    priority: Integer = 0
+    max_attempts: Integer = 1
+    stretch: Number = 1.0
     # Not a limit on the response time: it is added to the stretched run time to give the target.
-    target_latency_ms: float = 0.0
+    target_latency_ms: Number = 0.0
     advice: msgspec.Raw | None = None
 
 
@@ -35,11 +35,11 @@
 
 
 class _Limits(msgspec.Struct):
-    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    max_body_bytes: Integer = DEFAULT_MAX_BODY_BYTES
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/src/currantbarrow/platform/jobs.py
+++ b/src/currantbarrow/platform/jobs.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from currantbarrow.decoding import decode_json
+from currantbarrow.decoding import Integer, decode_json
 from currantbarrow.direct.model import JobSpec, Resources, StepSpec
 from currantbarrow.exceptions import JobInvalid, ValueUndecodable
 
@@ -24,22 +24,22 @@
 class _Phase(msgspec.Struct):
     """Describe a step of a job in the platform's format; all its tasks are alike."""
 
-    count: int
+    count: Integer
     # Thousandths of a core.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
+    cpu: Integer = 0
+    mem_mb: Integer = 0
+    gpus: Integer = 0
     estimate_ms: float = 0.0
-    after: list[int] = []
+    after: list[Integer] = []
     requires: str = ""
     gang: bool = False
     fills: bool = False
     # A rack label.
     affinity: str | None = None
     # At most this many tasks on one worker; 0 for no limit.
-    anti_affinity: int = 0
+    anti_affinity: Integer = 0
     rack_local: bool | None = None
-    may_miss: int = 0
+    may_miss: Integer = 0
 
 
 class _Body(msgspec.Struct):
--- a/src/currantbarrow/platform/store.py
+++ b/src/currantbarrow/platform/store.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from currantbarrow.decoding import decode_json
+from currantbarrow.decoding import Count, decode_json
 from currantbarrow.exceptions import (
     AppendUnknown,
     CallUnsent,
@@ -62,12 +62,12 @@
 
 class _AppendReply(msgspec.Struct):
     # Offset of the first appended record.
-    offset: int = 0
+    offset: Count = 0
 
 
 class _ExpiredReply(msgspec.Struct):
     # First offset that has not expired.
-    first: int = 0
+    first: Count = 0
 
 
 class _NewestItem(msgspec.Struct):
@@ -79,7 +79,7 @@
 class _NewestReply(msgspec.Struct):
     items: list[_NewestItem] = []
     has_more: bool = False
-    end: int = 0
+    end: Count = 0
 
 
 class StoreClient:
--- a/src/currantbarrow/platform/worker.py
+++ b/src/currantbarrow/platform/worker.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 
-from currantbarrow.decoding import decode_json
+from currantbarrow.decoding import Count, Integer, Number, decode_json
 from currantbarrow.direct.worker import (
     PollResult,
     RunName,
@@ -77,13 +77,13 @@
 
 
 class _ClockReply(msgspec.Struct):
-    clock_ms: float | None = None
+    clock_ms: Number | None = None
     reason: str = ""
 
 
 class _PollReply(msgspec.Struct):
-    clock_ms: float
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    clock_ms: Number
+    born: Count = 0
     # Rows of task, run, checkpoint and percent at work; only the first two are used.
     running: list[list[msgspec.Raw]] = []
     # Rows of position, task, run, reason of the end and checkpoint; the last is not used.
@@ -195,7 +195,7 @@
         return _ClockReply()
 
 
-def _decode_row(row: list[msgspec.Raw], *types: type) -> list[Any]:
+def _decode_row(row: list[msgspec.Raw], *types: Any) -> list[Any]:
     """Decode the first items of a row; raise ValueUndecodable, or ValueError if one is missing."""
     return [decode_json(item, kind) for item, kind in zip(row[: len(types)], types, strict=True)]
 
@@ -203,11 +203,11 @@
 def _read_poll_reply(reply: _PollReply) -> PollResult:
     running = []
     for row in reply.running:
-        task, number = _decode_row(row, str, int)
+        task, number = _decode_row(row, str, Integer)
         running.append(_run_name(task, number))
     ends = []
     for row in reply.finished:
-        position, task, number, reason = _decode_row(row, int, str, int, str)
+        position, task, number, reason = _decode_row(row, Integer, str, Integer, str)
         end = RUN_END_BY_REASON.get(reason, RunEnd.LOST)
         ends.append(WorkerEnd(position, _run_name(task, number), end))
     return PollResult(reply.clock_ms, running, ends, reply.born)
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from currantbarrow.decoding import Integer, Number
 from currantbarrow.protocol.messages import Call, Message, Reply
 
 __all__ = [
@@ -155,21 +156,21 @@
     worker: str
     service: str
     accepting: bool
-    capacity_cpu_millis: int
-    capacity_memory_mb: int
-    capacity_gpus: int
-    free_cpu_millis: int
-    free_memory_mb: int
-    free_gpus: int
-    waiting_tasks: int
-    waiting_cpu_millis: int
+    capacity_cpu_millis: Integer
+    capacity_memory_mb: Integer
+    capacity_gpus: Integer
+    free_cpu_millis: Integer
+    free_memory_mb: Integer
+    free_gpus: Integer
+    waiting_tasks: Integer
+    waiting_cpu_millis: Integer
     # Ratio of actual to expected run times on this worker; 1 is as expected.
-    slowness: float
+    slowness: Number
     # After failures or time-outs the worker gets one task at a time, until it proves healthy.
     on_trial: bool
     labels: list[str]
     # When this instance of the worker started, in Unix milliseconds; 0 if it does not say.
-    born_ms: int = 0
+    born_ms: Integer = 0
     # Whether no run is started because the data centre is evacuated.
     evacuated: bool = False
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
@@ -16,7 +17,7 @@
 
 from currantbarrow.classes import ClassState
 from currantbarrow.direct.hosts import HostDirectory
-from currantbarrow.exceptions import CurrantbarrowError
+from currantbarrow.exceptions import BadFrame, CurrantbarrowError
 from currantbarrow.logservice import (
     CLASS_STREAM,
     ClassChanged,
@@ -38,7 +39,8 @@
     TopicHostDirectory,
 )
 from currantbarrow.platform.worker import HttpWorkerControl
-from currantbarrow.protocol.direct import HostRow
+from currantbarrow.protocol.codec import decode_frame, encode_frame
+from currantbarrow.protocol.direct import HostRow, SideReport, WorkerState
 from currantbarrow.standins.fleet import LoopClock
 from currantbarrow.standins.virtual import run_virtual
 from soak.fleet import HOST_NAME, Fleet, Plan
@@ -138,6 +140,7 @@
 
 
 CHANGE = ClassChanged("id-1", "quote", 0, ClassDefinition(300.0))
+MAX_INTEGER = 2**63
 METRICS = MetricsRegistry()
 ANNOUNCEMENT = {
     "service": "work",
@@ -227,13 +230,31 @@
                 yield [*value[:index], changed, *value[index + 1 :]]
 
 
+def check_numbers(value: object) -> None:
+    """Check that all numbers of a value fit in 64 bits and leave room for sums and products."""
+    if isinstance(value, int):
+        assert -MAX_INTEGER <= value < MAX_INTEGER
+    elif isinstance(value, float):
+        assert math.isfinite(value * MAX_INTEGER)
+    elif isinstance(value, dict):
+        for child in value.values():
+            check_numbers(child)
+    elif isinstance(value, list | tuple | set | frozenset):
+        for child in value:
+            check_numbers(child)
+    elif hasattr(value, "__struct_fields__"):
+        check_numbers(msgspec.structs.asdict(cast(msgspec.Struct, value)))
+    elif hasattr(value, "__slots__"):
+        check_numbers([getattr(value, name) for name in cast(Any, value).__slots__])
+
+
 @pytest.mark.parametrize("reader", READERS)
 @pytest.mark.parametrize("kind", ODD)
 def test_odd_entry_ended_its_reader(reader: str, kind: str) -> None:
     read, usual = READERS[reader]
     for value in replace_each(usual, msgspec.Raw(ODD[kind])):
         try:
-            read(msgspec.json.encode(value))
+            check_numbers(read(msgspec.json.encode(value)))
         except CurrantbarrowError:
             # The reader's own error, which its callers expect.
             continue
@@ -315,3 +336,10 @@
         assert not oracle.violations
 
     uvloop.run(scenario())
+
+
+@pytest.mark.parametrize("value", [2**64, -(2**64), 10**400], ids=["large", "negative", "infinite"])
+def test_capacity_too_large_for_a_float_failed_all_jobs(value: int) -> None:
+    state = WorkerState("w", "work", True, value, 1, 0, 1, 1, 0, 0, 0, 1.0, False, [])
+    with pytest.raises(BadFrame):
+        decode_frame(encode_frame(1, [SideReport(1.0, 1, state)]))
