Ignore processes whose address no link can be opened to

What callers saw: other operators' processes ended over a row with a port out of range. Here none ended: the network of links raises LinkClosed for each of 31 odd addresses that were tried (port 0, 65536, -1, of 200 digits, no port, no host, IPv6 without an end, labels too long and others). But such a row of an entry counted as an entry that gets a share of the workers, rows of any length were kept, tried for ever and sent on to all peers, in a message that is dropped as soon as it exceeds a frame.

The test fails on the code before, with rows from the directory and with rows from a peer.

Change: DirectEntry checks each row at the one place where the directory, the peers and the registration of side processes meet: host, port 1 to 65535, and texts of at most 255 characters. It counts and logs what it ignores. Rows in a message are checked there and not by its type, since the other rows of the message hold.

--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -30,7 +30,7 @@
 from currantbarrow.direct.job import OpenJob
 from currantbarrow.direct.model import JobSpec, WorkQueue
 from currantbarrow.direct.peers import EntryPeers
-from currantbarrow.direct.processes import ProcessEvidence
+from currantbarrow.direct.processes import ProcessEvidence, is_linkable
 from currantbarrow.direct.routing import Configuration
 from currantbarrow.direct.submissions import PendingSubmission, PendingSubmissions
 from currantbarrow.direct.supervision import Loop, start_loops
@@ -406,7 +406,7 @@
         """Add the processes that a peer knows."""
         for row in rows:
             if row.address not in self._processes and not self._evidence.was_withdrawn(row):
-                self._add_process(row)
+                self._add_linkable(row)
 
     async def answer_standing(self, call: ShowStanding) -> JobStanding:
         """Answer with the standing of a job, after releasing it if the call requests it."""
@@ -484,7 +484,7 @@
 
     def _handle_published(self, row: HostRow) -> None:
         self._evidence.record_published(row)
-        self._add_process(row)
+        self._add_linkable(row)
 
     def _handle_withdrawn(self, address: str) -> None:
         if address == self.options.link_address and not self.draining:
@@ -508,6 +508,18 @@
     def _is_linked(self, address: str) -> bool:
         return self.fleet.is_linked(address) or self.peers.is_linked(address)
 
+    def _add_linkable(self, row: HostRow) -> None:
+        """Add a process, unless no link can be opened to it."""
+        if is_linkable(row):
+            self._add_process(row)
+            return
+        # Any writer may have stored it; as an entry, it would also count as one that gets jobs.
+        self._metrics.incr("entry.process_unlinkable")
+        logger.warning(
+            "process without a valid address ignored",
+            extra={"role": row.role[:20], "address": row.address[:100]},
+        )
+
     def _add_process(self, row: HostRow) -> None:
         if row.address == self.options.link_address:
             return
--- a/src/currantbarrow/direct/processes.py
+++ b/src/currantbarrow/direct/processes.py
@@ -3,17 +3,31 @@
 from __future__ import annotations
 
 import collections
+import re
 from collections.abc import Callable, Iterable
 
 from currantbarrow.protocol.direct import HostRow
 
-__all__ = ["FORGET_MS", "ProcessEvidence"]
+__all__ = ["FORGET_MS", "ProcessEvidence", "is_linkable"]
 
 # A process that the directory does not list is forgotten after this time without a link. It exceeds
 # a restart of a process and most cuts; one that lives registers itself again.
 FORGET_MS = 30_000.0
 # Withdrawn processes that are remembered, so that peers which have missed it don't bring them back.
 WITHDRAWN_KEPT = 1000
+ADDRESS = re.compile(r"[A-Za-z0-9_.-]+:([0-9]{1,5})")
+MAX_PORT = 65_535
+# Rows are kept and sent on to every peer, so their texts are no longer than a host name may be.
+MAX_TEXT_CHARS = 255
+
+
+def is_linkable(row: HostRow) -> bool:
+    """Return whether a row names an address that links can be opened to."""
+    address = ADDRESS.fullmatch(row.address)
+    if address is None or not 1 <= int(address[1]) <= MAX_PORT:
+        return False
+    texts = (row.role, row.address, row.incarnation, row.data_centre)
+    return all(len(text) <= MAX_TEXT_CHARS for text in texts)
 
 
 class ProcessEvidence:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -17,6 +17,7 @@
 
 from currantbarrow.classes import ClassState
 from currantbarrow.direct.hosts import HostDirectory
+from currantbarrow.direct.model import JobState
 from currantbarrow.exceptions import BadFrame, CurrantbarrowError
 from currantbarrow.logservice import (
     CLASS_STREAM,
@@ -39,10 +40,13 @@
     TopicHostDirectory,
 )
 from currantbarrow.platform.worker import HttpWorkerControl
+from currantbarrow.protocol import Hello, Role
 from currantbarrow.protocol.codec import decode_frame, encode_frame
-from currantbarrow.protocol.direct import HostRow, SideReport, WorkerState
+from currantbarrow.protocol.direct import HostRow, ShareHosts, SideReport, WorkerState
+from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
 from currantbarrow.standins.fleet import LoopClock
 from currantbarrow.standins.virtual import run_virtual
+from direct_scenarios import run_fleet
 from soak.fleet import HOST_NAME, Fleet, Plan
 from soak.oracle import Oracle
 
@@ -277,6 +281,35 @@
     assert state.names() == ["quote"]
 
 
+ODD_ROWS = [
+    *(
+        HostRow(role, address, f"odd-{number}.1", "one")
+        for role in ("entry", "side")
+        for number, address in enumerate(
+            (
+                "",
+                "odd",
+                "odd:",
+                ":1",
+                "odd:0",
+                "odd:-1",
+                "odd:65536",
+                "odd:" + "9" * 99,
+                "odd:٣",
+                "od d:1",
+                "odd\n:1",
+                "[odd:1",
+                "odd:1/path",
+                "o" * 300 + ":1",
+            )
+        )
+    ),
+    HostRow("entry", "odd:1", "x" * 200_000, "one"),
+    HostRow("entry", "odd:2", "odd.1", "x" * 200_000),
+    HostRow("x" * 200_000, "odd:3", "odd.1", "one"),
+]
+
+
 class CountingStore:
     """Count the listings that the processes request of a store."""
 
@@ -316,11 +349,13 @@
             # The deep ones come last, since a listing has the newest record of each key only.
             for number, odd in enumerate(reversed(ODD.values())):
                 put(fleet, "keyed.hosts", f"odd-{number}:1".encode(), odd)
-                row = b'["side","odd:1","odd.1","one",%s]' % odd
-                put(fleet, "keyed.hosts", b"odd:1", row)
+                value = b'["side","odd:1","odd.1","one",%s]' % odd
+                put(fleet, "keyed.hosts", b"odd:1", value)
                 for host in fleet.sides:
                     put(fleet, "keyed.workers", host.name.encode(), b'{"other":%s}' % odd)
                 put(fleet, "keyed.op", b"config", b'{"version":0,"other":%s}' % odd)
+            for row in ODD_ROWS:
+                put(fleet, "keyed.hosts", row.address.encode()[:255], msgspec.json.encode(row))
             for host in fleet.sides:
                 fleet.kill(host)
             listings = store.listings
@@ -343,3 +378,26 @@
     state = WorkerState("w", "work", True, value, 1, 0, 1, 1, 0, 0, 0, 1.0, False, [])
     with pytest.raises(BadFrame):
         decode_frame(encode_frame(1, [SideReport(1.0, 1, state)]))
+
+
+@pytest.mark.parametrize("is_published", [True, False], ids=["published", "sent by a peer"])
+def test_address_out_of_range_counted_as_an_entry(is_published: bool) -> None:
+    async def scenario(fleet: DirectFleet) -> None:
+        entry = fleet.entries["entry-0"]
+        known, entries = entry.known_processes(), entry.dispatcher.entry_count
+        if is_published:
+            for row in ODD_ROWS:
+                await fleet.directory.publish(row)
+        else:
+            hello = Hello(Role.ENTRY, "stranger", "stranger.1", data_centre="one")
+            link = await fleet.fabric.connect("entry-0:1", hello)
+            link.post(ShareHosts([*ODD_ROWS, HostRow("entry", "good:1", "good.1", "one")]))
+            known, entries = [*known, HostRow("entry", "good:1", "good.1", "one")], entries + 1
+        await asyncio.sleep(1.0)
+        assert entry.known_processes() == known
+        assert entry.dispatcher.entry_count == entries
+        assert await fleet.submit("entry-0", fleet.build_job("a" * 16, 2, 100.0)) == (
+            JobState.COMPLETED
+        )
+
+    run_fleet(scenario, DirectPlan(sides=1))
