Read listings of the store in which a key is no Unicode text

What callers saw: other operators' processes stopped following the list of workers after an odd entry.

Cause: a key is any bytes of up to 255. The records of a read were decoded with replacement characters, a listing was not: one key that is no UTF-8, or that the store escapes as a lone surrogate, made the whole page undecodable, which counts as a lost store. A process then lists the topic again and again, and reads nothing of it. And a listing of several pages goes on after the last key of a page: if that key came replaced, by the store or here, the store returns the same page for ever, and the list of records grows.

Evidence: on the code before, the 5 keys of the test raise LogUnavailable, and a repeated page never ends (1 s of virtual time at 1 ms a page).

Change: a listing that cannot be decoded is decoded again with replacement characters. One that returns to the key it went on from ends there, as an incomplete listing, from which no removal is concluded.

--- a/src/currantbarrow/platform/store.py
+++ b/src/currantbarrow/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import re
 import struct
 from collections.abc import Iterator
 from typing import TypeVar
@@ -32,6 +33,7 @@
 TIMEOUT_MS = 1500.0
 CONNECTIONS = 4
 RECORD_LENGTH = struct.Struct(">I")
+SURROGATE = re.compile(rb"\\u[dD][89a-fA-F][0-9a-fA-F]{2}")
 READ_HEADER = struct.Struct(">QQ")
 
 ReplyT = TypeVar("ReplyT")
@@ -166,7 +168,7 @@
             if answer.status == 404:
                 return KeyedRecords([], 0, complete=True)
             self._check_status(answer, NEWEST_PATH)
-            reply = _decode(answer.body, _NewestReply)
+            reply = _decode_listing(answer.body)
             end = reply.end if end is None else end
             for item in reply.items:
                 records.append(KeyedRecord(item.key, _decode_base64(item.value)))
@@ -174,6 +176,10 @@
                 return KeyedRecords(records, end, complete=True)
             if not reply.items:
                 raise LogUnavailable(f"{NEWEST_PATH}: empty page before the end of the listing")
+            if reply.items[-1].key == query.get("after"):
+                # The key is not the one that the store has, so the same page would come for ever.
+                logger.warning("listing does not advance", extra={"topic": topic})
+                return KeyedRecords(records, end)
             query["after"] = reply.items[-1].key
 
     async def close(self) -> None:
@@ -193,6 +199,15 @@
         raise LogUnavailable(f"cannot decode response: {error}") from error
 
 
+def _decode_listing(body: bytes) -> _NewestReply:
+    try:
+        return _decode(body, _NewestReply)
+    except LogUnavailable:
+        # A key of another writer may be no Unicode text. It is replaced as in the records read.
+        text = SURROGATE.sub(rb"\\ufffd", body).decode(errors="replace")
+        return _decode(text.encode(), _NewestReply)
+
+
 def _decode_base64(text: str) -> bytes:
     try:
         decoded = base64.b64decode(text)
--- a/src/currantbarrow/platform/topics.py
+++ b/src/currantbarrow/platform/topics.py
@@ -68,7 +68,7 @@
                 self._record_regained()
                 delay_ms = RETRY_DELAY_MIN_MS
                 on_records(newest)
-                if on_listing is not None:
+                if on_listing is not None and newest.complete:
                     on_listing(frozenset(record.key for record in newest.records))
                 end = newest.end
                 for _ in range(READS_PER_LISTING):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -91,6 +91,29 @@
         return KeyedRecords([], offset)
 
 
+class Pages:
+    """Answer each call with the next of some bodies, and then with the last one again."""
+
+    def __init__(self, *bodies: bytes) -> None:
+        self._bodies = list(bodies)
+
+    async def call(self, *args: object, **kwargs: object) -> HttpResponse:
+        await asyncio.sleep(0.001)
+        body = self._bodies.pop(0) if len(self._bodies) > 1 else self._bodies[0]
+        return HttpResponse(200, body)
+
+
+def list_pages(*bodies: bytes) -> KeyedRecords:
+    store = StoreClient("store:1")
+    store._http = cast(Any, Pages(*bodies))
+
+    async def read() -> KeyedRecords:
+        async with asyncio.timeout(1.0):
+            return await store.newest("keyed.hosts")
+
+    return run_virtual(read())
+
+
 class OneStream:
     """Return the records of one stream."""
 
@@ -401,3 +424,21 @@
         )
 
     run_fleet(scenario, DirectPlan(sides=1))
+
+
+@pytest.mark.parametrize(
+    "key", [b"\\ud800", b"\\udcff", b"\\uD83D\\uD83D", b"\xff", b"\xed\xa0\x80"]
+)
+def test_key_that_is_no_text_hid_the_whole_listing(key: bytes) -> None:
+    odd = b'{"key":"odd%s","value":"AA=="}' % key
+    items = b'{"key":"a","value":"AA=="},%s,{"key":"z","value":"AA=="}' % odd
+    listing = list_pages(b'{"items":[%s],"end":3}' % items)
+    keys = [record.key for record in listing.records]
+    assert (keys[0], keys[1][:4], keys[2]) == ("a", "odd\ufffd", "z")
+
+
+def test_key_that_the_store_does_not_find_repeated_a_page_for_ever() -> None:
+    page = b'{"items":[{"key":"\xef\xbf\xbd","value":"AA=="}],"has_more":true,"end":3}'
+    listing = list_pages(page)
+    assert {record.key for record in listing.records} == {"\ufffd"}
+    assert not listing.complete
