Ignore rows of a peer that are no amounts of work

What callers saw: while one peer reports work that is not a number or that sums to infinity, an entry answers every job of that service with an error.

Cause: PeerDemand kept each row of a ping as sent. The sums for admission were then NaN or infinite, and rounding the time after which to retry raised ValueError or OverflowError. docs/design/scarcity.md says that a malformed row does not count.

Evidence: on the code before, 12 of 12 jobs of a trial fail with NaN, with infinity and with 1e308; the test fails for these three, and passes for -1.

Change: rows with a value that is negative, not finite or beyond all jobs that an entry can hold are dropped when the ping arrives; the other rows count.

Measured: the 4 cases pass, test_direct_scarcity and its rules 35 passed.

--- a/src/currantbarrow/direct/demand.py
+++ b/src/currantbarrow/direct/demand.py
@@ -33,6 +33,8 @@
 # Peers with work send rows at least every 400 ms. Work with a slack of less than a second has
 # started or ended by the time that rows are this old.
 DEMAND_MAX_AGE_MS = 1000.0
+# More work than all jobs that an entry can hold; sums of it are finite.
+MAX_WORK = 2.0**100
 
 
 def find_band(time_ms: float) -> int:
@@ -93,7 +95,8 @@
     def record(self, ping: EntryPing, now_ms: float) -> None:
         """Record the work that a ping reports; a ping without any leaves the earlier report."""
         if ping.demand is not None:
-            self._rows[ping.address] = _PeerRows(now_ms, ping.demand, ping.offered)
+            offered = None if ping.offered is None else _valid_rows(ping.offered)
+            self._rows[ping.address] = _PeerRows(now_ms, _valid_rows(ping.demand), offered)
 
     def forget(self, address: str) -> None:
         """Remove the work of an entry that has left."""
@@ -146,6 +149,13 @@
         return DemandRow(service, [], [])
 
 
+def _valid_rows(rows: list[DemandRow]) -> list[DemandRow]:
+    """Return the rows without those whose values are no amounts of work."""
+    return [
+        row for row in rows if all(0 <= each <= MAX_WORK for each in (*row.cores, *row.core_ms))
+    ]
+
+
 def _cores_below(row: DemandRow, slack_ms: float) -> float:
     """Return the cores of the work with less slack, which is spread evenly over each band."""
     below = lower_ms = 0.0
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -42,7 +42,14 @@
 from currantbarrow.platform.worker import HttpWorkerControl
 from currantbarrow.protocol import Hello, Role
 from currantbarrow.protocol.codec import decode_frame, encode_frame
-from currantbarrow.protocol.direct import HostRow, ShareHosts, SideReport, WorkerState
+from currantbarrow.protocol.direct import (
+    DemandRow,
+    EntryPing,
+    HostRow,
+    ShareHosts,
+    SideReport,
+    WorkerState,
+)
 from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
 from currantbarrow.standins.fleet import LoopClock
 from currantbarrow.standins.virtual import run_virtual
@@ -442,3 +449,22 @@
     listing = list_pages(page)
     assert {record.key for record in listing.records} == {"\ufffd"}
     assert not listing.complete
+
+
+@pytest.mark.parametrize("value", [math.nan, math.inf, 1e308, -1.0])
+def test_work_of_a_peer_that_is_no_amount_failed_all_jobs(value: float) -> None:
+    async def scenario(fleet: DirectFleet) -> None:
+        entry = fleet.entries["entry-0"]
+        row = DemandRow("work", [value] * 8, [value] * 8)
+        jobs = []
+        for number in range(12):
+            ping = EntryPing(0, [], "entry-1:1", demand=[row], offered=[row])
+            entry.handle_peer_ping(ping, "entry-1.1")
+            job = fleet.build_job(f"{number:016x}", 4, 100.0)
+            jobs.append(asyncio.create_task(fleet.submit("entry-0", job)))
+            await asyncio.sleep(0.05)
+        states = await asyncio.gather(*jobs)
+        assert set(states) <= {JobState.COMPLETED, JobState.REFUSED}
+        assert states.count(JobState.COMPLETED)
+
+    run_fleet(scenario, DirectPlan(entries=2, sides=1))
