Keep connecting to an address after an unexpected error

What callers would see: a worker or an entry that is not connected to again, although it runs, until the entry is started anew.

Cause: LinkConnector caught LinkError around connect, so that an error of any other kind ended the task of the address ("background task failed").

Evidence: the test lets connect raise OverflowError once; on the code before, the link is not opened again within 5 s of virtual time.

Change: such an error counts as a failed attempt, with a counter and a log line.

--- a/src/currantbarrow/direct/links.py
+++ b/src/currantbarrow/direct/links.py
@@ -80,7 +80,11 @@
             listening.clear()
             try:
                 link = await self._network.connect(address, self._hello)
-            except LinkError:
+            except Exception as error:
+                if not isinstance(error, LinkError):
+                    # An error of another kind must not end the reconnecting either.
+                    self._metrics.incr("link.connect_failed")
+                    logger.exception("connecting failed", extra={"address": address})
                 await self._pause(self._rng.uniform(0.5, 1.0) * delay_ms, listening)
                 delay_ms = min(delay_ms * 2, RECONNECT_BACKOFF_MAX_MS)
                 continue
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -53,6 +53,7 @@
 from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
 from currantbarrow.standins.fleet import LoopClock
 from currantbarrow.standins.virtual import run_virtual
+from currantbarrow.types import Link
 from direct_scenarios import run_fleet
 from soak.fleet import HOST_NAME, Fleet, Plan
 from soak.oracle import Oracle
@@ -468,3 +469,24 @@
         assert states.count(JobState.COMPLETED)
 
     run_fleet(scenario, DirectPlan(entries=2, sides=1))
+
+
+def test_unexpected_error_of_connecting_ended_the_reconnecting() -> None:
+    async def scenario(fleet: DirectFleet) -> None:
+        entry = fleet.entries["entry-0"]
+        connect = entry._network.connect
+        failed: list[str] = []
+
+        async def fail_once(address: str, hello: Hello) -> Link:
+            if not failed:
+                failed.append(address)
+                raise OverflowError("port must be 0-65535")
+            return await connect(address, hello)
+
+        entry._network.connect = fail_once  # type: ignore[method-assign]
+        entry.fleet.handles()[0].link.abort()
+        await asyncio.sleep(5.0)
+        assert failed
+        assert len(entry.fleet.handles()) == 1
+
+    run_fleet(scenario, DirectPlan(entries=1, sides=1))
