Go on following after a configuration that cannot be applied

Cause: hosts are applied one by one, and an error of one is logged; the documents of the operators were not, so any error left the follower.

Evidence: on the code before, the test ends with the error of the callback.

Change: documents are applied in the same way as hosts.

--- a/src/currantbarrow/platform/topics.py
+++ b/src/currantbarrow/platform/topics.py
@@ -276,10 +276,11 @@
 class _ConfigurationSource:
     """Provide the configurations that operators publish, and their evacuations."""
 
-    __slots__ = ("_follower",)
+    __slots__ = ("_follower", "_metrics")
 
-    def __init__(self, follower: TopicFollower) -> None:
+    def __init__(self, follower: TopicFollower, metrics: Metrics) -> None:
         self._follower = follower
+        self._metrics = metrics
 
     async def follow(
         self,
@@ -297,9 +298,12 @@
                 state = evacuations.apply(page)
                 if state is not None:
                     on_evacuations(state)
-            for record in page.records:
-                if record.key == CONFIGURATION_KEY and record.value:
-                    on_document(record.value)
+            documents = [
+                record.value
+                for record in page.records
+                if record.key == CONFIGURATION_KEY and record.value
+            ]
+            apply_each(documents, on_document, kind="configuration", metrics=self._metrics)
 
         await self._follower.follow(handle_records)
 
@@ -308,4 +312,4 @@
     store: StoreClient, clock: Clock, rng: random.Random, metrics: Metrics
 ) -> _ConfigurationSource:
     """Create a configuration source that follows the operators' topic."""
-    return _ConfigurationSource(TopicFollower(OPERATOR_TOPIC, store, clock, rng, metrics))
+    return _ConfigurationSource(TopicFollower(OPERATOR_TOPIC, store, clock, rng, metrics), metrics)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -38,6 +38,7 @@
     READ_WAIT_MS,
     TopicAnnouncementStore,
     TopicHostDirectory,
+    create_configuration_source,
 )
 from currantbarrow.platform.worker import HttpWorkerControl
 from currantbarrow.protocol import Hello, Role
@@ -490,3 +491,22 @@
         assert len(entry.fleet.handles()) == 1
 
     run_fleet(scenario, DirectPlan(entries=1, sides=1))
+
+
+def test_document_that_cannot_be_applied_ended_the_following() -> None:
+    applied: list[bytes] = []
+
+    def apply(document: bytes) -> None:
+        applied.append(document)
+        raise RuntimeError("unexpected")
+
+    store = OneRecord(KeyedRecord("config", b"{}"))
+    source = create_configuration_source(store, LoopClock(), random.Random(1), METRICS)
+
+    async def follow() -> None:
+        async with asyncio.timeout(READ_WAIT_MS / 1000):
+            await source.follow(apply)
+
+    with pytest.raises(TimeoutError):
+        run_virtual(follow())
+    assert applied == [b"{}"]
