--- a/src/currantbarrow/logservice/records.py
+++ b/src/currantbarrow/logservice/records.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 
-from currantbarrow.exceptions import ConfigurationError
+from currantbarrow.decoding import Integer, Number, decode_json
+from currantbarrow.exceptions import ConfigurationError, ValueUndecodable
 from currantbarrow.protocol import Role
 
 __all__ = [
@@ -24,6 +25,8 @@
     "encode_record",
 ]
 
+# Snapshots hold the whole state of a stream.
+MAX_RECORD_BYTES = 64 * 1024 * 1024
 CLUSTER_STREAM = "cluster"
 CLASS_STREAM = "classes"
 
@@ -43,7 +46,7 @@
     address: str
     data_centre: str
     rack: str
-    at_ms: int
+    at_ms: Integer
     operator_address: str = ""
 
 
@@ -57,7 +60,7 @@
     """Record that an incarnation has left, whether it announced this or was found to be gone."""
 
     incarnation: str
-    at_ms: int
+    at_ms: Integer
     goodbye: bool = False
     # The operator who retired a process that could not announce its own end. Such a record
     # is as conclusive as one with goodbye=True.
@@ -67,18 +70,18 @@
 class AssignmentChanged(Record, frozen=True):
     """Assign an owner to every shard; the first record with a given based_on version wins."""
 
-    based_on: int
+    based_on: Integer
     owners: list[str]
-    shards: list[int]
+    shards: list[Integer]
     panel: list[str]
-    closed_version: int = 0
-    at_ms: int = 0
+    closed_version: Integer = 0
+    at_ms: Integer = 0
 
 
 class ClassDefinition(msgspec.Struct, frozen=True):
     """Define the response target of a class of work, the only setting that a class has."""
 
-    target_ms: float
+    target_ms: Number
     description: str = ""
 
 
@@ -86,21 +89,21 @@
     """Change or remove a class; the first record with a given based_on revision wins."""
 
     name: str
-    based_on: int
+    based_on: Integer
     definition: ClassDefinition | None
-    at_ms: int = 0
+    at_ms: Integer = 0
     operator: str = ""
 
 
 class Snapshot(Record, frozen=True):
     """Capture the state of the stream after the record at an offset."""
 
-    offset: int
+    offset: Integer
     state: Any
-    at_ms: int = 0
+    at_ms: Integer = 0
 
 
-_AnyRecord = (
+_AnyRecord: Any = (
     MemberJoined | MemberDraining | MemberLeft | AssignmentChanged | ClassChanged | Snapshot
 )
 
@@ -113,6 +116,6 @@
 def decode_record(data: bytes) -> Record:
     """Decode a record; raise ConfigurationError if it is malformed or of an unknown type."""
     try:
-        return msgspec.json.decode(data, type=_AnyRecord)
-    except msgspec.MsgspecError as error:
+        return cast(Record, decode_json(data, _AnyRecord, max_bytes=MAX_RECORD_BYTES))
+    except ValueUndecodable as error:
         raise ConfigurationError(f"unreadable record: {error}") from error
--- a/src/currantbarrow/platform/announcements.py
+++ b/src/currantbarrow/platform/announcements.py
@@ -2,40 +2,40 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Literal
 
 import msgspec
 from aiohttp import web
 
+from currantbarrow.decoding import Count, Number, decode_json
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.side import DirectSide
 from currantbarrow.direct.worker import NOT_ANNOUNCED, Announcement
-from currantbarrow.exceptions import AnnouncementInvalid
+from currantbarrow.exceptions import AnnouncementInvalid, ValueUndecodable
 from currantbarrow.observe import logger
 from currantbarrow.types import Metrics
 
 __all__ = ["create_announcements_app", "parse_announcement"]
 
 DRAINING = "draining"
-_Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class _Capacity(msgspec.Struct):
     # Thousandths of a core.
-    cpu: _Count
-    mem_mb: _Count = 0
-    gpus: _Count = 0
+    cpu: Count
+    mem_mb: Count = 0
+    gpus: Count = 0
 
 
 class _AnnouncementBody(msgspec.Struct):
     service: str
     state: Literal["ready", "draining"]
     capacity: _Capacity
-    sequence: _Count = 0
+    sequence: Count = 0
     labels: list[str] = []
     # Unix millisecond of the worker's start; workers of earlier versions do not send it.
-    born: _Count = 0
-    cold_remaining_ms: float = 0.0
+    born: Count = 0
+    cold_remaining_ms: Number = 0.0
 
 
 def parse_announcement(
@@ -47,8 +47,8 @@
     announcement of this worker has it: a default would change the capacity or the instance.
     """
     try:
-        decoded = msgspec.json.decode(body, type=_AnnouncementBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        decoded = decode_json(body, _AnnouncementBody)
+    except ValueUndecodable as error:
         raise AnnouncementInvalid(str(error)) from error
     if service and decoded.service != service:
         raise AnnouncementInvalid(f"the service is {decoded.service!r} instead of {service!r}")
@@ -69,8 +69,8 @@
 
 def _check_missing_fields(announcement: Announcement, body: bytes, known: Announcement) -> None:
     """Check that no field is missing that the worker has announced before."""
-    sent = msgspec.json.decode(body)
-    capacity = sent["capacity"]
+    sent = decode_json(body, dict[str, msgspec.Raw])
+    capacity = decode_json(sent["capacity"], dict[str, msgspec.Raw])
     present = {
         "mem_mb": "mem_mb" in capacity or not known.capacity.memory_mb,
         "gpus": "gpus" in capacity or not known.capacity.gpus,
--- a/src/currantbarrow/platform/topics.py
+++ b/src/currantbarrow/platform/topics.py
@@ -7,10 +7,11 @@
 
 import msgspec
 
+from currantbarrow.decoding import decode_json
 from currantbarrow.direct.evacuation import EvacuationState
 from currantbarrow.direct.supervision import apply_each
 from currantbarrow.direct.worker import Announcement
-from currantbarrow.exceptions import LogServiceError, RecordsExpired
+from currantbarrow.exceptions import LogServiceError, RecordsExpired, ValueUndecodable
 from currantbarrow.observe import logger
 from currantbarrow.platform.store import KeyedRecord, KeyedRecords, StoreClient
 from currantbarrow.protocol.direct import HostRow
@@ -67,7 +68,7 @@
                 self._record_regained()
                 delay_ms = RETRY_DELAY_MIN_MS
                 on_records(newest)
-                if on_listing is not None:
+                if on_listing is not None and newest.complete:
                     on_listing(frozenset(record.key for record in newest.records))
                 end = newest.end
                 for _ in range(READS_PER_LISTING):
@@ -172,8 +173,8 @@
             on_gone(record.key)
             return
         try:
-            row = msgspec.json.decode(record.value, type=HostRow)
-        except msgspec.MsgspecError as error:
+            row = decode_json(record.value, HostRow)
+        except ValueUndecodable as error:
             self._metrics.incr("store.record_unreadable")
             logger.warning(
                 "cannot decode host record", extra={"key": record.key, "error": str(error)}
@@ -226,8 +227,8 @@
         if not values or not values[-1]:
             return None
         try:
-            return msgspec.json.decode(values[-1], type=_StoredAnnouncement).announcement
-        except msgspec.MsgspecError as error:
+            return decode_json(values[-1], _StoredAnnouncement).announcement
+        except ValueUndecodable as error:
             self._metrics.incr("store.record_unreadable")
             logger.warning("cannot decode the stored announcement", extra={"error": str(error)})
             return None
@@ -275,10 +276,11 @@
 class _ConfigurationSource:
     """Provide the configurations that operators publish, and their evacuations."""
 
-    __slots__ = ("_follower",)
+    __slots__ = ("_follower", "_metrics")
 
-    def __init__(self, follower: TopicFollower) -> None:
+    def __init__(self, follower: TopicFollower, metrics: Metrics) -> None:
         self._follower = follower
+        self._metrics = metrics
 
     async def follow(
         self,
@@ -296,9 +298,12 @@
                 state = evacuations.apply(page)
                 if state is not None:
                     on_evacuations(state)
-            for record in page.records:
-                if record.key == CONFIGURATION_KEY and record.value:
-                    on_document(record.value)
+            documents = [
+                record.value
+                for record in page.records
+                if record.key == CONFIGURATION_KEY and record.value
+            ]
+            apply_each(documents, on_document, kind="configuration", metrics=self._metrics)
 
         await self._follower.follow(handle_records)
 
@@ -307,4 +312,4 @@
     store: StoreClient, clock: Clock, rng: random.Random, metrics: Metrics
 ) -> _ConfigurationSource:
     """Create a configuration source that follows the operators' topic."""
-    return _ConfigurationSource(TopicFollower(OPERATOR_TOPIC, store, clock, rng, metrics))
+    return _ConfigurationSource(TopicFollower(OPERATOR_TOPIC, store, clock, rng, metrics), metrics)
--- a/src/currantbarrow/platform/worker.py
+++ b/src/currantbarrow/platform/worker.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 
+from currantbarrow.decoding import Count, Integer, Number, decode_json
 from currantbarrow.direct.worker import (
     PollResult,
     RunName,
@@ -18,6 +19,7 @@
     CallRefused,
     CallUnsent,
     LinkError,
+    ValueUndecodable,
     WorkerAbsent,
     WorkerReplaced,
     WorkerSilent,
@@ -75,13 +77,13 @@
 
 
 class _ClockReply(msgspec.Struct):
-    clock_ms: float | None = None
+    clock_ms: Number | None = None
     reason: str = ""
 
 
 class _PollReply(msgspec.Struct):
-    clock_ms: float
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    clock_ms: Number
+    born: Count = 0
     # Rows of task, run, checkpoint and percent at work; only the first two are used.
     running: list[list[msgspec.Raw]] = []
     # Rows of position, task, run, reason of the end and checkpoint; the last is not used.
@@ -146,8 +148,8 @@
         if answer.status != 200:
             raise WorkerSilent(f"{POLL_PATH}: status {answer.status}")
         try:
-            return _read_poll_reply(msgspec.json.decode(answer.body, type=_PollReply))
-        except (msgspec.MsgspecError, ValueError) as error:
+            return _read_poll_reply(decode_json(answer.body, _PollReply))
+        except (ValueUndecodable, ValueError) as error:
             raise WorkerSilent(f"{POLL_PATH}: cannot decode response: {error}") from error
 
     async def close(self) -> None:
@@ -187,28 +189,25 @@
 
 def _read_clock(answer: HttpResponse) -> _ClockReply:
     try:
-        return msgspec.json.decode(answer.body, type=_ClockReply)
-    except msgspec.MsgspecError:
+        return decode_json(answer.body, _ClockReply)
+    except ValueUndecodable:
         # A response without a clock is interpreted by its status alone.
         return _ClockReply()
 
 
-def _decode_row(row: list[msgspec.Raw], *types: type) -> list[Any]:
-    """Decode the first items of a row; raise MsgspecError, or ValueError if there are too few."""
-    return [
-        msgspec.json.decode(item, type=kind)
-        for item, kind in zip(row[: len(types)], types, strict=True)
-    ]
+def _decode_row(row: list[msgspec.Raw], *types: Any) -> list[Any]:
+    """Decode the first items of a row; raise ValueUndecodable, or ValueError if one is missing."""
+    return [decode_json(item, kind) for item, kind in zip(row[: len(types)], types, strict=True)]
 
 
 def _read_poll_reply(reply: _PollReply) -> PollResult:
     running = []
     for row in reply.running:
-        task, number = _decode_row(row, str, int)
+        task, number = _decode_row(row, str, Integer)
         running.append(_run_name(task, number))
     ends = []
     for row in reply.finished:
-        position, task, number, reason = _decode_row(row, int, str, int, str)
+        position, task, number, reason = _decode_row(row, Integer, str, Integer, str)
         end = RUN_END_BY_REASON.get(reason, RunEnd.LOST)
         ends.append(WorkerEnd(position, _run_name(task, number), end))
     return PollResult(reply.clock_ms, running, ends, reply.born)
