Refuse calls that arrived before a stall, and late calls before anything is released

Cause: the end of the connection was asked for only after the wait for earlier runs; and the time of a call is that of its reading.

Change: the end of the connection is asked for before and after that wait. For half a second after a stall of a second or more, calls for jobs that are not open here are refused with 502.

--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -56,6 +56,8 @@
 # After a stall no orders are sent for this long, while links are reopened and peers report the
 # jobs that they have accepted.
 STALL_HOLDOFF_MS = 450.0
+# After a stall, calls that arrived before or during it are read within this time.
+LATE_CALLS_MS = 500.0
 # The retry delay for refusals that do not depend on the backlog, such as when no worker is known.
 DEFAULT_RETRY_S = 1
 # The retry delay if there are too few workers for a job, which changes seldom.
@@ -475,6 +477,13 @@
         stalled_ms = self._clock.monotonic_ms() - max(self._last_tick_ms, since_ms)
         return stalled_ms >= ISOLATION_MIN_MS or self.isolation.was_isolated_since(since_ms)
 
+    def has_stalled_lately(self) -> bool:
+        """Return whether this process did not run for a time, and may read calls from before."""
+        now_ms = self._clock.monotonic_ms()
+        return now_ms - self._last_tick_ms >= ISOLATION_MIN_MS or self.isolation.has_stalled_since(
+            now_ms - LATE_CALLS_MS
+        )
+
     # Timers.
 
     def tick_interval_ms(self) -> float:
--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -250,6 +250,12 @@
             return outcome
         if self.draining and not self._accepts_while_draining():
             return self._complete_refusal(spec.job_id, Refusal("draining", 1, 0.0))
+        if caller is not None and caller.has_left():
+            # Its job may run elsewhere meanwhile, where the caller waits for it.
+            return self._refuse_earlier(spec.job_id, "caller_left")
+        if self.dispatcher.has_stalled_lately():
+            # The call may have arrived before, and its caller have left without a sign.
+            return self._refuse_earlier(spec.job_id, "isolated")
         answer = await self._end_earlier_runs(spec.job_id)
         # The job may have been submitted here meanwhile.
         job = self.dispatcher.jobs.get(spec.job_id)
--- a/src/currantbarrow/direct/isolation.py
+++ b/src/currantbarrow/direct/isolation.py
@@ -23,9 +23,10 @@
     call proves nothing, as the peer may have sent it before it accepted the job.
     """
 
-    __slots__ = ("_answered_ms", "_isolated_until_ms")
+    __slots__ = ("_answered_ms", "_isolated_until_ms", "_stalled_until_ms")
 
     def __init__(self) -> None:
+        self._stalled_until_ms = -math.inf
         self._isolated_until_ms = -ANSWER_LIMIT_MS
         # When the last call that a peer has answered was sent, by its address.
         self._answered_ms: dict[str, float] = {}
@@ -37,7 +38,11 @@
     def record_stall(self, stalled_ms: float, now_ms: float) -> None:
         """Record that this process did not run for some time until now."""
         if stalled_ms >= ISOLATION_MIN_MS:
-            self._isolated_until_ms = now_ms
+            self._isolated_until_ms = self._stalled_until_ms = now_ms
+
+    def has_stalled_since(self, since_ms: float) -> bool:
+        """Return whether this process did not run for some time until after a time."""
+        return self._stalled_until_ms > since_ms
 
     def record_isolation(self, now_ms: float) -> None:
         """Record that no side process is linked now."""
