Forget a cancelling in time although the entry that reported it was lost

Cause: taking over a lost peer's cancellings began their retention again, so that one was kept for up to 180 s instead of the 120 s that docs/design/standings.md states.

Evidence: test_cancelling_is_forgotten_although_its_reporter_was_lost fails without the change.

--- a/src/currantbarrow/direct/history.py
+++ b/src/currantbarrow/direct/history.py
@@ -159,7 +159,8 @@
         now_ms = self._clock.monotonic_ms()
         reported = list(self._cancelled.since(-math.inf))
         for job, each in reversed(reported):
-            if each.reporter == reporter:
+            is_current = now_ms - each.cancelled_ms <= RETENTION_MS
+            if is_current and each.reporter == reporter:
                 self._cancelled.set(job, msgspec.structs.replace(each, reporter=""), now_ms)
 
     def was_cancelled(self, job: str) -> bool:
--- a/tests/test_direct_standings.py
+++ b/tests/test_direct_standings.py
@@ -6,10 +6,14 @@
 
 import pytest
 
+from currantbarrow.direct.history import RETENTION_MS, JobHistory
 from currantbarrow.direct.model import JobSpec, JobState
 from currantbarrow.direct.processes import FORGET_MS
 from currantbarrow.direct.standings import CancelOutcome
+from currantbarrow.protocol.direct import CancelledRow
 from currantbarrow.standins.direct_fleet import DirectFleet
+from currantbarrow.standins.fleet import LoopClock
+from currantbarrow.standins.virtual import run_virtual
 from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
 
 JOB = "a" * 16
@@ -66,6 +70,20 @@
     assert len(fleet.runs.started) == before
 
 
+class TestRetention:
+    def test_cancelling_is_forgotten_although_its_reporter_was_lost(self) -> None:
+        async def scenario() -> None:
+            history = JobHistory(LoopClock())
+            history.record_cancelled_elsewhere(CancelledRow(JOB, RETENTION_MS - 1.0), "entry-1:1")
+            await asyncio.sleep(RETENTION_MS / 1000 - 1.0)
+            history.take_over_cancellings("entry-1:1")
+            await asyncio.sleep(2.0)
+            history.expire()
+            assert not history.was_cancelled(JOB)
+
+        run_virtual(scenario())
+
+
 class TestLateCopyOfCancelledJob:
     @pytest.mark.parametrize("entry", ["entry-0", "entry-1"])
     @pytest.mark.parametrize("late_s", [0.5, 4.0, 30.0])
