Let a job run again whose entry of an earlier version says that it was cancelled

Callers would have seen, during an upgrade: a job whose connection broke at an entry of an earlier version was submitted again to a new one, which answered "cancelled" without running it.

Cause: earlier versions send the standing "cancelled" also for a job whose caller has left, and the new one took it for a cancelling by the caller.

Evidence: test_standing_that_does_not_tell_why_a_job_ended_lets_it_run_again fails without the change.

Why this works: the former value means abandoned, which is safe in both directions, and a cancelling by the caller has a new value, which earlier versions read as unknown.

--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -68,11 +68,12 @@
     OPEN = "open"
     COMPLETED = "completed"
     FAILED = "failed"
-    # Its caller has cancelled it, so it never runs again.
-    CANCELLED = "cancelled"
+    # Its caller has left, and may submit it again. Earlier versions send the same value for a job
+    # that its caller has cancelled.
+    ABANDONED = "cancelled"
     REFUSED = "refused"
-    # Its caller has left, and may submit it again.
-    ABANDONED = "abandoned"
+    # Its caller has cancelled it, so it never runs again.
+    CANCELLED = "cancelled_by_caller"
 
     @classmethod
     def _missing_(cls, value: object) -> Standing:
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -317,7 +317,7 @@
             return outcome.state
         if isinstance(outcome, Refusal):
             return JobState.REFUSED
-        return JobState(outcome.value)
+        return JobState[outcome.name]
 
     async def _announce(self, name: str, side: DirectSide) -> None:
         while True:
--- a/tests/test_direct_standings.py
+++ b/tests/test_direct_standings.py
@@ -9,8 +9,8 @@
 from currantbarrow.direct.history import RETENTION_MS, JobHistory
 from currantbarrow.direct.model import JobSpec, JobState
 from currantbarrow.direct.processes import FORGET_MS
-from currantbarrow.direct.standings import CancelOutcome
-from currantbarrow.protocol.direct import CancelledRow
+from currantbarrow.direct.standings import CancelOutcome, KnownJob, earlier_outcome
+from currantbarrow.protocol.direct import CancelledRow, Standing
 from currantbarrow.standins.direct_fleet import DirectFleet
 from currantbarrow.standins.fleet import LoopClock
 from currantbarrow.standins.virtual import run_virtual
@@ -70,6 +70,12 @@
     assert len(fleet.runs.started) == before
 
 
+class TestEarlierVersions:
+    def test_standing_that_does_not_tell_why_a_job_ended_lets_it_run_again(self) -> None:
+        known = KnownJob(Standing("cancelled"), cancelled=False, elsewhere=False)
+        assert earlier_outcome(known) is None
+
+
 class TestRetention:
     def test_cancelling_is_forgotten_although_its_reporter_was_lost(self) -> None:
         async def scenario() -> None:
