Count an entry as drained only when all that it has read is answered

Cause: the drain looked at the open jobs only. A submission that waits for earlier runs of its job isn't a job yet, nor are cancellings that wait for peers and releases that peers have asked for. What was left at the end was cut off by the server's clean-up, and the links closed at the same time, so that a cancelling took the end of a link for "not known".

Change: one count, `OpenRequests`, is kept where requests are read: a middleware of every HTTP server of a process, and the peers' calls that wait. The drain waits for it beside the jobs, up to its limit. What is still open when the server has stopped listening is answered with 502, as it may have run, before the links close. A submission that waits past the limit is refused instead of accepted.

Evidence: with the drain's old condition, the new rolling stops fail at gaps of 1.6, 1.65 and 1.7 s of the 25 from 1.2 to 2.4 s; with the fix all hold.

The fleet of stand-ins counts the submissions that it plays the server for. `close_all` has stages; its tests keep their bounds, and one is added for the time that a stage leaves to the next.

--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -36,6 +36,7 @@
 from currantbarrow.direct.supervision import Loop, start_loops
 from currantbarrow.exceptions import ConfigurationError, LinkError
 from currantbarrow.observe import logger
+from currantbarrow.open_requests import OpenRequests
 from currantbarrow.protocol import Hello, Role
 from currantbarrow.protocol.direct import (
     DemandRow,
@@ -62,9 +63,10 @@
 # How long a job that ended here and is submitted again waits for its earlier runs to end. Those of
 # a lost side process are certain to have ended sooner.
 EARLIER_RUNS_TIMEOUT_MS = 3000.0
-# Time to leave the directory after a drain that took all the time it may take.
+# Time to leave the directory and to answer after a drain that took all the time it may take.
 WITHDRAW_MIN_MS = 50.0
 DRAIN_POLL_INTERVAL_MS = 50.0
+ANSWER_POLL_INTERVAL_MS = 5.0
 
 Parser = Callable[[bytes], Configuration]
 
@@ -108,6 +110,7 @@
         self.options = options
         self.current_configuration: Configuration | None = None
         self.draining = False
+        self.requests = OpenRequests()
         self.evacuations = KnownEvacuations(clock, required=options.evacuations)
         self.history = JobHistory(clock)
         self.dispatcher = JobDispatcher(clock=clock, metrics=metrics, rng=rng, history=self.history)
@@ -151,6 +154,7 @@
             rng=rng,
             metrics=metrics,
             evacuations=self.evacuations,
+            requests=self.requests,
         )
         self._confirmation = JobConfirmation(self.dispatcher, self.peers, clock, metrics)
 
@@ -190,26 +194,30 @@
         )
 
     async def drain(self) -> None:
-        """Serve until callers are routed elsewhere and all jobs have ended, or the limit passes.
+        """Serve until callers are routed elsewhere and all is answered, or the limit passes.
 
         Peers keep their links to this entry meanwhile, since callers may cancel its jobs at other
         entries or resubmit them there. Jobs left at the limit are returned to their callers.
         """
         self.draining = True
         self._drain_began_ms = self._clock.monotonic_ms()
-        logger.info("draining", extra={"jobs": len(self.dispatcher.jobs)})
+        logger.info("draining", extra=self._unfinished())
         self.peers.ping_all()
         while not self._has_drained():
             await self._clock.sleep_ms(DRAIN_POLL_INTERVAL_MS)
-        logger.info("drained", extra={"jobs": len(self.dispatcher.jobs)})
+        logger.info("drained", extra=self._unfinished())
         for job in list(self.dispatcher.jobs.values()):
             self.dispatcher.move(job, "entry is shutting down")
         left_ms = max(WITHDRAW_MIN_MS, self.options.drain_limit_ms - self._drained_for_ms())
+        until_ms = self._clock.monotonic_ms() + left_ms
         try:
             async with asyncio.timeout(left_ms / 1000):
                 await self._directory.withdraw(self._own_row())
         except TimeoutError:
             logger.warning("directory did not answer in time", extra={"for_ms": round(left_ms)})
+        # The jobs that were left are being answered, and so are requests read meanwhile.
+        while self.requests and self._clock.monotonic_ms() < until_ms:
+            await self._clock.sleep_ms(ANSWER_POLL_INTERVAL_MS)
 
     async def stop(self) -> None:
         """Stop immediately and close all links."""
@@ -242,6 +250,9 @@
             return job
         if answer is not None:
             return answer
+        if self.draining and self._is_past_drain_limit():
+            # This submission has waited for earlier runs, so tasks of the job may have run.
+            return Refusal("draining", 1, 0.0, may_have_run=True)
         if self.dispatcher.give_up_submitted(spec, queue):
             return Standing.FAILED
         outcome = self.dispatcher.check_spread(spec, queue) or self.dispatcher.submit(
@@ -578,8 +589,14 @@
     def _accepts_while_draining(self) -> bool:
         return self._drained_for_ms() < self.options.drain_accept_ms
 
+    def _is_past_drain_limit(self) -> bool:
+        return self._drained_for_ms() > self.options.drain_limit_ms
+
     def _has_drained(self) -> bool:
-        waited_ms = self._drained_for_ms()
-        if waited_ms > self.options.drain_limit_ms:
+        if self._is_past_drain_limit():
             return True
-        return not self.dispatcher.jobs and waited_ms > self.options.drain_accept_ms
+        is_unfinished = bool(self.dispatcher.jobs) or bool(self.requests)
+        return not is_unfinished and not self._accepts_while_draining()
+
+    def _unfinished(self) -> dict[str, int]:
+        return {"jobs": len(self.dispatcher.jobs), "requests": len(self.requests)}
--- a/src/currantbarrow/direct/peers.py
+++ b/src/currantbarrow/direct/peers.py
@@ -14,6 +14,7 @@
 from currantbarrow.direct.links import LinkConnector
 from currantbarrow.exceptions import LinkError
 from currantbarrow.observe import logger
+from currantbarrow.open_requests import OpenRequests
 from currantbarrow.protocol import Hello, Reply, RpcClient
 from currantbarrow.protocol.direct import (
     DemandRow,
@@ -154,11 +155,13 @@
         rng: random.Random,
         metrics: Metrics,
         evacuations: KnownEvacuations,
+        requests: OpenRequests,
     ) -> None:
         # The address that this entry listens on, which identifies it to the peers.
         self._address = address
         self._history = history
         self._listener = listener
+        self._requests = requests
         self._evacuations = PeerEvacuations(evacuations, listener.apply_evacuations, metrics)
         self._clock = clock
         self._metrics = metrics
@@ -345,8 +348,8 @@
         return sent_version
 
     async def _answer_standing(self, link: Link, call: ShowStanding) -> None:
-        answer = await self._listener.answer_standing(call)
-        if not link.closed:
+        answer = await self._requests.answer(self._listener.answer_standing(call), lambda: None)
+        if answer is not None and not link.closed:
             link.post(answer)
 
     async def _serve_outgoing(self, address: str, link: Link) -> None:
--- a/src/currantbarrow/platform/entry_program.py
+++ b/src/currantbarrow/platform/entry_program.py
@@ -57,15 +57,23 @@
         source=create_configuration_source(store, clock, rng, metrics),
         parse=parse_configuration,
     )
+    requests = entry.requests
     runners = [
-        await serve_app(create_metrics_app(metrics), settings.metrics_address, "metrics"),
-        await serve_app(create_readiness_app(entry), settings.readiness_address, "readiness"),
+        await serve_app(create_metrics_app(metrics), settings.metrics_address, "metrics", requests),
         await serve_app(
-            create_callers_app(entry, metrics), settings.callers_address, "callers", cancel=True
+            create_readiness_app(entry), settings.readiness_address, "readiness", requests
+        ),
+        await serve_app(
+            create_callers_app(entry, metrics),
+            settings.callers_address,
+            "callers",
+            requests,
+            cancel=True,
         ),
     ]
     await entry.start()
     logger.info("started", extra={"incarnation": options.incarnation})
     await stop.wait()
     await entry.drain()
-    await close_all([*(runner.cleanup for runner in reversed(runners)), entry.stop, store.close])
+    # A request that waits for a peer would take the end of its link for an answer.
+    await close_all([runner.cleanup for runner in reversed(runners)], [entry.stop, store.close])
--- a/src/currantbarrow/platform/serving.py
+++ b/src/currantbarrow/platform/serving.py
@@ -6,10 +6,13 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+import msgspec
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from currantbarrow.listening import bind_address
 from currantbarrow.observe import logger
+from currantbarrow.open_requests import OpenRequests
 
 __all__ = ["DRAIN_RESERVE_MS", "Closer", "close_all", "create_stop_event", "serve_app"]
 
@@ -18,6 +21,7 @@
 # The part of it that remains for the interpreter to exit, which is slow on a busy host.
 EXIT_RESERVE_MS = 150.0
 SHUTDOWN_TIMEOUT_S = 0.1
+INTERRUPTED_RETRY_S = 1
 
 Closer = Callable[[], Awaitable[None]]
 # Callers reuse connections between requests; new ones cost both ends more.
@@ -25,9 +29,26 @@
 
 
 async def serve_app(
-    app: web.Application, address: str, setting: str, cancel: bool = False
+    app: web.Application,
+    address: str,
+    setting: str,
+    requests: OpenRequests,
+    cancel: bool = False,
 ) -> web.AppRunner:
-    """Serve an application; with cancel, a handler is cancelled when its client disconnects."""
+    """Serve an application; with cancel, a handler is cancelled when its client disconnects.
+
+    Requests that are still open once the server has stopped listening are answered with 502.
+    """
+
+    @web.middleware
+    async def count(request: web.Request, handler: Handler) -> web.StreamResponse:
+        return await requests.answer(handler(request), _create_interrupted_response)
+
+    async def interrupt(app: web.Application) -> None:
+        requests.interrupt()
+
+    app.middlewares.append(count)
+    app.on_shutdown.append(interrupt)
     runner = web.AppRunner(
         app,
         access_log=None,
@@ -40,9 +61,16 @@
     return runner
 
 
-async def close_all(closers: list[Closer]) -> None:
-    """Close servers and connections at the same time, within the time reserved for it."""
-    limit_s = (DRAIN_RESERVE_MS - EXIT_RESERVE_MS) / 1000
+async def close_all(*stages: list[Closer]) -> None:
+    """Close servers and connections, those of a stage at once, within the time reserved for it."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + (DRAIN_RESERVE_MS - EXIT_RESERVE_MS) / 1000
+    for number, closers in enumerate(stages):
+        # A stage leaves the others their part of the time.
+        await _close_stage(closers, (until_s - loop.time()) / (len(stages) - number))
+
+
+async def _close_stage(closers: list[Closer], limit_s: float) -> None:
     closing = [asyncio.ensure_future(close()) for close in closers]
     done, late = await asyncio.wait(closing, timeout=limit_s)
     for task in late:
@@ -68,3 +96,18 @@
         signal.SIGHUP, lambda: logger.info("reload", extra={"outcome": "nothing to change"})
     )
     return stop
+
+
+class _InterruptedBody(msgspec.Struct):
+    code: str = "interrupted"
+    detail: str = "shutting down"
+
+
+def _create_interrupted_response() -> web.StreamResponse:
+    """Return a response that does not say whether the request has had an effect."""
+    return web.Response(
+        status=502,
+        body=msgspec.json.encode(_InterruptedBody()),
+        content_type="application/json",
+        headers={"Retry-After": str(INTERRUPTED_RETRY_S)},
+    )
--- a/src/currantbarrow/platform/side_program.py
+++ b/src/currantbarrow/platform/side_program.py
@@ -7,6 +7,7 @@
 from currantbarrow.direct.side import DirectSide, DirectSideOptions
 from currantbarrow.observe import HybridClock, create_clock, logger
 from currantbarrow.observe.exposition import PrometheusMetrics, create_metrics_app
+from currantbarrow.open_requests import OpenRequests
 from currantbarrow.platform.announcements import create_announcements_app
 from currantbarrow.platform.serving import (
     DRAIN_RESERVE_MS,
@@ -51,12 +52,14 @@
         directory=TopicHostDirectory(store, clock, rng, metrics),
         announcements=TopicAnnouncementStore(settings.name, store, metrics),
     )
+    requests = OpenRequests()
     runners = [
-        await serve_app(create_metrics_app(metrics), settings.metrics_address, "metrics"),
+        await serve_app(create_metrics_app(metrics), settings.metrics_address, "metrics", requests),
         await serve_app(
             create_announcements_app(side, metrics, settings.service),
             settings.announcement_address,
             "announcements",
+            requests,
         ),
     ]
     await side.start()
@@ -64,7 +67,5 @@
     await stop.wait()
     logger.info("draining")
     await side.drain()
-    await close_all(
-        [*(runner.cleanup for runner in runners), side.stop, control.close, store.close]
-    )
+    await close_all([runner.cleanup for runner in runners], [side.stop, control.close, store.close])
     logger.info("drained")
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -237,6 +237,21 @@
         """Crash an entry."""
         await self.entries.pop(name).stop()
 
+    async def shut_down_entry(self, name: str) -> int:
+        """Drain and stop an entry, and return the number of requests that it had to interrupt."""
+        entry = self.entries[name]
+        await entry.drain()
+        interrupted = entry.requests.interrupt()
+        await self.kill_entry(name)
+        return interrupted
+
+    async def shut_down_side(self, name: str) -> None:
+        """Drain and stop a side process."""
+        self.stop_announcing(name)
+        side = self.sides.pop(name)
+        await side.drain()
+        await side.stop()
+
     def stop_announcing(self, name: str) -> None:
         """Stop the announcements of a worker until its side process is started again."""
         announcing = self._announcing.pop(name, None)
@@ -311,7 +326,15 @@
 
     async def submit(self, entry: str, spec: JobSpec, caller_timeout_ms: float = 0.0) -> JobState:
         """Submit a job, wait for its end, and return its final state."""
-        outcome = await self.entries[entry].submit(spec, QUEUE, caller_timeout_ms)
+        requests = self.entries[entry].requests
+        return await requests.answer(
+            self._submit(self.entries[entry], spec, caller_timeout_ms), lambda: JobState.MOVED
+        )
+
+    async def _submit(
+        self, entry: DirectEntry, spec: JobSpec, caller_timeout_ms: float
+    ) -> JobState:
+        outcome = await entry.submit(spec, QUEUE, caller_timeout_ms)
         if isinstance(outcome, OpenJob):
             await outcome.ended.wait()
             return outcome.state
--- a/tests/test_direct_draining.py
+++ b/tests/test_direct_draining.py
@@ -4,14 +4,20 @@
 
 import asyncio
 
+import pytest
+
+from currantbarrow.direct.ending import EndingJobs
 from currantbarrow.direct.entry import DirectEntry
-from currantbarrow.standins.direct_fleet import DirectFleet
+from currantbarrow.direct.model import JobState
+from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
 from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
 
 # Longer than the interval at which entries exchange pings.
 PINGS_EXCHANGED_S = 0.5
 # The longest drain that `DirectFleet` configures, and the time until the last answers are sent.
 DRAIN_LIMIT_S = 5.6
+# Shortly before an entry that drains ceases to accept jobs.
+LAST_ACCEPTED_S = 2.75
 
 
 def known_addresses(entry: DirectEntry) -> set[str]:
@@ -102,6 +108,71 @@
         run_fleet(scenario)
 
 
+class TestRollingStops:
+    """An entry used to end while a job that was sent again waited there for its earlier runs."""
+
+    RESTART_S = 0.56
+    # The first attempt comes so late in the drain of its entry that the job is left at the limit.
+    SENT_AFTER_S = 2.4
+    RUN_MS = 3600.0
+
+    async def roll(self, fleet: DirectFleet, gap_s: float) -> int:
+        """Stop and start processes in turn, and return the number of interrupted requests."""
+
+        async def restart_entry(name: str) -> int:
+            interrupted = await fleet.shut_down_entry(name)
+            await asyncio.sleep(self.RESTART_S)
+            await fleet.start_entry(name)
+            return interrupted
+
+        async def restart_side(name: str) -> int:
+            await fleet.shut_down_side(name)
+            await asyncio.sleep(self.RESTART_S)
+            await fleet.start_side(name)
+            return 0
+
+        stops = []
+        for name in ("entry-0", "side-0", "side-1", "entry-1", "side-2", "entry-2"):
+            restart = restart_entry if name.startswith("entry") else restart_side
+            stops.append(asyncio.create_task(restart(name)))
+            await asyncio.sleep(gap_s)
+        return sum(await asyncio.gather(*stops))
+
+    @pytest.mark.parametrize("gap_ms", range(1200, 2401, 50))
+    def test_no_submission_is_cut_off(self, gap_ms: int) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            rolling = asyncio.create_task(self.roll(fleet, gap_ms / 1000))
+            await asyncio.sleep(self.SENT_AFTER_S)
+            spec = fleet.build_job("5" * 16, 2, self.RUN_MS)
+            for entry in ("entry-0", "entry-1", "entry-2"):
+                if entry in fleet.entries and await fleet.submit(entry, spec) is JobState.COMPLETED:
+                    break
+                await asyncio.sleep(RESUBMIT_AFTER_S)
+            assert await rolling == 0
+
+        run_fleet(scenario, DirectPlan(sides=3))
+
+    @pytest.mark.parametrize("wait_s", [2.76, 2.8, 2.84, 2.9, 3.0])
+    def test_submission_that_waits_past_the_limit_is_not_accepted(
+        self, wait_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def wait(ending: EndingJobs, job_id: str, timeout_ms: float) -> bool:
+            await asyncio.sleep(wait_s)
+            return True
+
+        async def scenario(fleet: DirectFleet) -> None:
+            monkeypatch.setattr(EndingJobs, "wait_for_runs", wait)
+            stopping = asyncio.create_task(fleet.shut_down_entry("entry-0"))
+            await asyncio.sleep(LAST_ACCEPTED_S)
+            spec = fleet.build_job("6" * 16, 2, self.RUN_MS)
+            submission = asyncio.create_task(fleet.submit("entry-0", spec))
+            await stopping
+            assert await submission in (JobState.MOVED, JobState.REFUSED)
+            assert not fleet.runs.started
+
+        run_fleet(scenario)
+
+
 class TestOrdersOfMovedJobs:
     """Side processes reject orders for a job that another entry has cleared."""
 
--- a/tests/test_platform_shutdown.py
+++ b/tests/test_platform_shutdown.py
@@ -3,20 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
-from currantbarrow.platform.serving import DRAIN_RESERVE_MS, Closer, close_all
+import aiohttp
+import pytest
+from aiohttp import web
+
+from currantbarrow.open_requests import OpenRequests
+from currantbarrow.platform.serving import DRAIN_RESERVE_MS, Closer, close_all, serve_app
 from currantbarrow.standins.virtual import run_virtual
 
 
 class TestCloseAll:
     @staticmethod
-    def run(closers: list[Closer]) -> float:
+    def run(*stages: list[Closer]) -> float:
         """Close all, and return how long that took in seconds."""
 
         async def run() -> float:
             loop = asyncio.get_running_loop()
             began_s = loop.time()
-            await close_all(closers)
+            await close_all(*stages)
             return loop.time() - began_s
 
         return run_virtual(run())
@@ -42,3 +48,71 @@
             pass
 
         assert self.run([close, close]) == 0.0
+
+    def test_stage_that_hangs_leaves_time_for_the_others(self) -> None:
+        closed: list[int] = []
+
+        async def close() -> None:
+            closed.append(1)
+
+        async def hang() -> None:
+            await asyncio.Event().wait()
+
+        assert self.run([hang], [close, hang], [close]) < DRAIN_RESERVE_MS / 1000
+        assert closed == [1, 1]
+
+
+class TestOpenRequests:
+    """Requests that were open when a process ended used to be cut off without an answer."""
+
+    @staticmethod
+    async def serve(requests: OpenRequests, cancelled: asyncio.Event) -> web.AppRunner:
+        """Serve requests that are answered only once the process ends."""
+
+        async def wait(request: web.Request) -> web.Response:
+            await request.read()
+            try:
+                await asyncio.Event().wait()
+            finally:
+                cancelled.set()
+            return web.Response()
+
+        app = web.Application()
+        app.router.add_route("*", "/", wait)
+        return await serve_app(app, "127.0.0.1:0", "test", requests, cancel=True)
+
+    @pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
+    def test_request_that_is_open_at_the_end_is_answered(self, method: str) -> None:
+        async def run() -> None:
+            requests = OpenRequests()
+            runner = await self.serve(requests, asyncio.Event())
+            host, port = runner.addresses[0][:2]
+            async with aiohttp.ClientSession() as session, asyncio.timeout(5):
+                sending = asyncio.create_task(session.request(method, f"http://{host}:{port}/"))
+                while not requests:
+                    await asyncio.sleep(0)
+                await runner.cleanup()
+                answer = await sending
+                # Its job may have run.
+                assert answer.status == 502
+                assert not requests
+
+        asyncio.run(run())
+
+    def test_request_whose_client_has_left_does_not_delay_the_end(self) -> None:
+        async def run() -> None:
+            requests, cancelled = OpenRequests(), asyncio.Event()
+            runner = await self.serve(requests, cancelled)
+            host, port = runner.addresses[0][:2]
+            async with aiohttp.ClientSession() as session, asyncio.timeout(5):
+                sending = asyncio.create_task(session.post(f"http://{host}:{port}/"))
+                while not requests:
+                    await asyncio.sleep(0)
+                sending.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await sending
+                await cancelled.wait()
+                assert not requests
+            await runner.cleanup()
+
+        asyncio.run(run())
