Count readers and cancellings of the product's own API in its drain, too

A GET or DELETE that waited for the owner of a job was cut off 2 s after the node had stopped, and so was any submission that was open when `drain_ms` had passed.

The two counters give way to one `OpenRequests`, kept where requests are read: in the HTTP application, which both APIs share, and where the link server starts to answer a call. At the limit, before the links close, what is open is answered with 503 `drain_cut_short` without `not_run`, since it may have run. A response that is being sent isn't open any more, so it isn't broken off.

--- a/src/currantbarrow/entry/api.py
+++ b/src/currantbarrow/entry/api.py
@@ -70,7 +70,7 @@
     """Return the callers' HTTP application."""
     # An oversized body is read in full up to this factor, because a connection can only stay
     # open after the refusal if its request was read to the end.
-    app = create_app(name, max_body_bytes * BODY_READ_FACTOR)
+    app = create_app(name, max_body_bytes * BODY_READ_FACTOR, node.requests)
     app.config.RESPONSE_TIMEOUT = RESPONSE_TIMEOUT_S
     app.config.REQUEST_TIMEOUT = REQUEST_TIMEOUT_S
     _route_jobs(app, node, max_tasks, max_body_bytes)
--- a/src/currantbarrow/entry/http_server.py
+++ b/src/currantbarrow/entry/http_server.py
@@ -7,8 +7,11 @@
 from typing import Any
 
 import msgspec
-from sanic import Sanic
-from sanic.response import HTTPResponse
+from sanic import Request, Sanic
+from sanic.response import BaseHTTPResponse, HTTPResponse
+
+from currantbarrow.exceptions import DrainCutShort
+from currantbarrow.open_requests import OpenRequests, raise_interrupted
 
 __all__ = ["HttpServer", "create_app", "json_response", "serve_app"]
 
@@ -19,7 +22,7 @@
 
 
 class _App(Sanic[Any, Any]):
-    """Suppress sanic's signals for requests: about ten per request, and nothing handles them."""
+    """Count the open requests, and suppress sanic's signals for them, which nothing handles."""
 
     async def dispatch(self, event: str, **options: Any) -> Any:
         """Dispatch a signal unless it belongs to a request."""
@@ -27,18 +30,28 @@
             return None
         return await super().dispatch(event, **options)
 
+    async def handle_request(self, request: Request) -> None:
+        """Handle a request, and answer it with an error if it is interrupted."""
+        requests: OpenRequests = self.ctx.requests
+        try:
+            await requests.answer(super().handle_request(request), raise_interrupted)
+        except DrainCutShort as error:
+            await self.handle_exception(request, error)
+
 
 class HttpServer:
     """Control a running HTTP server."""
 
-    __slots__ = ("_server",)
+    __slots__ = ("_requests", "_server")
 
-    def __init__(self, server: Any) -> None:
+    def __init__(self, server: Any, requests: OpenRequests) -> None:
         self._server = server
+        self._requests = requests
 
     async def stop(self) -> None:
         """Stop listening, wait up to CLOSE_TIMEOUT_S for open responses, and close connections."""
         self._server.close()
+        self._requests.interrupt()
         polls = int(CLOSE_TIMEOUT_S / CLOSE_POLL_INTERVAL_S)
         for _ in range(polls):
             busy = [
@@ -53,14 +66,20 @@
             connection.abort()
 
 
-def create_app(name: str, max_body_bytes: int) -> Sanic[Any, Any]:
+def create_app(name: str, max_body_bytes: int, requests: OpenRequests) -> Sanic[Any, Any]:
     """Return a sanic application with the common settings."""
     app = _App(name, configure_logging=False)
+    app.ctx.requests = requests
     app.config.REQUEST_MAX_SIZE = max_body_bytes
     app.config.FALLBACK_ERROR_FORMAT = "json"
     # Touchup rewrites methods of sanic's classes for one application, which breaks other
     # applications in the same process.
     app.config.TOUCHUP = False
+
+    async def mark_answered(request: Request, response: BaseHTTPResponse) -> None:
+        requests.mark_answered()
+
+    app.register_middleware(mark_answered, "response")
     return app
 
 
@@ -73,7 +92,7 @@
         raise RuntimeError("the HTTP server did not start")
     await server.startup()
     await server.start_serving()
-    return HttpServer(server)
+    return HttpServer(server, app.ctx.requests)
 
 
 def json_response(
--- a/src/currantbarrow/entry/node.py
+++ b/src/currantbarrow/entry/node.py
@@ -37,6 +37,7 @@
     sync_from_peers,
 )
 from currantbarrow.observe import EventRing, logger
+from currantbarrow.open_requests import OpenRequests, raise_interrupted
 from currantbarrow.policy import Policies
 from currantbarrow.protocol import (
     Hello,
@@ -102,7 +103,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._background = BackgroundTasks(metrics)
         self._background_submissions: set[asyncio.Task[JobAnswer]] = set()
-        self._open_submissions = 0
+        self.requests = OpenRequests()
         self._hello = Hello(
             Role.ENTRY,
             options.name,
@@ -211,6 +212,7 @@
             sides=self.sides,
             classes=self.classes,
             peer_sync=self.peer_sync,
+            requests=self.requests,
         )
 
     async def start(self) -> None:
@@ -262,7 +264,7 @@
         ]
 
     async def drain(self) -> None:
-        """Hand over all shards, wait at most `drain_ms` for open jobs, and stop."""
+        """Hand over all shards, wait at most `drain_ms` for open jobs and requests, and stop."""
         self.draining = True
         logger.info("draining")
         self.events.record("draining")
@@ -271,6 +273,8 @@
             await self.membership.announce_draining()
         while self._is_busy() and self._clock.monotonic_ms() < deadline_ms:
             await self._clock.sleep_ms(DRAIN_POLL_INTERVAL_MS)
+        # Before the links close, whose end a waiting request would take for an answer.
+        self.requests.interrupt()
         with contextlib.suppress(LogServiceError, TimeoutError):
             await self.membership.announce_left()
         await self.kill()
@@ -287,12 +291,8 @@
         await self._network.stop()
 
     async def submit(self, request: JobRequest) -> JobAnswer:
-        """Return the answer to a job; raise JobInvalid, JobConflict or OwnershipError."""
-        self._open_submissions += 1
-        try:
-            return await self.router.submit(request)
-        finally:
-            self._open_submissions -= 1
+        """Return the answer to a job; raise CurrantbarrowError."""
+        return await self.requests.answer(self.router.submit(request), raise_interrupted)
 
     def submit_in_background(self, request: JobRequest) -> asyncio.Task[JobAnswer]:
         """Submit a job whose caller does not wait for the answer; raise JobInvalid."""
@@ -409,9 +409,7 @@
         )
         no_successor = len([m for m in self.cluster.by_role(Role.ENTRY) if not m.draining]) == 0
         open_jobs = bool(self.dispatcher.table.open_jobs())
-        answers_due = (
-            self._open_submissions + self.server.open_forwards + self.handovers.active_sends > 0
-        )
+        answers_due = bool(self.requests) or self.handovers.active_sends > 0
         return open_jobs or answers_due or (owns_shards and not no_successor)
 
     async def _run_maintenance(self) -> None:
--- a/src/currantbarrow/entry/operator_api.py
+++ b/src/currantbarrow/entry/operator_api.py
@@ -81,7 +81,7 @@
 
 def create_operator_api(node: EntryNode, metrics: MetricsRegistry, name: str) -> Sanic[Any, Any]:
     """Return the operators' HTTP application."""
-    app = create_app(name, MAX_BODY_BYTES)
+    app = create_app(name, MAX_BODY_BYTES, node.requests)
     _route_classes(app, node)
 
     @app.get("/members")
--- a/src/currantbarrow/entry/problems.py
+++ b/src/currantbarrow/entry/problems.py
@@ -9,6 +9,7 @@
 from currantbarrow.entry.http_server import json_response
 from currantbarrow.exceptions import (
     CurrantbarrowError,
+    DrainCutShort,
     JobConflict,
     JobInvalid,
     JobUnknown,
@@ -34,6 +35,7 @@
     (JobConflict, 409),
     (JobUnknown, 404),
     (OwnershipError, REFUSED_STATUS),
+    (DrainCutShort, REFUSED_STATUS),
 ]
 STATUS_BY_CODE = {
     "json_invalid": 400,
--- a/src/currantbarrow/entry/serving.py
+++ b/src/currantbarrow/entry/serving.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+from collections.abc import Coroutine
+from typing import Any
 
 from currantbarrow.background import BackgroundTasks
 from currantbarrow.classes import ClassState
@@ -13,6 +15,7 @@
 from currantbarrow.entry.sides import SidePool
 from currantbarrow.exceptions import CurrantbarrowError, JobUnknown, LinkError
 from currantbarrow.logservice import PeerSync
+from currantbarrow.open_requests import OpenRequests
 from currantbarrow.protocol import (
     CancelJob,
     Failure,
@@ -48,9 +51,9 @@
         "_metrics",
         "_ownership",
         "_peer_sync",
+        "_requests",
         "_router",
         "_sides",
-        "open_forwards",
     )
 
     def __init__(
@@ -66,9 +69,8 @@
         sides: SidePool,
         classes: ClassState,
         peer_sync: PeerSync,
+        requests: OpenRequests,
     ) -> None:
-        # The number of forwarded submissions that are not answered yet.
-        self.open_forwards = 0
         self._clock = clock
         self._metrics = metrics
         self._background = background
@@ -78,6 +80,7 @@
         self._sides = sides
         self._classes = classes
         self._peer_sync = peer_sync
+        self._requests = requests
         self._links: dict[str, Link] = {}
         self._heartbeats = HeartbeatSchedule(heartbeat_ms)
 
@@ -110,11 +113,11 @@
     def _handle(self, link: Link, message: Message) -> None:
         match message:
             case Forward():
-                self._background.spawn(self._answer_forward(link, message))
+                self._spawn(self._answer_forward(link, message))
             case CancelJob():
-                self._background.spawn(self._answer_cancel(link, message))
+                self._spawn(self._answer_cancel(link, message))
             case ShowJob():
-                self._background.spawn(self._answer_show(link, message))
+                self._spawn(self._answer_show(link, message))
             case Handover():
                 self._post(link, self._apply_handover(link, message))
             case LastSeen():
@@ -126,16 +129,17 @@
             case _:
                 self._metrics.incr("entry.unexpected_message")
 
+    def _spawn(self, answering: Coroutine[Any, Any, None]) -> None:
+        # Without an answer, the peer learns from the end of the link that there is none.
+        self._background.spawn(self._requests.answer(answering, lambda: None))
+
     async def _answer_forward(self, link: Link, call: Forward) -> None:
         reply: Reply
-        self.open_forwards += 1
         try:
             answer = await self._router.submit(call.request, call.hops, call.submission)
             reply = Forwarded(call.call_id, answer)
         except CurrantbarrowError as error:
             reply = Failure(call.call_id, error.code, str(error))
-        finally:
-            self.open_forwards -= 1
         self._heartbeats.record_sent(link.peer.incarnation, self._clock.monotonic_ms())
         self._post(link, reply)
 
--- a/src/currantbarrow/open_requests.py
+++ b/src/currantbarrow/open_requests.py
@@ -4,11 +4,12 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any, TypeVar
+from typing import Any, NoReturn, TypeVar
 
+from currantbarrow.exceptions import DrainCutShort
 from currantbarrow.observe import logger
 
-__all__ = ["OpenRequests"]
+__all__ = ["OpenRequests", "raise_interrupted"]
 
 ValueT = TypeVar("ValueT")
 InterruptedT = TypeVar("InterruptedT")
@@ -32,6 +33,9 @@
         """Return the answer to a request, or another one if it is interrupted."""
         task = asyncio.current_task()
         assert task is not None
+        if task in self._open:
+            # This is part of a request that is counted.
+            return await answering
         self._open.add(task)
         try:
             return await answering
@@ -44,6 +48,12 @@
             self._open.discard(task)
             self._interrupted.discard(task)
 
+    def mark_answered(self) -> None:
+        """Count the request of the current task as answered while its response is being sent."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._open.discard(task)
+
     def interrupt(self) -> int:
         """Answer the open requests at once, and return their number."""
         interrupting = self._open - self._interrupted
@@ -54,3 +64,8 @@
             extra = {"requests": len(interrupting)}
             logger.warning("requests interrupted by the shutdown", extra=extra)
         return len(interrupting)
+
+
+def raise_interrupted() -> NoReturn:
+    """Raise DrainCutShort, which does not say whether the request has had an effect."""
+    raise DrainCutShort("the process ended before the answer was known")
