Stop processes in turn at the end of each soak seed, with jobs that outlast a drain

The soak stopped processes only one after the other, and no job was long enough to be left at the end of a drain, so it never sent a job to an entry while that one drained. `Plan.moves` is off by default, so that the kept seeds draw what they drew; the command has it on.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -67,6 +67,7 @@
                 *("--rate", str(options.rate), "--keep", options.keep),
                 *(["--former-kinds"] if options.former_kinds else []),
                 *(["--crashes"] if options.crashes else []),
+                "--moves" if options.moves else "--no-moves",
             )
             try:
                 if code := await process.wait():
@@ -110,6 +111,12 @@
         action="store_true",
         help="tasks crash workers, and capacities shrink",
     )
+    parser.add_argument(
+        "--moves",
+        action=argparse.BooleanOptionalAction,
+        default=True,
+        help="jobs outlast the processes that are stopped in turn, and move to other entries",
+    )
     options = parser.parse_args()
     keep_folder = Path(options.keep)
     keep_folder.mkdir(parents=True, exist_ok=True)
@@ -123,6 +130,7 @@
         options.rate,
         options.former_kinds,
         options.crashes,
+        options.moves,
     )
     return uvloop.run(_run_one(plan, keep_folder))
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -30,6 +31,8 @@
 FORMER_COUNTS = (1, 1, 2, 3, 5)
 COUNTS = (2, 3, 5, 7)
 FAULT_FREE_S = 9.0
+# Time between the stops of two processes that are stopped in turn.
+ROLL_GAP_RANGE_S = (1.2, 2.4)
 
 
 class Injector:
@@ -62,6 +65,11 @@
                 await asyncio.sleep(FAULT_FREE_S)
                 await self._make_faults().restart_in_turn()
                 await asyncio.sleep(FAULT_FREE_S / 2)
+        if self._fleet.plan.moves:
+            await self.end_faults()
+            await asyncio.sleep(FAULT_FREE_S)
+            await self._make_faults().roll()
+            await asyncio.sleep(FAULT_FREE_S / 2)
 
     async def end_faults(self) -> None:
         """Resume all processes and restore all connections."""
@@ -113,6 +121,23 @@
         for host in hosts:
             await self._restart(host)
 
+    async def roll(self) -> None:
+        """Stop processes in turn, before those stopped earlier are back, without a fault."""
+        gap_s = self._rng.uniform(*ROLL_GAP_RANGE_S)
+        entries = self._rng.sample(self._fleet.entries, len(self._fleet.entries))
+        sides = iter(self._rng.sample(self._fleet.sides, len(self._fleet.sides)))
+        # One or two side processes between two entries, so that callers always find an entry.
+        hosts = [host for entry in entries for host in (entry, *itertools.islice(sides, 2))]
+        self._record(f"stops of {_names(hosts)} {gap_s:.2f} s apart")
+        restarts = []
+        for host in hosts:
+            restarts.append(asyncio.create_task(self._restart(host)))
+            await asyncio.sleep(gap_s)
+            if host.is_entry:
+                # The balancer still chooses the entry for some of these jobs.
+                self._send_burst(BURST_JOBS)
+        await asyncio.gather(*restarts)
+
     def _kinds(self) -> list[Callable[[], Awaitable[None]]]:
         kinds = self._former_kinds()
         if not self._fleet.plan.former_kinds:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -65,6 +65,8 @@
     former_kinds: bool = False
     # Let tasks crash their workers, and capacities shrink.
     crashes: bool = False
+    # Stop processes in turn while jobs are so long that callers take them to another entry.
+    moves: bool = False
 
 
 class Host:
