--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -17,6 +17,7 @@
 from currantbarrow.direct.routing import Configuration
 from currantbarrow.direct.submissions import Caller
 from currantbarrow.observe import MetricsRegistry
+from currantbarrow.open_requests import OpenRequests
 from currantbarrow.platform.callers import create_callers_app
 from currantbarrow.platform.serving import serve_app
 
@@ -68,7 +69,7 @@
         async def scenario() -> None:
             entry = RecordingEntry()
             app = create_callers_app(cast(DirectEntry, entry), MetricsRegistry())
-            runner = await serve_app(app, "127.0.0.1:0", "frontend", cancel=True)
+            runner = await serve_app(app, "127.0.0.1:0", "frontend", OpenRequests(), cancel=True)
             # The event loop does not run until the call is sent and its connection has ended.
             client = socket.create_connection(runner.addresses[0][:2])
             client.sendall(CALL)
