Apply the limit on a step's tasks on one worker to workers that send their birth

Callers saw: tasks of a step with `anti_affinity` 1 all on one worker, at every worker that says when it started.

Cause: two names of one worker, both plain text. The workers that a task may not use were computed from bare ids, and compared with offers that carry "id@birth". They never matched, so the limit was not applied at all. Placements were counted under "id@birth" and looked up under the bare id.

Fix: `InstanceName`, id and birth, is a type of its own. The spread counts by the id, so that the limit also holds when a worker restarts under it. The reports of crashes still carry the name as text; one place renders it.

Searched for the same mistake: crash history, uncertain losses and accepting instances compared names with births on both sides; racks, reservations and containment cells are keyed by label, task and address. Nothing else was found.

--- a/src/currantbarrow/direct/crash_history.py
+++ b/src/currantbarrow/direct/crash_history.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from currantbarrow.direct.history import RETENTION_MS
+from currantbarrow.direct.worker import InstanceName
 from currantbarrow.protocol.direct import CrashRow
 
 __all__ = ["UNCERTAIN_LIMIT", "UNCERTAIN_MS", "Crash", "CrashHistory", "Task", "Verdict"]
@@ -84,7 +85,7 @@
     __slots__ = ("_by_job", "_crashes")
 
     def __init__(self) -> None:
-        # By the worker instance, in the order of their reports.
+        # By the name of the worker instance in reports, in the order of these.
         self._crashes: collections.OrderedDict[str, Crash] = collections.OrderedDict()
         self._by_job: dict[str, list[Crash]] = {}
 
@@ -117,9 +118,9 @@
                 suspected_ms = max(crash.crashed_ms, suspected_ms or 0.0)
         return suspected_ms
 
-    def is_known(self, worker: str) -> bool:
+    def is_known(self, instance: InstanceName) -> bool:
         """Return whether a worker instance is known to have crashed."""
-        return worker in self._crashes
+        return str(instance) in self._crashes
 
     def count(self, task: Task) -> int:
         """Return how many workers are known to have crashed under a task, whatever the cause."""
--- a/src/currantbarrow/direct/crash_risks.py
+++ b/src/currantbarrow/direct/crash_risks.py
@@ -99,9 +99,9 @@
         """Return whether a task has to wait for workers that may have crashed under it."""
         now_ms = self._clock.monotonic_ms()
         uncertain = {
-            worker
-            for worker, lost_ms in task.lost_ms.items()
-            if now_ms - lost_ms < UNCERTAIN_MS and not self._history.is_known(worker)
+            instance
+            for instance, lost_ms in task.lost_ms.items()
+            if now_ms - lost_ms < UNCERTAIN_MS and not self._history.is_known(instance)
         }
         crashes = self._history.count((job.spec.job_id, task.step, task.index))
         if not uncertain or crashes + len(uncertain) < UNCERTAIN_LIMIT or self.fleet is None:
--- a/src/currantbarrow/direct/crashes.py
+++ b/src/currantbarrow/direct/crashes.py
@@ -120,7 +120,7 @@
         ]
         queues = self._describe_queues(runs, crashed_ms) if is_time_known else []
         service = instance.announcement.service
-        return CrashRow(instance.identity, service, now_ms - crashed_ms, suspects, queues)
+        return CrashRow(str(instance.name), service, now_ms - crashed_ms, suspects, queues)
 
     def _describe_queues(self, runs: list[Run], crashed_ms: float) -> list[QueueRow]:
         last_ms: dict[str, float] = {}
--- a/src/currantbarrow/direct/dispatcher.py
+++ b/src/currantbarrow/direct/dispatcher.py
@@ -407,15 +407,15 @@
                 task.not_before_ms = now_ms + REJECTION_PAUSE_MS
         elif end is RunEnd.FAILED:
             task.failures += 1
-            task.avoid |= {handle.ended_on or handle.instance}
+            task.avoid |= {handle.ended_on}
             if task.failures >= job.queue.max_attempts:
                 self._end_job(
                     job, JobState.FAILED, f"task {task.index} failed {task.failures} times"
                 )
         else:
-            task.avoid |= {handle.ended_on or handle.instance}
+            task.avoid |= {handle.ended_on}
             if end is RunEnd.LOST:
-                task.lost_ms[handle.ended_on or handle.instance] = now_ms
+                task.lost_ms[handle.ended_on] = now_ms
 
     def _record_done(self, job: OpenJob, task: JobTask, handle: SideHandle, ran_ms: float) -> None:
         job.finish_task(task)
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -19,7 +19,7 @@
 from currantbarrow.direct.model import Resources, StepSpec
 from currantbarrow.direct.session import ORDER_END_LIMIT_MS, LinkActivity, SideLiveness
 from currantbarrow.direct.speeds import WorkerOffer
-from currantbarrow.direct.worker import name_instance
+from currantbarrow.direct.worker import InstanceName
 from currantbarrow.exceptions import LinkError
 from currantbarrow.observe import logger
 from currantbarrow.protocol import Hello, Message, Reply, RpcClient
@@ -116,7 +116,7 @@
         self.liveness = SideLiveness(now_ms)
         self.report: SideReport | None = None
         # The instance of the worker that the ends in the newest report belong to.
-        self.ended_on = ""
+        self.ended_on = InstanceName("")
         self.last_order_sequence = 0
         # The report stamp that was last acknowledged to the side process.
         self.acknowledged_stamp_ms = 0.0
@@ -154,9 +154,9 @@
         return self.report.state.born_ms if self.report is not None else 0
 
     @property
-    def instance(self) -> str:
+    def instance(self) -> InstanceName:
         """Return the worker's name and birth; a restart under its name changes the latter."""
-        return name_instance(self.worker, self.born_ms)
+        return InstanceName(self.worker, self.born_ms)
 
     def free_resources(self) -> Resources:
         """Return the free capacity of the worker, as far as this entry knows."""
@@ -373,7 +373,11 @@
             and (addresses is None or handle.address in addresses)
         ]
 
-    def accepting_instances(self) -> set[str]:
+    def instances(self, service: str) -> list[InstanceName]:
+        """Return the worker instances of a service, as for the capacity."""
+        return [InstanceName(state.worker, state.born_ms) for state in self.worker_states(service)]
+
+    def accepting_instances(self) -> set[InstanceName]:
         """Return the worker instances that accept runs, as far as this entry knows."""
         return {
             handle.instance
@@ -578,7 +582,7 @@
         former_born_ms = handle.born_ms
         restarted = handle.worker == report.state.worker and former_born_ms != report.state.born_ms
         former, handle.report = handle.instance, report
-        handle.ended_on = former or handle.instance
+        handle.ended_on = former if former.worker else handle.instance
         self._last_report_ms = self._clock.monotonic_ms()
         handle.liveness.record_report(report.stamp_ms, self._last_report_ms)
         handle.unreported_orders = [
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -7,7 +7,7 @@
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.reservations import ResourceReservations
 from currantbarrow.direct.runs import Run, RunPhase
-from currantbarrow.direct.worker import NOT_ANNOUNCED, Announcement, RunName, name_instance
+from currantbarrow.direct.worker import NOT_ANNOUNCED, Announcement, InstanceName, RunName
 from currantbarrow.protocol.direct import WorkerState
 
 __all__ = ["LATE_COMMAND_LIMIT_MS", "NO_WORKER", "TIMEOUT_LIMIT_MS", "WorkerInstance"]
@@ -112,9 +112,9 @@
         return self.announcement.born_ms
 
     @property
-    def identity(self) -> str:
-        """Return id and birth, which together name the instance."""
-        return name_instance(self.worker, self.born_ms)
+    def name(self) -> InstanceName:
+        """Return the id and the birth, which together name the instance."""
+        return InstanceName(self.worker, self.born_ms)
 
     @property
     def announced(self) -> bool:
--- a/src/currantbarrow/direct/job.py
+++ b/src/currantbarrow/direct/job.py
@@ -9,6 +9,7 @@
 from currantbarrow.direct.racks import rack_of
 from currantbarrow.direct.spread import JobSpread
 from currantbarrow.direct.urgency import JobTimes
+from currantbarrow.direct.worker import InstanceName
 from currantbarrow.protocol.direct import RunEnd
 
 if TYPE_CHECKING:
@@ -66,9 +67,9 @@
         # How much longer the current run is expected to take, because it is far from its data.
         self.run_factor = 1.0
         # Workers on which the task failed or was lost; other workers are preferred.
-        self.avoid: frozenset[str] = frozenset()
+        self.avoid: frozenset[InstanceName] = frozenset()
         # The worker instances on which a run was lost, and when.
-        self.lost_ms: dict[str, float] = {}
+        self.lost_ms: dict[InstanceName, float] = {}
         # The earliest time of the next order.
         self.not_before_ms = 0.0
 
@@ -163,15 +164,15 @@
         if self.spec.steps[task.step].same_rack and side.report is not None:
             self.spread.record_rack(task.step, rack_of(side.report.state.labels))
 
-    def record_placement(self, task: JobTask, worker: str) -> None:
+    def record_placement(self, task: JobTask, instance: InstanceName) -> None:
         """Record the worker chosen for a task, before the order is sent."""
         if self.spec.steps[task.step].max_per_worker:
-            self.spread.record_order(task.step, task.index, worker)
+            self.spread.record_order(task.step, task.index, instance)
 
     def record_run_end(self, task: JobTask, side: SideHandle, end: RunEnd) -> None:
         """Record the end of a placed task's run for the limit of its step."""
         if self.spec.steps[task.step].max_per_worker:
-            self.spread.record_end(task.step, task.index, side.worker, end)
+            self.spread.record_end(task.step, task.index, side.instance, end)
 
     def record_workers(self) -> None:
         """Record the workers that are now behind the links of ordered tasks."""
@@ -179,7 +180,7 @@
             return
         for task in self.ordered_tasks():
             if task.side is not None and self.spec.steps[task.step].max_per_worker:
-                self.spread.record_worker(task.step, task.index, task.side.worker)
+                self.spread.record_worker(task.step, task.index, task.side.instance)
 
     def mark_waiting(self, task: JobTask) -> None:
         """Mark an ordered task as waiting again."""
--- a/src/currantbarrow/direct/placement.py
+++ b/src/currantbarrow/direct/placement.py
@@ -24,6 +24,7 @@
 
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.speeds import FleetSpeeds, WorkerOffer
+from currantbarrow.direct.worker import InstanceName
 
 __all__ = [
     "Placement",
@@ -67,7 +68,7 @@
     resources: Resources
     required_label: str = ""
     # Workers on which the task failed or was lost.
-    avoid: frozenset[str] = frozenset()
+    avoid: frozenset[InstanceName] = frozenset()
     # The expected run time on a worker of slowness 1, and the time until the task has to end.
     expected_ms: float = 0.0
     time_left_ms: float = math.inf
@@ -76,7 +77,7 @@
     near_rack: str = ""
     far_factor: float = 1.0
     # Workers that may not run the task.
-    excluded: frozenset[str] = frozenset()
+    excluded: frozenset[InstanceName] = frozenset()
 
     def fits(self, offer: WorkerOffer) -> bool:
         """Return whether a worker without other runs can take the task."""
@@ -85,7 +86,7 @@
     def is_allowed(self, offer: WorkerOffer) -> bool:
         """Return whether a worker may run the task, apart from its resources."""
         has_label = not self.required_label or self.required_label in offer.labels
-        return has_label and offer.worker not in self.excluded
+        return has_label and offer.instance not in self.excluded
 
     def is_near(self, offer: WorkerOffer) -> bool:
         """Return whether a worker is on the preferred rack, if there is one."""
@@ -145,7 +146,7 @@
     if not eligible:
         return Placement(None, PlacementReason.NO_ROOM)
     # A task that failed on a worker goes to another one if possible.
-    others = [offer for offer in eligible if offer.worker not in request.avoid]
+    others = [offer for offer in eligible if offer.instance not in request.avoid]
     eligible = others or eligible
     in_time = [
         offer for offer in eligible if request.is_in_time(request.slowness_on(offer, speeds))
@@ -211,9 +212,9 @@
     request: TaskRequest, eligible: Sequence[WorkerOffer], speeds: FleetSpeeds, rng: random.Random
 ) -> WorkerOffer:
     """Return the better of two random workers among those of similar speed, local ones first."""
-    slowness = {offer.worker: request.slowness_on(offer, speeds) for offer in eligible}
+    slowness = {offer.instance: request.slowness_on(offer, speeds) for offer in eligible}
     limit = min(slowness.values()) * (1 + SIMILAR_SLOWNESS_SHARE)
-    similar = [offer for offer in eligible if slowness[offer.worker] <= limit]
+    similar = [offer for offer in eligible if slowness[offer.instance] <= limit]
     local = [offer for offer in similar if offer.is_local]
     drawn = rng.choices(local or similar, k=CANDIDATES)
-    return max(drawn, key=lambda offer: offer.free.cpu_millis / slowness[offer.worker])
+    return max(drawn, key=lambda offer: offer.free.cpu_millis / slowness[offer.instance])
--- a/src/currantbarrow/direct/placing.py
+++ b/src/currantbarrow/direct/placing.py
@@ -22,6 +22,7 @@
 from currantbarrow.direct.racks import choose_rack
 from currantbarrow.direct.separation import TaskSeparation
 from currantbarrow.direct.speeds import FleetSpeeds, WorkerOffer, survey_speeds
+from currantbarrow.direct.worker import InstanceName
 from currantbarrow.types import Metrics
 
 __all__ = ["PlacedTasks", "PlacementPass", "TaskBatch", "WorkerCandidate"]
@@ -123,7 +124,7 @@
     def place(self, job: OpenJob, now_ms: float) -> PlacedTasks:
         """Choose workers for a job's ready tasks, until one of them finds none."""
         service = self._service(job.queue.service)
-        batches: dict[str, TaskBatch] = {}
+        batches: dict[InstanceName, TaskBatch] = {}
         placed = PlacedTasks([])
         offers = service.open_offers()
         job.record_workers()
@@ -156,9 +157,9 @@
                 self._hold(job, request, service)
                 continue
             self._add_to_batch(batches, placement, request, task, job, service)
-            separation.record(placement.offer.worker, is_suspect=is_suspect)
-            batches[placement.offer.worker].isolated = is_suspect
-            job.record_placement(task, placement.offer.worker)
+            separation.record(placement.offer.instance, is_suspect=is_suspect)
+            batches[placement.offer.instance].isolated = is_suspect
+            job.record_placement(task, placement.offer.instance)
         placed.batches = list(batches.values())
         return placed
 
@@ -174,8 +175,8 @@
         step = job.spec.steps[task.step]
         near_rack, factor = self._locality(job, task, service)
         if step.max_per_worker:
-            names = [state.worker for state in self._fleet.worker_states(job.queue.service)]
-            excluded = job.spread.excluded_workers(task.step, task.index, step, names)
+            instances = self._fleet.instances(job.queue.service)
+            excluded = job.spread.excluded_workers(task.step, task.index, step, instances)
         else:
             excluded = frozenset()
         return TaskRequest(
@@ -221,7 +222,7 @@
 
     def _add_to_batch(
         self,
-        batches: dict[str, TaskBatch],
+        batches: dict[InstanceName, TaskBatch],
         placement: Placement,
         request: TaskRequest,
         task: JobTask,
@@ -232,10 +233,10 @@
         assert chosen is not None
         # A worker on probation gets one task at a time.
         chosen.free = Resources() if chosen.on_probation else chosen.free.minus(request.resources)
-        if chosen.worker not in batches:
+        if chosen.instance not in batches:
             handle = next(each.handle for each in service.candidates if each.offer is chosen)
-            batches[chosen.worker] = TaskBatch(handle, [], [])
-        batch = batches[chosen.worker]
+            batches[chosen.instance] = TaskBatch(handle, [], [])
+        batch = batches[chosen.instance]
         is_far = not request.is_near(chosen) or job.spread.spans_racks(task.step)
         batch.tasks.append(task)
         batch.run_factors.append(request.far_factor if is_far else 1.0)
--- a/src/currantbarrow/direct/separation.py
+++ b/src/currantbarrow/direct/separation.py
@@ -9,6 +9,7 @@
 from currantbarrow.direct.crash_risks import CrashRisks
 from currantbarrow.direct.job import JobTask, OpenJob
 from currantbarrow.direct.placement import TaskRequest
+from currantbarrow.direct.worker import InstanceName
 
 __all__ = ["TaskSeparation"]
 
@@ -38,13 +39,13 @@
         # Workers on which this entry has ordered a suspect, that is a task that may well crash its
         # worker.
         self._with_suspects = {
-            each.offer.worker
+            each.offer.instance
             for each in candidates
             if risks.has_crashes() and any(map(self._is_suspected, each.handle.ordered_tasks))
         }
         # Workers that got a suspect, or any task, in this pass.
-        self._with_new_suspects: set[str] = set()
-        self._with_orders: set[str] = set()
+        self._with_new_suspects: set[InstanceName] = set()
+        self._with_orders: set[InstanceName] = set()
 
     def is_confined(self, job: OpenJob) -> bool:
         """Return whether the job's tasks may run only in the cell of its queue."""
@@ -72,13 +73,13 @@
         avoid |= self._workers(frozenset[str]().union(*others.values()))
         return msgspec.structs.replace(request, avoid=avoid, excluded=excluded)
 
-    def record(self, worker: str, *, is_suspect: bool) -> None:
+    def record(self, instance: InstanceName, *, is_suspect: bool) -> None:
         """Record that a task is placed on a worker."""
-        self._with_orders.add(worker)
+        self._with_orders.add(instance)
         if is_suspect:
-            self._with_suspects.add(worker)
+            self._with_suspects.add(instance)
             # A task that started at the same time would be blamed as well.
-            self._with_new_suspects.add(worker)
+            self._with_new_suspects.add(instance)
 
     def _isolate(self, request: TaskRequest, job: OpenJob, suspected_for_ms: float) -> TaskRequest:
         """Keep a suspect in its cell, and away from workers with other runs.
@@ -102,17 +103,19 @@
     def _is_suspected(self, task: Task) -> bool:
         return self._risks.suspected_ms(task) is not None
 
-    def _workers(self, addresses: frozenset[str], *, outside: bool = False) -> frozenset[str]:
+    def _workers(
+        self, addresses: frozenset[str], *, outside: bool = False
+    ) -> frozenset[InstanceName]:
         """Return the workers of some side processes, or those of all others."""
         return frozenset(
-            each.offer.worker
+            each.offer.instance
             for each in self._candidates
             if (each.handle.address in addresses) is not outside
         )
 
-    def _busy_workers(self) -> frozenset[str]:
+    def _busy_workers(self) -> frozenset[InstanceName]:
         return frozenset(
-            each.offer.worker
+            each.offer.instance
             for each in self._candidates
             if not each.offer.free.covers(each.offer.capacity)
         )
--- a/src/currantbarrow/direct/speeds.py
+++ b/src/currantbarrow/direct/speeds.py
@@ -14,6 +14,7 @@
 
 from currantbarrow.direct.health import UNHEALTHY_SLOWNESS
 from currantbarrow.direct.model import Resources
+from currantbarrow.direct.worker import InstanceName
 
 __all__ = ["FleetSpeeds", "WorkerOffer", "survey_speeds"]
 
@@ -30,7 +31,7 @@
 class WorkerOffer(msgspec.Struct):
     """Describe the free resources and the properties of a worker that can take tasks."""
 
-    worker: str
+    instance: InstanceName
     free: Resources
     slowness: float
     # Whether the worker is in the data centre of this entry.
--- a/src/currantbarrow/direct/worker.py
+++ b/src/currantbarrow/direct/worker.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "Announcement",
+    "InstanceName",
     "NOT_ANNOUNCED",
     "RunName",
     "RunSpec",
@@ -21,13 +22,23 @@
     "WorkerEnd",
     "PollResult",
     "create_unknown_announcement",
-    "name_instance",
 ]
 
 # Precedes every sequence number that a worker sends.
 NOT_ANNOUNCED = -1
 
 
+class InstanceName(msgspec.Struct, frozen=True):
+    """Identify an instance of a worker; a later one may have the same id, but not its birth."""
+
+    worker: str
+    # When the instance started, in Unix milliseconds; 0 if it does not say.
+    born_ms: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.worker}@{self.born_ms}" if self.born_ms else self.worker
+
+
 class RunName(msgspec.Struct, frozen=True):
     """Identify one run of a task; later runs of a task have higher numbers."""
 
@@ -65,11 +76,6 @@
     cold_remaining_ms: float = 0.0
 
 
-def name_instance(worker: str, born_ms: int) -> str:
-    """Return the name of a worker instance: the id, and the birth in Unix milliseconds if known."""
-    return f"{worker}@{born_ms}" if born_ms else worker
-
-
 def create_unknown_announcement(worker: str, born_ms: int) -> Announcement:
     """Create the placeholder for an instance that has not announced itself yet."""
     return Announcement(worker, "", Resources(), frozenset(), False, NOT_ANNOUNCED, born_ms)
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -43,6 +43,7 @@
 )
 from currantbarrow.direct.speeds import survey_speeds
 from currantbarrow.direct.urgency import JobTimes, create_times
+from currantbarrow.direct.worker import InstanceName
 from currantbarrow.protocol.direct import Standing, TakenRow, WorkerState
 from currantbarrow.types import Clock
 
@@ -65,7 +66,8 @@
 
 
 def offer(name: str, cpu: int = 8000, slowness: float = 1.0, is_local: bool = True) -> WorkerOffer:
-    return WorkerOffer(name, Resources(cpu, 1000, 0), slowness, is_local, False, frozenset({"a"}))
+    free = Resources(cpu, 1000, 0)
+    return WorkerOffer(InstanceName(name), free, slowness, is_local, False, frozenset({"a"}))
 
 
 class TestUrgency:
@@ -176,9 +178,9 @@
 
 class TestPlacement:
     def choose(self, *offers: WorkerOffer, avoid: str = "", label: str = "") -> str | None:
-        request = TaskRequest(Resources(2000, 10, 0), label, frozenset({avoid}))
+        request = TaskRequest(Resources(2000, 10, 0), label, frozenset({InstanceName(avoid)}))
         chosen = choose_worker(request, offers, survey_speeds(offers), random.Random(1)).offer
-        return chosen.worker if chosen is not None else None
+        return chosen.instance.worker if chosen is not None else None
 
     def test_worker_of_ordinary_speed_is_preferred_to_a_slow_local_one(self) -> None:
         assert self.choose(offer("slow", slowness=1.6), offer("fast", is_local=False)) == "fast"
@@ -215,7 +217,7 @@
             request = TaskRequest(Resources(2000, 10, 0))
             best = choose_worker(request, offers, survey_speeds(offers), random.Random(seed)).offer
             assert best is not None
-            chosen.add(best.worker)
+            chosen.add(best.instance)
         assert len(chosen) == 5
 
 
--- a/tests/test_direct_locality.py
+++ b/tests/test_direct_locality.py
@@ -21,6 +21,7 @@
 from currantbarrow.direct.racks import choose_rack, rack_of
 from currantbarrow.direct.speeds import survey_speeds
 from currantbarrow.direct.spread import JobSpread
+from currantbarrow.direct.worker import InstanceName
 from currantbarrow.protocol.direct import RunEnd
 from currantbarrow.standins.direct_fleet import QUEUE, DirectFleet, DirectPlan
 from direct_scenarios import run_fleet
@@ -29,6 +30,7 @@
 PLAN = DirectPlan(entries=3, sides=12, rack_size=4, far_factor=2.0)
 NEAR = "r1-0"
 LIMIT = 1
+FOUR = [InstanceName(name) for name in "abcd"]
 
 
 def racks_of(fleet: DirectFleet, job: str) -> collections.Counter[str]:
@@ -182,8 +184,9 @@
 
 
 class TestLimitPerWorker:
+    @pytest.mark.parametrize("born_ms", [0, 1])
     @pytest.mark.parametrize("seed", range(6))
-    def test_limit_is_kept_over_failures_and_retries(self, seed: int) -> None:
+    def test_limit_is_kept_over_failures_and_retries(self, seed: int, born_ms: int) -> None:
         """Workers fail runs, fall silent, crash and lose commands, and side processes end."""
 
         async def scenario(fleet: DirectFleet) -> None:
@@ -220,7 +223,23 @@
             assert max(runs.values()) > 1
             assert largest_count(fleet) <= LIMIT
 
-        run_fleet(scenario, DirectPlan(entries=3, sides=12, seed=seed))
+        run_fleet(scenario, DirectPlan(entries=3, sides=12, seed=seed, worker_born_ms=born_ms))
+
+    @pytest.mark.parametrize("restarts", [False, True])
+    def test_limit_is_kept_by_a_worker_that_sends_its_birth(self, restarts: bool) -> None:
+        """A worker that restarts under its id stays the same worker."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            spec = fleet.build_job("a", 12, 400.0, max_per_worker=LIMIT)
+            job = asyncio.create_task(fleet.submit("entry-0", spec))
+            await asyncio.sleep(0.1)
+            if restarts:
+                for name in ("side-0", "side-1", "side-2"):
+                    await fleet.restart_worker(name)
+            assert await job is JobState.COMPLETED
+            assert largest_count(fleet) == LIMIT
+
+        run_fleet(scenario, DirectPlan(entries=1, sides=12, worker_born_ms=1))
 
     def test_every_worker_is_used_up_to_the_limit(self) -> None:
         async def scenario(fleet: DirectFleet) -> None:
@@ -278,40 +297,48 @@
 
     def test_order_that_was_never_started_does_not_count(self) -> None:
         spread = JobSpread()
-        spread.record_order(0, 0, "a")
-        spread.record_end(0, 0, "a", RunEnd.NOT_STARTED)
-        assert spread.count(0, "a") == 0
+        spread.record_order(0, 0, InstanceName("a"))
+        spread.record_end(0, 0, InstanceName("a"), RunEnd.NOT_STARTED)
+        assert spread.count(0, InstanceName("a")) == 0
 
     @pytest.mark.parametrize("end", [RunEnd.DONE, RunEnd.FAILED, RunEnd.LOST])
     def test_run_that_may_have_started_counts_whatever_its_end(self, end: RunEnd) -> None:
         spread = JobSpread()
-        spread.record_order(0, 0, "a")
-        spread.record_end(0, 0, "a", end)
+        spread.record_order(0, 0, InstanceName("a"))
+        spread.record_end(0, 0, InstanceName("a"), end)
         step = StepSpec(3, Resources(), 1.0, max_per_worker=1)
-        assert spread.excluded_workers(0, 1, step, ["a", "b", "c", "d"]) == {"a"}
-        assert spread.excluded_workers(0, 0, step, ["a", "b", "c", "d"]) == set()
+        assert spread.excluded_workers(0, 1, step, FOUR) == {FOUR[0]}
+        assert spread.excluded_workers(0, 0, step, FOUR) == set()
 
     def test_worker_that_replaced_another_behind_a_link_counts_too(self) -> None:
         """The order may have arrived before or after the replacement."""
         spread = JobSpread()
-        spread.record_order(0, 0, "a.1")
-        spread.record_worker(0, 0, "a.2")
-        spread.record_end(0, 0, "a.2", RunEnd.DONE)
-        assert spread.count(0, "a.1") == spread.count(0, "a.2") == 1
+        spread.record_order(0, 0, InstanceName("a.1"))
+        spread.record_worker(0, 0, InstanceName("a.2"))
+        spread.record_end(0, 0, InstanceName("a.2"), RunEnd.DONE)
+        assert spread.count(0, InstanceName("a.1")) == spread.count(0, InstanceName("a.2")) == 1
+
+    def test_worker_that_restarts_under_its_id_counts_on(self) -> None:
+        spread = JobSpread()
+        spread.record_order(0, 0, InstanceName("a", 1))
+        spread.record_end(0, 0, InstanceName("a", 2), RunEnd.LOST)
+        restarted = InstanceName("a", 2)
+        step = StepSpec(3, Resources(), 1.0, max_per_worker=1)
+        assert spread.excluded_workers(0, 1, step, [restarted, *FOUR[1:]]) == {restarted}
 
     def test_task_that_runs_again_leaves_the_last_places_to_others(self) -> None:
         spread = JobSpread()
-        spread.record_order(0, 0, "a")
-        spread.record_end(0, 0, "a", RunEnd.FAILED)
+        spread.record_order(0, 0, InstanceName("a"))
+        spread.record_end(0, 0, InstanceName("a"), RunEnd.FAILED)
         step = StepSpec(2, Resources(), 1.0, max_per_worker=1)
-        assert spread.excluded_workers(0, 0, step, ["a", "b"]) == {"b"}
-        assert spread.excluded_workers(0, 0, step, ["a", "b", "c"]) == set()
+        assert spread.excluded_workers(0, 0, step, FOUR[:2]) == {FOUR[1]}
+        assert spread.excluded_workers(0, 0, step, FOUR[:3]) == set()
 
 
 def offer(name: str, free_cores: float, rack: str) -> WorkerOffer:
     capacity = Resources(32_000, 64_000, 0)
     free = Resources(int(free_cores * 1000), 64_000, 0)
-    return WorkerOffer(name, free, 1.0, True, False, frozenset({rack}), capacity)
+    return WorkerOffer(InstanceName(name), free, 1.0, True, False, frozenset({rack}), capacity)
 
 
 class TestChoice:
--- a/tests/test_direct_uneven.py
+++ b/tests/test_direct_uneven.py
@@ -28,6 +28,7 @@
     choose_worker,
 )
 from currantbarrow.direct.speeds import FleetSpeeds, survey_speeds
+from currantbarrow.direct.worker import InstanceName
 from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
 from currantbarrow.standins.virtual import run_virtual
 
@@ -125,7 +126,7 @@
     ]
     if not eligible:
         return Placement(None, PlacementReason.NO_ROOM)
-    eligible = [offer for offer in eligible if offer.worker not in request.avoid] or eligible
+    eligible = [offer for offer in eligible if offer.instance not in request.avoid] or eligible
     best = min(offer.slowness for offer in eligible)
     similar = [offer for offer in eligible if offer.slowness <= best * 1.5]
     local = [offer for offer in similar if offer.is_local]
@@ -232,7 +233,7 @@
 ) -> WorkerOffer:
     capacity = Resources(CORES * 1000, 64_000, 0)
     free = Resources(int(free_cores * 1000), 64_000, 0)
-    return WorkerOffer(name, free, slowness, is_local, False, frozenset(), capacity)
+    return WorkerOffer(InstanceName(name), free, slowness, is_local, False, frozenset(), capacity)
 
 
 def request(expected_ms: float, time_left_ms: float) -> TaskRequest:
@@ -263,23 +264,23 @@
         for task in (SHORT, LONG):
             chosen = choose(task, self.fleet(fast_free=16.0))
             assert chosen.offer is not None
-            assert chosen.offer.worker.startswith("fast")
+            assert chosen.offer.instance.worker.startswith("fast")
             assert chosen.reason is PlacementReason.USUAL
 
     def test_short_task_leaves_the_last_fast_cores_to_long_ones(self) -> None:
         chosen = choose(SHORT, self.fleet(fast_free=4.0))
         assert chosen.offer is not None
-        assert chosen.offer.worker.startswith("slow")
+        assert chosen.offer.instance.worker.startswith("slow")
         assert chosen.reason is PlacementReason.SPARES_FAST
         chosen = choose(LONG, self.fleet(fast_free=4.0))
         assert chosen.offer is not None
-        assert chosen.offer.worker.startswith("fast")
+        assert chosen.offer.instance.worker.startswith("fast")
 
     def test_delayed_short_task_is_not_put_on_a_slow_worker(self) -> None:
         """A slow worker takes 97 of the 90 ms that are left."""
         chosen = choose(request(51.0, 90.0), self.fleet(fast_free=4.0))
         assert chosen.offer is not None
-        assert chosen.offer.worker.startswith("fast")
+        assert chosen.offer.instance.worker.startswith("fast")
 
     def test_long_task_waits_for_a_fast_worker_that_ends_it_sooner(self) -> None:
         chosen = choose(LONG, self.fleet(fast_free=0.0))
@@ -295,7 +296,7 @@
     def test_late_task_takes_the_room_that_there_is(self) -> None:
         chosen = choose(request(760.0, 300.0), self.fleet(fast_free=0.0))
         assert chosen.offer is not None
-        assert chosen.offer.worker.startswith("slow")
+        assert chosen.offer.instance.worker.startswith("slow")
 
     def test_probe_is_not_held_back(self) -> None:
         """A worker whose slowness is the reason of its probation recovers only through a probe."""
@@ -314,7 +315,7 @@
         offers = [offer(f"w{number}", 1.0) for number in range(9)] + [offer("false", 0.05)]
         rng = random.Random(1)
         chosen = collections.Counter(
-            placement.offer.worker
+            placement.offer.instance.worker
             for placement in (
                 choose_worker(LONG, offers, survey_speeds(offers), rng) for _ in range(2000)
             )
--- a/tests/test_direct_worker_births.py
+++ b/tests/test_direct_worker_births.py
@@ -9,7 +9,7 @@
 
 from currantbarrow.direct.model import JobState, Resources
 from currantbarrow.direct.reporting import needs_prompt_report
-from currantbarrow.direct.worker import PollResult, create_unknown_announcement
+from currantbarrow.direct.worker import InstanceName, PollResult, create_unknown_announcement
 from currantbarrow.exceptions import AnnouncementInvalid
 from currantbarrow.platform.announcements import parse_announcement
 from currantbarrow.standins.direct_fleet import DirectFleet, DirectPlan
@@ -377,7 +377,7 @@
             for entry in fleet.entries.values():
                 (handle,) = (each for each in entry.fleet.handles() if each.worker == WORKER)
                 assert handle.born_ms == after.born_ms
-                assert handle.instance == f"{WORKER}@{after.born_ms}"
+                assert handle.instance == InstanceName(WORKER, after.born_ms)
 
         run_fleet(scenario, PLAN)
 
