Give a read of the store up in time when its connection has gone silent

Callers saw: after all open connections to the store had gone silent, a new route was answered 404 for up to 0.65 s longer than `contact_ms` after the silence, by every entry that had begun its read of the store just before.

Cause: a read that waits 2 s for records counted as lost only after 3.5 s, more than `contact_ms`, and idle connections were replaced only after two time-outs in a row.

Evidence: `test_configuration_is_known_in_time_at_every_moment_of_a_read` silences all connections at every tenth of a second of a read.

Fix: a waiting read counts as lost 500 ms after its wait, twice the time that a slow store takes to answer, and one time-out of a call to the store replaces all its connections for the calls that follow. Commands to workers keep their two time-outs, since these may be lost one by one, and new connections to workers are expensive. A time-out on connections that are already replaced no longer counts against the new ones. Closing the client closes those that were replaced, too.

--- a/src/currantbarrow/platform/http.py
+++ b/src/currantbarrow/platform/http.py
@@ -17,8 +17,6 @@
 CONNECT_TIMEOUT_S = 1.0
 # New connections are expensive for the platform, so idle ones are kept open.
 KEEP_ALIVE_TIMEOUT_S = 120.0
-# A single call may be lost; this many consecutive time-outs indicate unresponsive connections.
-MAX_CONSECUTIVE_TIMEOUTS = 2
 # Exceeds the longest call, a long-polling read of the store.
 SESSION_CLOSE_DELAY_S = 5.0
 
@@ -33,11 +31,20 @@
 class HttpClient:
     """Send requests to one server, over connections that are kept open."""
 
-    __slots__ = ("_base_url", "_closing_tasks", "_connections", "_consecutive_timeouts", "_session")
+    __slots__ = (
+        "_base_url",
+        "_closing_tasks",
+        "_connections",
+        "_consecutive_timeouts",
+        "_session",
+        "_tolerated_timeouts",
+    )
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(self, address: str, connections: int, *, tolerated_timeouts: int) -> None:
         self._base_url = f"http://{address}"
         self._connections = connections
+        # Single calls may be lost; this many in a row do not yet indicate silent connections.
+        self._tolerated_timeouts = tolerated_timeouts
         self._session: aiohttp.ClientSession | None = None
         self._consecutive_timeouts = 0
         self._closing_tasks: set[asyncio.Task[None]] = set()
@@ -83,8 +90,10 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for closing in self._closing_tasks:
-            closing.cancel()
+        closing = list(self._closing_tasks)
+        for task in closing:
+            task.cancel()
+        await asyncio.gather(*closing, return_exceptions=True)
         if self._session is not None:
             await self._session.close()
 
@@ -100,13 +109,15 @@
         return self._session
 
     def _record_timeout(self, session: aiohttp.ClientSession) -> None:
-        """Count a time-out, and replace all connections after several consecutive ones.
+        """Count a time-out, and replace all connections after more than the tolerated ones.
 
         Idle connections may all become unresponsive at once. Calls in progress continue on the
         old connections, which are closed later.
         """
+        if self._session is not session:
+            return
         self._consecutive_timeouts += 1
-        if self._session is not session or self._consecutive_timeouts < MAX_CONSECUTIVE_TIMEOUTS:
+        if self._consecutive_timeouts <= self._tolerated_timeouts:
             return
         self._consecutive_timeouts = 0
         self._session = None
@@ -116,5 +127,7 @@
 
     @staticmethod
     async def _close_after_delay(session: aiohttp.ClientSession) -> None:
-        await asyncio.sleep(SESSION_CLOSE_DELAY_S)
-        await session.close()
+        try:
+            await asyncio.sleep(SESSION_CLOSE_DELAY_S)
+        finally:
+            await session.close()
--- a/src/currantbarrow/platform/store.py
+++ b/src/currantbarrow/platform/store.py
@@ -19,16 +19,27 @@
 from currantbarrow.observe import logger
 from currantbarrow.platform.http import HttpClient, HttpResponse
 
-__all__ = ["KeyedRecord", "KeyedRecords", "StoreClient", "StoredRecord"]
+__all__ = [
+    "TIMEOUT_MS",
+    "KeyedRecord",
+    "KeyedRecords",
+    "StoreClient",
+    "StoredRecord",
+    "read_timeout_ms",
+]
 
 # Every topic used here has a single partition.
 PARTITION = "0"
 APPEND_PATH = "/currantbarrow/log-append"
 READ_PATH = "/currantbarrow/log-read"
 NEWEST_PATH = "/currantbarrow/log-newest"
-# The store usually answers in 4 ms, and 60 times later while it is slow.
+# The store usually answers in 4 ms, and 60 times later while it is slow. Pages of records and
+# appends may take longer.
+ANSWER_LIMIT_MS = 500.0
 TIMEOUT_MS = 1500.0
 CONNECTIONS = 4
+# No call is lost by itself, so one time-out shows that the connections may have gone silent.
+TOLERATED_TIMEOUTS = 0
 RECORD_LENGTH = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
 
@@ -86,7 +97,7 @@
     __slots__ = ("_http",)
 
     def __init__(self, address: str) -> None:
-        self._http = HttpClient(address, CONNECTIONS)
+        self._http = HttpClient(address, CONNECTIONS, tolerated_timeouts=TOLERATED_TIMEOUTS)
 
     async def append(self, stream: str, data: bytes) -> int:
         """Append a record and return its offset; raise LogUnavailable or AppendUnknown."""
@@ -116,7 +127,7 @@
         query = {"topic": stream, "part": PARTITION, "from": str(offset), "wait_ms": str(wait_ms)}
         try:
             answer = await self._http.call(
-                "GET", READ_PATH, query=query, timeout_ms=TIMEOUT_MS + wait_ms
+                "GET", READ_PATH, query=query, timeout_ms=read_timeout_ms(wait_ms)
             )
         except LinkError as error:
             raise LogUnavailable(str(error)) from error
@@ -184,6 +195,11 @@
             raise LogUnavailable(f"{path}: status {answer.status}")
 
 
+def read_timeout_ms(wait_ms: int) -> float:
+    """Return the time after which a read that waits for records counts as lost."""
+    return wait_ms + ANSWER_LIMIT_MS if wait_ms else TIMEOUT_MS
+
+
 def _decode(body: bytes, reply: type[ReplyT]) -> ReplyT:
     try:
         return msgspec.json.decode(body, type=reply)
--- a/src/currantbarrow/platform/topics.py
+++ b/src/currantbarrow/platform/topics.py
@@ -12,11 +12,18 @@
 from currantbarrow.direct.worker import Announcement
 from currantbarrow.exceptions import LogServiceError, RecordsExpired
 from currantbarrow.observe import logger
-from currantbarrow.platform.store import KeyedRecord, KeyedRecords, StoreClient
+from currantbarrow.platform.store import (
+    TIMEOUT_MS,
+    KeyedRecord,
+    KeyedRecords,
+    StoreClient,
+    read_timeout_ms,
+)
 from currantbarrow.protocol.direct import HostRow
 from currantbarrow.types import Clock, Metrics
 
 __all__ = [
+    "SILENCE_LIMIT_MS",
     "TopicAnnouncementStore",
     "TopicHostDirectory",
     "TopicFollower",
@@ -36,6 +43,9 @@
 # Calls to the store are charged, including failed ones, so retries back off.
 RETRY_DELAY_MIN_MS = 100.0
 RETRY_DELAY_MAX_MS = 1000.0
+# The longest time from the silence of all open connections until the next listing is requested over
+# a new one.
+SILENCE_LIMIT_MS = max(read_timeout_ms(READ_WAIT_MS), TIMEOUT_MS) + RETRY_DELAY_MIN_MS
 
 
 class TopicFollower:
--- a/src/currantbarrow/platform/worker.py
+++ b/src/currantbarrow/platform/worker.py
@@ -33,6 +33,8 @@
 POLL_PATH = "/currantbarrow/hold"
 INSTANCE_HEADER = "X-Expected-Instance"
 CONNECTIONS = 24
+# Commands are lost one by one on a lossy path, and new connections to a worker are expensive.
+TOLERATED_TIMEOUTS = 1
 # The only occurrence of a job that is not repeated.
 OCCURRENCE = 0
 MISDIRECTED = 421
@@ -94,7 +96,7 @@
     __slots__ = ("_http",)
 
     def __init__(self, address: str) -> None:
-        self._http = HttpClient(address, CONNECTIONS)
+        self._http = HttpClient(address, CONNECTIONS, tolerated_timeouts=TOLERATED_TIMEOUTS)
 
     async def start(
         self, worker: str, run: RunSpec, lease_until_ms: float, token: int, timeout_ms: float
