Store a shrunk capacity before its announcement is answered, also over silent connections

Cause: `DirectSide._save` cancelled the call after 700 ms, so that the HTTP client, whose own time-out was 1.5 s, did not count it. Silent connections to the store were found one by one, an announcement each, 1.5 s apart. Besides, an append without an answer may have stored the announcement, but the one before still counted as stored, so it was not stored again when the worker returned to it.

Evidence, on the code before: `test_shrunk_capacity_is_stored_before_its_announcement_is_answered` restores 8000 instead of 4000 millicores. `test_announcement_is_stored_again_...` fails if an unanswered attempt leaves the key as it was, `test_second_attempt_...` if the second attempt is made whatever has been announced meanwhile.

Fix: the store gets the time-out of the attempt, so the client knows of it and replaces all its connections. There are two attempts, of 300 and 600 ms, within the second after which a worker considers an announcement lost; the second is left out if a newer announcement has come. What is stored counts as unknown from an attempt to its answer.

--- a/src/currantbarrow/direct/hosts.py
+++ b/src/currantbarrow/direct/hosts.py
@@ -40,8 +40,8 @@
     sooner if it reads the last announcement.
     """
 
-    async def save(self, announcement: Announcement) -> bool:
-        """Store an announcement and return whether it was stored; never raises."""
+    async def save(self, announcement: Announcement, timeout_ms: float) -> bool:
+        """Store an announcement and return whether it was stored in time; never raises."""
 
     async def load(self) -> Announcement | None:
         """Return the stored announcement, or None if there is none or it cannot be read."""
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -54,8 +54,10 @@
 CRASHES_KEPT = 32
 # Poll interval while runs of another session or entry end.
 END_POLL_INTERVAL_MS = 2.0
-# Workers consider an announcement lost after one second without an answer.
-SAVE_TIMEOUT_MS = 700.0
+# Workers consider an announcement lost after one second without an answer. The first attempt to
+# store it may go over a connection that has gone silent.
+SAVE_TIMEOUTS_MS = (300.0, 600.0)
+SAVE_RETRY_DELAY_MS = 700.0
 # An entry that was isolated for as long as peers remember its jobs may still order them.
 CLEARED_JOB_RETENTION_MS = RETENTION_MS
 REJECTION_REASONS = {
@@ -174,6 +176,8 @@
         self._announcements = announcements
         # The worker, its birth, its leaving flag and its capacity in the last stored announcement.
         self._saved_key: tuple[str, int, bool, Resources] | None = None
+        # The same of the newest announcement that was to be stored.
+        self._newest_key: tuple[str, int, bool, Resources] | None = None
         self.address = ""
         self._clock = clock
         self._network = network
@@ -263,7 +267,7 @@
             and self.driver.instance in (None, instance)
             and not await self._save(instance.announcement)
         ):
-            await self._clock.sleep_ms(SAVE_TIMEOUT_MS)
+            await self._clock.sleep_ms(SAVE_RETRY_DELAY_MS)
 
     async def _save(self, announcement: Announcement) -> bool:
         """Store an announcement, unless nothing of it has changed; return whether it is stored."""
@@ -273,25 +277,26 @@
             announcement.leaving,
             announcement.capacity,
         )
+        self._newest_key = key
         if key == self._saved_key:
             return True
         # After a restart, the side process must not mistake a leaving worker for one that stays, or
-        # exceed a capacity that has shrunk.
-        try:
-            async with asyncio.timeout(SAVE_TIMEOUT_MS / 1000):
-                saved = await self._announcements.save(announcement)
-        except TimeoutError:
-            saved = False
-        if saved:
-            self._saved_key = key
-        else:
-            # The next announcement tries again.
-            logger.warning("announcement not stored", extra={"worker": announcement.worker})
-        return saved
+        # exceed a capacity that has shrunk. An attempt without an answer may have stored it.
+        self._saved_key = None
+        for timeout_ms in SAVE_TIMEOUTS_MS:
+            if await self._announcements.save(announcement, timeout_ms):
+                self._saved_key = key
+                return True
+            if self._newest_key != key:
+                # A second attempt would replace a newer announcement.
+                break
+        # The next announcement tries again.
+        logger.warning("announcement not stored", extra={"worker": announcement.worker})
+        return False
 
     async def _restore_announcement(self) -> None:
         announcement = await self._announcements.load()
-        if announcement is not None and self.driver.instance is None and not self._saved_key:
+        if announcement is not None and self.driver.instance is None and not self._newest_key:
             logger.info(
                 "announcement restored",
                 extra={"worker": announcement.worker, "born_ms": announcement.born_ms},
--- a/src/currantbarrow/platform/store.py
+++ b/src/currantbarrow/platform/store.py
@@ -99,7 +99,7 @@
     def __init__(self, address: str) -> None:
         self._http = HttpClient(address, CONNECTIONS, tolerated_timeouts=TOLERATED_TIMEOUTS)
 
-    async def append(self, stream: str, data: bytes) -> int:
+    async def append(self, stream: str, data: bytes, timeout_ms: float = TIMEOUT_MS) -> int:
         """Append a record and return its offset; raise LogUnavailable or AppendUnknown."""
         try:
             answer = await self._http.call(
@@ -107,7 +107,7 @@
                 APPEND_PATH,
                 query={"topic": stream, "part": PARTITION},
                 body=RECORD_LENGTH.pack(len(data)) + data,
-                timeout_ms=TIMEOUT_MS,
+                timeout_ms=timeout_ms,
                 headers={"Content-Type": "application/octet-stream"},
             )
         except CallUnsent as error:
@@ -117,10 +117,12 @@
         self._check_status(answer, APPEND_PATH)
         return _decode(answer.body, _AppendReply).offset
 
-    async def append_keyed(self, topic: str, record: KeyedRecord) -> int:
+    async def append_keyed(
+        self, topic: str, record: KeyedRecord, timeout_ms: float = TIMEOUT_MS
+    ) -> int:
         """Append a keyed record; raise LogUnavailable or AppendUnknown."""
         key = record.key.encode()
-        return await self.append(topic, bytes([len(key)]) + key + record.value)
+        return await self.append(topic, bytes([len(key)]) + key + record.value, timeout_ms)
 
     async def read(self, stream: str, offset: int, wait_ms: int) -> list[StoredRecord]:
         """Return the records from an offset on; raise LogUnavailable or RecordsExpired."""
--- a/src/currantbarrow/platform/topics.py
+++ b/src/currantbarrow/platform/topics.py
@@ -213,11 +213,11 @@
         self._store = store
         self._metrics = metrics
 
-    async def save(self, announcement: Announcement) -> bool:
-        """Store an announcement and return whether it succeeded."""
-        value = msgspec.json.encode(_StoredAnnouncement(announcement))
+    async def save(self, announcement: Announcement, timeout_ms: float) -> bool:
+        """Store an announcement and return whether it succeeded in time."""
+        record = KeyedRecord(self._key, msgspec.json.encode(_StoredAnnouncement(announcement)))
         try:
-            await self._store.append_keyed(WORKERS_TOPIC, KeyedRecord(self._key, value))
+            await self._store.append_keyed(WORKERS_TOPIC, record, timeout_ms)
         except LogServiceError as error:
             self._metrics.incr("store.call_failed")
             logger.info("could not store the announcement", extra={"error": str(error)})
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -122,7 +122,7 @@
         self.down = False
         self._stored: Announcement | None = None
 
-    async def save(self, announcement: Announcement) -> bool:
+    async def save(self, announcement: Announcement, timeout_ms: float) -> bool:
         """Store an announcement; return whether it is stored."""
         if not self.down:
             self._stored = announcement
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -493,13 +493,13 @@
             store = StoreClient(address)
             announcements = TopicAnnouncementStore("side-1", store, MetricsRegistry())
             assert await announcements.load() is None
-            assert await announcements.save(announcement)
+            assert await announcements.save(announcement, 1000.0)
             assert await announcements.load() == announcement
             memory.append("keyed.workers", b"\x06side-1not json")
             assert await announcements.load() is None
             memory.status = 503
             assert await announcements.load() is None
-            assert not await announcements.save(announcement)
+            assert not await announcements.save(announcement, 1000.0)
             await store.close()
 
         serve(memory.handle, client)
--- a/tests/test_platform_silence.py
+++ b/tests/test_platform_silence.py
@@ -7,22 +7,34 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import msgspec
 from aiohttp import web
 
-from currantbarrow.observe import MetricsRegistry, create_clock
+from currantbarrow.direct.hosts import AnnouncementStore
+from currantbarrow.direct.model import Resources
+from currantbarrow.direct.side import DirectSide, DirectSideOptions
+from currantbarrow.direct.worker import Announcement
+from currantbarrow.observe import HybridClock, MetricsRegistry, create_clock
 from currantbarrow.platform.store import ANSWER_LIMIT_MS, StoreClient
 from currantbarrow.platform.topics import (
     READ_WAIT_MS,
     SILENCE_LIMIT_MS,
+    TopicAnnouncementStore,
     TopicHostDirectory,
     create_configuration_source,
 )
+from currantbarrow.protocol.websocket import create_network
+from currantbarrow.standins.direct_fleet import MemoryAnnouncements
+from currantbarrow.standins.direct_worker import MemoryWorker, RunRecorder
+from currantbarrow.standins.virtual import run_virtual
 from soak.store import MemoryStore
 
 # Within this time of the silence, a configuration must have been applied.
 CONTACT_MS = 3000.0
 # The longest time that a store takes to answer while it is slow.
 SLOW_ANSWER_MS = 240.0
+# A worker considers an announcement lost after this time.
+ANNOUNCEMENT_TIMEOUT_MS = 1000.0
 CONFIGURATION = b"\x06config"
 
 
@@ -99,6 +111,52 @@
         return clock.monotonic_ms() - began_ms
 
 
+@asynccontextmanager
+async def run_side(
+    client: StoreClient, announcements: AnnouncementStore
+) -> AsyncIterator[tuple[DirectSide, Announcement]]:
+    """Run a side process, and return it with the first announcement of its worker."""
+    metrics, clock = MetricsRegistry(), create_clock()
+    worker = MemoryWorker("worker-0", Resources(8000, 8000, 0), RunRecorder(), 1000.0)
+    worker.start_clock()
+    side = DirectSide(
+        DirectSideOptions("side-0", "side-0.1", "a", "a", "one", (), 1000.0, 100.0),
+        worker,
+        clock=clock,
+        network=create_network("", HybridClock(clock), metrics),
+        metrics=metrics,
+        directory=TopicHostDirectory(client, clock, random.Random(1), metrics),
+        announcements=announcements,
+    )
+    yield side, worker.announcement()
+    await side.stop()
+    worker.stop_clock()
+
+
+def shrink(announcement: Announcement) -> Announcement:
+    """Return the next announcement of a worker whose capacity has shrunk."""
+    return msgspec.structs.replace(
+        announcement, capacity=Resources(4000, 4000, 0), sequence=announcement.sequence + 1
+    )
+
+
+class UnansweringAnnouncements(MemoryAnnouncements):
+    """Store an announcement, and do not answer a number of attempts."""
+
+    def __init__(self, unanswered: int) -> None:
+        super().__init__()
+        self.unanswered = unanswered
+
+    async def save(self, announcement: Announcement, timeout_ms: float) -> bool:
+        """Store an announcement; return whether that was answered."""
+        stored = await super().save(announcement, timeout_ms)
+        if self.unanswered:
+            self.unanswered -= 1
+            await asyncio.sleep(timeout_ms / 1000)
+            return False
+        return stored
+
+
 class TestSilentConnections:
     def test_configuration_is_known_in_time_at_every_moment_of_a_read(self) -> None:
         async def scenario() -> list[float]:
@@ -110,3 +168,49 @@
     def test_bound_holds_with_a_slow_store(self) -> None:
         assert SLOW_ANSWER_MS < ANSWER_LIMIT_MS
         assert SILENCE_LIMIT_MS + SLOW_ANSWER_MS < CONTACT_MS
+
+    def test_shrunk_capacity_is_stored_before_its_announcement_is_answered(self) -> None:
+        """Guards against a side process that is killed then, and restores the larger one."""
+
+        async def scenario() -> None:
+            store = SilentStore()
+            async with serve(store) as client:
+                announcements = TopicAnnouncementStore("side-0", client, MetricsRegistry())
+                async with run_side(client, announcements) as (side, announcement):
+                    await side.handle_announcement(announcement)
+                    store.silence_open()
+                    async with asyncio.timeout(ANNOUNCEMENT_TIMEOUT_MS / 1000):
+                        await side.handle_announcement(shrink(announcement))
+                # The next incarnation opens connections of its own.
+                successor = StoreClient(store.address)
+                restored = TopicAnnouncementStore("side-0", successor, MetricsRegistry())
+                assert await restored.load() == shrink(announcement)
+                await successor.close()
+
+        asyncio.run(scenario())
+
+    def test_second_attempt_does_not_replace_a_newer_announcement(self) -> None:
+        async def scenario() -> None:
+            announcements, client = UnansweringAnnouncements(1), StoreClient("127.0.0.1:1")
+            async with run_side(client, announcements) as (side, announcement):
+                saving = asyncio.create_task(side.handle_announcement(announcement))
+                await asyncio.sleep(0.01)
+                await side.handle_announcement(shrink(announcement))
+                await saving
+            assert await announcements.load() == shrink(announcement)
+
+        run_virtual(scenario())
+
+    def test_announcement_is_stored_again_after_a_different_one_without_an_answer(self) -> None:
+        async def scenario() -> None:
+            announcements, client = UnansweringAnnouncements(0), StoreClient("127.0.0.1:1")
+            async with run_side(client, announcements) as (side, announcement):
+                shrunk = shrink(announcement)
+                await side.handle_announcement(shrunk)
+                announcements.unanswered = 2
+                await side.handle_announcement(msgspec.structs.replace(announcement, sequence=3))
+                await side.handle_announcement(msgspec.structs.replace(shrunk, sequence=4))
+            stored = await announcements.load()
+            assert stored is not None and stored.capacity == shrunk.capacity
+
+        run_virtual(scenario())
