End a link's handshake at once if the peer has fallen silent

Cause: after 2 s without a hello, the connection was closed with a closing handshake, for which the library waits another 10 s.

Evidence: `test_attempt_ends_in_time_if_the_peer_falls_silent_before_its_hello` took 12.01 s on the code before.

Fix: a connection whose handshake has failed is aborted.

Measured: the test passes with its bound of 3 s. tests/test_protocol.py and tests/test_docs.py pass.

--- a/src/currantbarrow/protocol/websocket.py
+++ b/src/currantbarrow/protocol/websocket.py
@@ -204,7 +204,8 @@
             await socket.send(encode_frame(self._clock.tick(), [hello]))
             peer = await self._read_hello(socket)
         except (LinkError, ConnectionClosed) as error:
-            await socket.close()
+            # A closing handshake with a peer that is silent would last for 10 s more.
+            socket.transport.abort()
             raise LinkClosed(f"handshake with {address} failed: {error}") from error
         return self._register_link(socket, peer)
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -14,6 +14,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from websockets.asyncio.client import connect
+from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosedError
 
 from currantbarrow.exceptions import BadFrame, LinkClosed
@@ -38,6 +39,7 @@
 
 LOAD = Load(12.5, 8, 3, 1, False)
 RESULT = Result([TaskResult(b"k" * 16, 3, 1, TaskState.DONE, {"a": [1, None]}, "", 5.0)], LOAD)
+CONTACT_S = 3.0
 
 
 class TestCodec:
@@ -245,3 +247,24 @@
         network = create_network("", HybridClock(create_clock()), MetricsRegistry())
         with pytest.raises(LinkClosed):
             uvloop.run(network.connect("127.0.0.1:1", Hello(Role.ENTRY, "entry-1", "entry-1.1")))
+
+    def test_attempt_ends_in_time_if_the_peer_falls_silent_before_its_hello(self) -> None:
+        async def run() -> float:
+            async def fall_silent(socket: ServerConnection) -> None:
+                socket.transport.pause_reading()
+                await asyncio.Event().wait()
+
+            server = await serve(fall_silent, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            network = create_network("", HybridClock(create_clock()), MetricsRegistry())
+            began_s = asyncio.get_running_loop().time()
+            with pytest.raises(LinkClosed):
+                await network.connect(f"127.0.0.1:{port}", Hello(Role.ENTRY, "entry-1", "e.1"))
+            took_s = asyncio.get_running_loop().time() - began_s
+            for socket in server.connections:
+                socket.transport.abort()
+            server.close()
+            return took_s
+
+        # The host counts as in contact again this long after its connections went silent.
+        assert asyncio.run(run()) < CONTACT_S
