--- a/tests/test_platform_silence.py
+++ b/tests/test_platform_silence.py
@@ -10,10 +10,12 @@
 import msgspec
 from aiohttp import web
 
+from currantbarrow.direct.commands import POLL_TIMEOUT_MS, POLL_WAIT_MS, RETRY_BACKOFF_MIN_MS
 from currantbarrow.direct.hosts import AnnouncementStore
 from currantbarrow.direct.model import Resources
 from currantbarrow.direct.side import DirectSide, DirectSideOptions
 from currantbarrow.direct.worker import Announcement
+from currantbarrow.exceptions import WorkerSilent
 from currantbarrow.observe import HybridClock, MetricsRegistry, create_clock
 from currantbarrow.platform.store import ANSWER_LIMIT_MS, StoreClient
 from currantbarrow.platform.topics import (
@@ -23,6 +25,7 @@
     TopicHostDirectory,
     create_configuration_source,
 )
+from currantbarrow.platform.worker import HttpWorkerControl
 from currantbarrow.protocol.websocket import create_network
 from currantbarrow.standins.direct_fleet import MemoryAnnouncements
 from currantbarrow.standins.direct_worker import MemoryWorker, RunRecorder
@@ -35,6 +38,7 @@
 SLOW_ANSWER_MS = 240.0
 # A worker considers an announcement lost after this time.
 ANNOUNCEMENT_TIMEOUT_MS = 1000.0
+WORKER_CONNECTIONS = 12
 CONFIGURATION = b"\x06config"
 
 
@@ -62,6 +66,15 @@
         return await asyncio.Future[web.StreamResponse]()
 
 
+class SilentWorker(SilentStore):
+    """Answer polls after their wait, except over connections that have gone silent."""
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        body = await request.json() if request.can_read_body else {}
+        await asyncio.sleep(body.get("wait_ms", 0) / 1000)
+        return web.json_response({"clock_ms": 1.0})
+
+
 @asynccontextmanager
 async def serve(store: SilentStore) -> AsyncIterator[StoreClient]:
     """Serve a store on loopback to a client that has used all its connections."""
@@ -111,6 +124,41 @@
         return clock.monotonic_ms() - began_ms
 
 
+async def poll(
+    control: HttpWorkerControl, wait_ms: float, answer_ms: float = POLL_TIMEOUT_MS
+) -> None:
+    """Poll a worker, by default with the time-out of a side process."""
+    await control.poll(
+        "w",
+        1,
+        acknowledged_end=0,
+        lease_until_ms=None,
+        wait_ms=wait_ms,
+        timeout_ms=wait_ms + answer_ms,
+    )
+
+
+async def measure_polling(silent_after_s: float) -> float:
+    """Return the time from the silence until a poll that begins after it is answered."""
+    worker, clock = SilentWorker(), create_clock()
+    async with serve(worker):
+        control = HttpWorkerControl(worker.address)
+        await asyncio.gather(*(poll(control, 0.0, CONTACT_MS) for _ in range(WORKER_CONNECTIONS)))
+        polling = asyncio.create_task(poll(control, POLL_WAIT_MS))
+        await asyncio.sleep(silent_after_s)
+        worker.silence_open()
+        began_ms = clock.monotonic_ms()
+        await asyncio.gather(polling, return_exceptions=True)
+        while clock.monotonic_ms() - began_ms < 2 * CONTACT_MS:
+            try:
+                await poll(control, POLL_WAIT_MS)
+                break
+            except WorkerSilent:
+                await clock.sleep_ms(RETRY_BACKOFF_MIN_MS)
+        await control.close()
+        return clock.monotonic_ms() - began_ms
+
+
 @asynccontextmanager
 async def run_side(
     client: StoreClient, announcements: AnnouncementStore
@@ -165,6 +213,13 @@
 
         assert max(asyncio.run(scenario())) < CONTACT_MS
 
+    def test_worker_is_polled_in_time_at_every_moment_of_a_poll(self) -> None:
+        async def scenario() -> list[float]:
+            moments_ms = range(0, int(POLL_WAIT_MS) + 1, 20)
+            return await asyncio.gather(*(measure_polling(each / 1000) for each in moments_ms))
+
+        assert max(asyncio.run(scenario())) < CONTACT_MS
+
     def test_bound_holds_with_a_slow_store(self) -> None:
         assert SLOW_ANSWER_MS < ANSWER_LIMIT_MS
         assert SILENCE_LIMIT_MS + SLOW_ANSWER_MS < CONTACT_MS
