Apply the limit on one worker to all workers that a dispatch pass may use

Cause: the offers of a pass are made at its start, but the workers on which the limit is checked were asked for at each task, from the links that do not count as lost by then. If the process is held up in a pass, a link comes to count as lost in between; its worker's offer stays, without a limit.

Evidence: `test_limit_is_kept_if_links_come_to_count_as_lost_during_a_dispatch_pass` finds 2 tasks on a worker on the code before.

Fix: the workers of the offers are checked in any case.

Measured: tests/test_direct_locality.py passes.

--- a/src/currantbarrow/direct/placing.py
+++ b/src/currantbarrow/direct/placing.py
@@ -175,7 +175,9 @@
         step = job.spec.steps[task.step]
         near_rack, factor = self._locality(job, task, service)
         if step.max_per_worker:
-            instances = self._fleet.instances(job.queue.service)
+            # Links may have come to count as lost since the offers were made.
+            instances = {offer.instance for offer in service.offers}
+            instances.update(self._fleet.instances(job.queue.service))
             excluded = job.spread.excluded_workers(task.step, task.index, step, instances)
         else:
             excluded = frozenset()
--- a/tests/test_direct_locality.py
+++ b/tests/test_direct_locality.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from currantbarrow.direct.candidates import WorkerCandidate
 from currantbarrow.direct.job import OpenJob
 from currantbarrow.direct.model import JobSpec, JobState, Resources, StepSpec
 from currantbarrow.direct.placement import (
@@ -241,6 +242,31 @@
 
         run_fleet(scenario, DirectPlan(entries=1, sides=12, worker_born_ms=1))
 
+    def test_limit_is_kept_if_links_come_to_count_as_lost_during_a_dispatch_pass(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A process that is held up then compares two views of the fleet."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            entry = fleet.entries["entry-0"]
+            collect, handles = entry.dispatcher._collect_candidates, entry.fleet.handles
+
+            def collect_and_stall(now_ms: float) -> dict[str, list[WorkerCandidate]]:
+                candidates = collect(now_ms)
+                monkeypatch.setattr(entry.fleet, "handles", list)
+                asyncio.get_running_loop().call_soon(
+                    monkeypatch.setattr, entry.fleet, "handles", handles
+                )
+                return candidates
+
+            monkeypatch.setattr(entry.dispatcher, "_collect_candidates", collect_and_stall)
+            for number in range(8):
+                spec = fleet.build_job(f"job-{number}", 4, 100.0, max_per_worker=LIMIT)
+                assert await fleet.submit("entry-0", spec) is JobState.COMPLETED
+            assert largest_count(fleet) == LIMIT
+
+        run_fleet(scenario, DirectPlan(entries=1, sides=4))
+
     def test_every_worker_is_used_up_to_the_limit(self) -> None:
         async def scenario(fleet: DirectFleet) -> None:
             spec = fleet.build_job("a", 24, 100.0, max_per_worker=2)
