--- a/src/currantbarrow/platform/topics.py
+++ b/src/currantbarrow/platform/topics.py
@@ -13,11 +13,18 @@
 from currantbarrow.direct.worker import Announcement
 from currantbarrow.exceptions import LogServiceError, RecordsExpired, ValueUndecodable
 from currantbarrow.observe import logger
-from currantbarrow.platform.store import KeyedRecord, KeyedRecords, StoreClient
+from currantbarrow.platform.store import (
+    TIMEOUT_MS,
+    KeyedRecord,
+    KeyedRecords,
+    StoreClient,
+    read_timeout_ms,
+)
 from currantbarrow.protocol.direct import HostRow
 from currantbarrow.types import Clock, Metrics
 
 __all__ = [
+    "SILENCE_LIMIT_MS",
     "TopicAnnouncementStore",
     "TopicHostDirectory",
     "TopicFollower",
@@ -37,6 +44,9 @@
 # Calls to the store are charged, including failed ones, so retries back off.
 RETRY_DELAY_MIN_MS = 100.0
 RETRY_DELAY_MAX_MS = 1000.0
+# The longest time from the silence of all open connections until the next listing is requested over
+# a new one.
+SILENCE_LIMIT_MS = max(read_timeout_ms(READ_WAIT_MS), TIMEOUT_MS) + RETRY_DELAY_MIN_MS
 
 
 class TopicFollower:
@@ -204,11 +214,11 @@
         self._store = store
         self._metrics = metrics
 
-    async def save(self, announcement: Announcement) -> bool:
-        """Store an announcement and return whether it succeeded."""
-        value = msgspec.json.encode(_StoredAnnouncement(announcement))
+    async def save(self, announcement: Announcement, timeout_ms: float) -> bool:
+        """Store an announcement and return whether it succeeded in time."""
+        record = KeyedRecord(self._key, msgspec.json.encode(_StoredAnnouncement(announcement)))
         try:
-            await self._store.append_keyed(WORKERS_TOPIC, KeyedRecord(self._key, value))
+            await self._store.append_keyed(WORKERS_TOPIC, record, timeout_ms)
         except LogServiceError as error:
             self._metrics.incr("store.call_failed")
             logger.info("could not store the announcement", extra={"error": str(error)})
