Separate the checks of a call from its acceptance, and log who does not confirm

Cause: submit had grown to fifty lines, and a side process that did not confirm the end of a job's runs left no line.

Change: the checks before anything is released elsewhere are in a method of their own; a line for each side process that does not confirm. No other change of behaviour.

Measured: the tests of submissions, standings, partitions, draining and log lines pass.

--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -256,14 +256,9 @@
         if outcome is not None:
             self._metrics.incr("entry.job_repeated")
             return outcome
-        if self.draining and not self._accepts_while_draining():
-            return self._complete_refusal(spec.job_id, Refusal("draining", 1, 0.0))
-        if caller is not None and caller.has_left():
-            # Its job may run elsewhere meanwhile, where the caller waits for it.
-            return self._refuse_earlier(spec.job_id, "caller_left")
-        if self.dispatcher.has_stalled_lately():
-            # The call may have arrived before, and its caller have left without a sign.
-            return self._refuse_earlier(spec.job_id, "isolated")
+        refusal = self._check_call(spec.job_id, caller)
+        if refusal is not None:
+            return refusal
         answer = await self._end_earlier_runs(spec.job_id)
         # The job may have been submitted here meanwhile.
         job = self.dispatcher.jobs.get(spec.job_id)
@@ -276,12 +271,11 @@
             return Refusal("draining", 1, 0.0, may_have_run=True)
         if self.dispatcher.give_up_submitted(spec, queue):
             return Standing.FAILED
-        is_late = False
         if caller_timeout_ms > 0:
             caller_timeout_ms -= self._clock.monotonic_ms() - received_ms
-            is_late = caller_timeout_ms <= 0
-        # A busy entry reads a call long after its caller has left and submitted the job elsewhere.
-        if is_late or (caller is not None and caller.has_left()):
+            if caller_timeout_ms <= 0:
+                return self._refuse_earlier(spec.job_id, "caller_left")
+        if _has_left(caller):
             return self._refuse_earlier(spec.job_id, "caller_left")
         accepted = self.dispatcher.check_spread(spec, queue) or self.dispatcher.submit(
             spec, queue, caller_timeout_ms
@@ -290,6 +284,18 @@
             return self._complete_refusal(spec.job_id, accepted)
         return accepted
 
+    def _check_call(self, job_id: str, caller: Caller | None) -> Refusal | None:
+        """Return the refusal of a call for which nothing must be released elsewhere, if it is."""
+        if self.draining and not self._accepts_while_draining():
+            return self._complete_refusal(job_id, Refusal("draining", 1, 0.0))
+        if _has_left(caller):
+            # A busy entry reads a call late. Its job may run elsewhere, where the caller waits.
+            return self._refuse_earlier(job_id, "caller_left")
+        if self.dispatcher.has_stalled_lately():
+            # The call may have arrived before, and its caller have left without a sign.
+            return self._refuse_earlier(job_id, "isolated")
+        return None
+
     async def cancel(self, job_id: str) -> CancelOutcome:
         """Cancel a job here and at the other processes, and return what is known of it."""
         # A submission that arrives after this, here or elsewhere, must not run, known or not.
@@ -699,3 +705,8 @@
 
     def _unfinished(self) -> dict[str, int]:
         return {"jobs": len(self.dispatcher.jobs), "requests": len(self.requests)}
+
+
+def _has_left(caller: Caller | None) -> bool:
+    """Return whether the caller of a call is known to have left."""
+    return caller is not None and caller.has_left()
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -487,11 +487,16 @@
             ),
             return_exceptions=True,
         )
-        return {
-            handle
-            for handle, reply in zip(handles, replies, strict=True)
-            if not isinstance(reply, BaseException)
-        }
+        confirmed = set()
+        for handle, reply in zip(handles, replies, strict=True):
+            if isinstance(reply, BaseException):
+                logger.info(
+                    "side process did not confirm",
+                    extra={"job": job, "address": handle.address, "error": str(reply)},
+                )
+            else:
+                confirmed.add(handle)
+        return confirmed
 
     async def run(self) -> None:
         """Close links that are lost and update the warm ones, until cancelled."""
