Show what crowds of clients outside the limits do to the processes

An entry has no common bound on what it holds of all its callers: neither on the bytes of bodies that never end, nor on the processor time for very small chunks, nor on descriptors.

The tests start an entry, a side process and the stand-ins on loopback addresses, lower the limits in the settings (96 MB; 1,024 or 256 descriptors), and let a crowd of 20 to 512 clients call. They check that the process lives, that its peak memory and its descriptors keep the limits, with 32 descriptors left, and that an ordinary job is completed afterwards.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -38,6 +38,7 @@
 LINK_PORT, CALLERS_PORT, CONTROL_PORT, READY_PORT = 7720, 8161, 8166, 8167
 STORE_PORT, WORKER_PORT = 7000, 8080
 ENTRY_MEMORY_MB, SIDE_MEMORY_MB = 300, 168
+ENTRY_DESCRIPTORS, SIDE_DESCRIPTORS = 4100, 4096
 HOST_NAME = "jobs.example"
 QUEUES = ("/quick", "/slow")
 LONG_QUEUE = "/long"
@@ -67,6 +68,9 @@
     crashes: bool = False
     # Stop processes in turn while jobs are so long that callers take them to another entry.
     moves: bool = False
+    # Limits of each process, if others than those of the machines.
+    memory_mb: int = 0
+    descriptors: int = 0
 
 
 class Host:
@@ -420,8 +424,18 @@
             "target_latency_ms": 60 + self.version % 7,
         }
 
+    def limits(self, host: Host) -> tuple[int, int]:
+        """Return the memory in megabytes and the descriptors that a process may use."""
+        memory_mb, descriptors = (
+            (ENTRY_MEMORY_MB, ENTRY_DESCRIPTORS)
+            if host.is_entry
+            else (SIDE_MEMORY_MB, SIDE_DESCRIPTORS)
+        )
+        return self.plan.memory_mb or memory_mb, self.plan.descriptors or descriptors
+
     def _settings(self, host: Host) -> dict[str, object]:
         seeds = [f"{entry.advertised_ip}:{CONTROL_PORT}" for entry in self.entries[:3]]
+        memory_mb, descriptors = self.limits(host)
         return {
             "node_name": host.name,
             "ip": host.advertised_ip,
@@ -435,6 +449,7 @@
             "link_listener": f"{host.listen_ip}:{LINK_PORT}",
             "platform": {"address": host.store.address},
             "bounds": BOUNDS,
+            "limits": {"memory_mb": memory_mb, "max_fds": descriptors},
             "seeds": seeds,
             "app": host.worker.address,
             "service": SERVICE,
