--- a/tests/test_direct_locality.py
+++ b/tests/test_direct_locality.py
@@ -25,7 +25,7 @@
 from currantbarrow.direct.worker import InstanceName
 from currantbarrow.protocol.direct import RunEnd
 from currantbarrow.standins.direct_fleet import QUEUE, DirectFleet, DirectPlan
-from direct_scenarios import run_fleet
+from direct_scenarios import RESUBMIT_AFTER_S, run_fleet
 
 # Three racks of four workers, with room for eight tasks each.
 PLAN = DirectPlan(entries=3, sides=12, rack_size=4, far_factor=2.0)
@@ -50,6 +50,26 @@
     return max(len(indices) for indices in tasks.values())
 
 
+class MostTasksAtOnce:
+    """Track the largest number of tasks of one step that ran on one worker at the same time."""
+
+    def __init__(self, fleet: DirectFleet) -> None:
+        self._largest = 0
+        self._runs = fleet.runs
+        self._record = fleet.runs.record_start
+        fleet.runs.record_start = self._record_start  # type: ignore[method-assign]
+
+    def count(self) -> int:
+        return self._largest
+
+    def _record_start(self, task: tuple[str, int, int], worker: str) -> None:
+        self._record(task, worker)
+        running = collections.Counter(
+            (each[0], each[1], on) for each, on in self._runs.running.items()
+        )
+        self._largest = max(self._largest, *running.values())
+
+
 def warm_up(fleet: DirectFleet) -> None:
     """Let the entries know the run times of earlier jobs."""
     for entry in fleet.entries.values():
@@ -242,6 +262,45 @@
 
         run_fleet(scenario, DirectPlan(entries=1, sides=12, worker_born_ms=1))
 
+    @pytest.mark.parametrize("seed", range(6))
+    def test_limit_is_kept_over_takeovers_by_entries_and_workers_that_begin_to_send_births(
+        self, seed: int
+    ) -> None:
+        """A job runs on what an earlier entry has placed, on instances with and without births."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            rng = random.Random(seed)
+            most = MostTasksAtOnce(fleet)
+            names = list(fleet.workers)
+            # Half of the workers are replaced by instances that send a birth, some under their id.
+            for name in rng.sample(names, 6):
+                if rng.random() < 0.5:
+                    fleet.workers[name].crash()
+                await fleet.restart_worker(name)
+            await asyncio.sleep(1.0)
+            specs = [
+                fleet.build_job(f"job-{number}", 9, 1500.0, max_per_worker=LIMIT)
+                for number in range(4)
+            ]
+            first = [asyncio.create_task(fleet.submit("entry-0", spec)) for spec in specs]
+            await asyncio.sleep(rng.uniform(0.1, 0.6))
+            restarted, replaced, killed = rng.sample(names, 3)
+            await fleet.kill_side(killed)
+            await fleet.restart_worker(restarted)
+            fleet.workers[replaced].crash()
+            await fleet.restart_worker(replaced)
+            await fleet.kill_entry("entry-0")
+            for task in first:
+                task.cancel()
+            await asyncio.sleep(RESUBMIT_AFTER_S)
+            # The side process does not know the birth of its worker yet.
+            await fleet.start_side(killed)
+            second = [asyncio.create_task(fleet.submit("entry-1", spec)) for spec in specs]
+            await asyncio.wait(second, timeout=20.0)
+            assert most.count() == LIMIT
+
+        run_fleet(scenario, DirectPlan(entries=3, sides=12, seed=seed))
+
     def test_limit_is_kept_if_links_come_to_count_as_lost_during_a_dispatch_pass(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
