Bound the bytes that all clients of a process hold together

Operators saw: an entry ran out of memory and was ended under clients whose bodies stop short of their end, whole, in pieces or in chunks; fields and trailers without end did the same.

Cause: the HTTP library limits one request, and nothing limited the sum. It read up to 256 KB at once from each connection and buffered up to 512 KB before a handler had read it. Errors of the parser keep what they arose from in cycles.

Change: the package intake stands between connections and the library's protocol. All connections read into one buffer of 16 KiB, and the rest stays with the system. Bytes that are received and not answered are counted over all connections, up to an eighth of the memory that the settings give the process; then the client that holds most and moves least is refused, with a 503 that is true, as its body was not read. A request has 30 s to arrive, and may not consist of overhead alone. Bodies are collected in parts instead of one array that grows, and are not kept with the request.

--- a/src/currantbarrow/exceptions.py
+++ b/src/currantbarrow/exceptions.py
@@ -9,6 +9,7 @@
     "BadFrame",
     "CallUnsent",
     "ClassConflict",
+    "ClientRefused",
     "ConfigurationError",
     "CurrantbarrowError",
     "DispatchError",
@@ -222,6 +223,12 @@
     hint = "Show the class, then repeat the change on its present revision."
 
 
+class ClientRefused(CurrantbarrowError):
+    """Report that a request is not received further, as clients take too much together."""
+
+    code = "client_refused"
+
+
 class OwnershipError(CurrantbarrowError):
     """Report that this process does not currently own the shard."""
 
--- /dev/null
+++ b/src/currantbarrow/intake/intake.py
@@ -0,0 +1,150 @@
+"""Keep the limits that all clients of a process share."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+
+from currantbarrow.intake.connection import GuardedConnection
+from currantbarrow.intake.limits import IntakeLimits
+from currantbarrow.intake.policy import (
+    Refusal,
+    choose_for_memory,
+    find_overdue,
+)
+from currantbarrow.observe import logger
+from currantbarrow.types import Metrics
+
+__all__ = ["Intake", "create_intake"]
+
+# What a connection reads at a time. The larger it is, the longer others wait for its decoding.
+READ_BYTES = 16 * 1024
+CHECK_INTERVAL_S = 1.0
+# Refusals for one reason are logged together at this interval.
+LOG_INTERVAL_S = 10.0
+COLLECT_DELAY_S = 0.01
+
+
+class Intake:
+    """Track the connections of a process's clients, and refuse those that take too much."""
+
+    __slots__ = (
+        "_checking",
+        "_connections",
+        "_discarded_bytes",
+        "_held_bytes",
+        "_logged_s",
+        "_loop",
+        "_unlogged",
+        "buffer",
+        "limits",
+        "metrics",
+    )
+
+    def __init__(self, limits: IntakeLimits, metrics: Metrics) -> None:
+        self.limits = limits
+        self.metrics = metrics
+        self._loop = asyncio.get_running_loop()
+        # Connections read one after the other, and leave nothing in it.
+        self.buffer = memoryview(bytearray(READ_BYTES))
+        self._connections: set[GuardedConnection] = set()
+        self._held_bytes = 0
+        # Bytes of refused requests since the last garbage collection.
+        self._discarded_bytes = 0
+        # Refusals that are not logged yet, and when the last ones were, by reason.
+        self._unlogged: dict[Refusal, int] = {}
+        self._logged_s: dict[Refusal, float] = {}
+        self._checking: asyncio.TimerHandle | None = None
+
+    def now_s(self) -> float:
+        """Return the time of the event loop."""
+        return self._loop.time()
+
+    def guard(self, protocol: asyncio.Protocol) -> GuardedConnection:
+        """Return a connection that passes on to a library's protocol."""
+        return GuardedConnection(protocol, self)
+
+    def register(self, connection: GuardedConnection) -> None:
+        """Track a connection."""
+        self._connections.add(connection)
+        if self._checking is None:
+            self._checking = self._loop.call_later(CHECK_INTERVAL_S, self._check)
+
+    def unregister(self, connection: GuardedConnection) -> None:
+        """Forget a connection that has ended."""
+        self._connections.discard(connection)
+
+    def hold(self, count: int) -> None:
+        """Count received bytes, and refuse clients until all hold no more than they may."""
+        self._held_bytes += count
+        while self._held_bytes > self.limits.held_bytes:
+            client = choose_for_memory(self._connections, self.now_s())
+            if client is None:
+                return
+            self.refuse(client, Refusal.MEMORY)
+
+    def release(self, count: int) -> None:
+        """Count bytes as answered or discarded."""
+        self._held_bytes -= count
+
+    def stop(self) -> None:
+        """Stop checking the connections."""
+        if self._checking is not None:
+            self._checking.cancel()
+
+    def _check(self) -> None:
+        """Refuse clients that take too long."""
+        now_s = self.now_s()
+        for client in list(self._connections):
+            reason = find_overdue(client, now_s, self.limits.request_timeout_s)
+            if reason is not None:
+                self.refuse(client, reason)
+        self.metrics.gauge("intake.connections", len(self._connections))
+        self.metrics.gauge("intake.held_bytes", self._held_bytes)
+        for refusal in list(self._unlogged):
+            self._log(refusal, "")
+        self._checking = None
+        if self._connections or self._unlogged:
+            self._checking = self._loop.call_later(CHECK_INTERVAL_S, self._check)
+
+    def refuse(self, client: GuardedConnection, reason: Refusal) -> None:
+        """Refuse a client, and count and log it."""
+        peer = client.peer
+        self._discard(client.held_bytes)
+        client.refuse(reason)
+        self.metrics.incr(f"intake.refused.{reason.value}")
+        self._unlogged[reason] = self._unlogged.get(reason, 0) + 1
+        self._log(reason, peer)
+
+    def _discard(self, count: int) -> None:
+        """Count bytes of a refused request, and collect garbage once there is much of it.
+
+        Errors of the library refer to what they arose from in cycles, which would stay until
+        enough other objects have been created.
+        """
+        self._discarded_bytes += count
+        if self._discarded_bytes >= self.limits.held_bytes / 2:
+            self._discarded_bytes = 0
+            # After the end of the connections.
+            self._loop.call_later(COLLECT_DELAY_S, gc.collect)
+
+    def _log(self, reason: Refusal, peer: str) -> None:
+        now_s = self.now_s()
+        if now_s - self._logged_s.get(reason, now_s - LOG_INTERVAL_S) < LOG_INTERVAL_S:
+            return
+        self._logged_s[reason] = now_s
+        logger.warning(
+            "clients refused",
+            extra={
+                "reason": reason.value,
+                "clients": self._unlogged.pop(reason),
+                "last": peer,
+                "connections": len(self._connections),
+                "held_bytes": self._held_bytes,
+            },
+        )
+
+
+def create_intake(limits: IntakeLimits, metrics: Metrics) -> Intake:
+    """Create the intake of a process in the running event loop."""
+    return Intake(limits, metrics)
--- a/src/currantbarrow/platform/announcements.py
+++ b/src/currantbarrow/platform/announcements.py
@@ -12,6 +12,7 @@
 from currantbarrow.direct.side import DirectSide
 from currantbarrow.direct.worker import NOT_ANNOUNCED, Announcement
 from currantbarrow.exceptions import AnnouncementInvalid, ValueUndecodable
+from currantbarrow.intake.web import take_body
 from currantbarrow.observe import logger
 from currantbarrow.types import Metrics
 
@@ -91,7 +92,7 @@
         instance = side.driver.instance
         known = None if instance is None else instance.announcement
         try:
-            announcement = parse_announcement(worker, await request.read(), service, known)
+            announcement = parse_announcement(worker, await take_body(request), service, known)
         except AnnouncementInvalid as error:
             metrics.incr("side.announcement_unreadable")
             logger.warning(
--- a/src/currantbarrow/platform/callers.py
+++ b/src/currantbarrow/platform/callers.py
@@ -14,6 +14,7 @@
 from currantbarrow.direct.model import JobState, WorkQueue
 from currantbarrow.direct.standings import CancelOutcome
 from currantbarrow.exceptions import JobInvalid
+from currantbarrow.intake.web import take_body
 from currantbarrow.observe import logger
 from currantbarrow.platform.connections import CallConnection
 from currantbarrow.platform.jobs import is_job_id, parse_job
@@ -95,7 +96,7 @@
 
     async def _submit(self, request: web.Request, queue: WorkQueue, job_id: str) -> web.Response:
         try:
-            spec = parse_job(job_id, await request.read())
+            spec = parse_job(job_id, await take_body(request))
         except JobInvalid as error:
             return self._refuse_invalid(job_id, queue, error)
         if queue.needs_placement_advice:
--- a/src/currantbarrow/platform/connections.py
+++ b/src/currantbarrow/platform/connections.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import select
-
 from aiohttp import web
 
-__all__ = ["CallConnection"]
+from currantbarrow.intake import is_peer_gone
 
-LEFT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+__all__ = ["CallConnection"]
 
 
 class CallConnection:
@@ -20,13 +18,6 @@
         self._request = request
 
     def has_left(self) -> bool:
-        """Return whether the caller has closed or reset the connection.
-
-        The system knows before the event loop has read the end of the connection.
-        """
+        """Return whether the caller has closed or reset the connection."""
         transport = self._request.transport
-        if transport is None or transport.is_closing():
-            return True
-        poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return any(events & LEFT_EVENTS for _, events in poll.poll(0))
+        return transport is None or is_peer_gone(transport)
--- a/src/currantbarrow/platform/serving.py
+++ b/src/currantbarrow/platform/serving.py
@@ -10,6 +10,14 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
+from currantbarrow.exceptions import ClientRefused
+from currantbarrow.intake import Intake
+from currantbarrow.intake.web import (
+    GuardedSite,
+    connection_of,
+    create_server_logger,
+    receive_body,
+)
 from currantbarrow.listening import bind_address
 from currantbarrow.observe import logger
 from currantbarrow.open_requests import OpenRequests
@@ -22,6 +30,10 @@
 EXIT_RESERVE_MS = 150.0
 SHUTDOWN_TIMEOUT_S = 0.1
 INTERRUPTED_RETRY_S = 1
+# Retry-After of a request that was not received whole, as the clients hold too much together.
+REFUSED_RETRY_S = 1
+# What the library decodes before a handler has read it, in bytes.
+READ_BUFFER_BYTES = 16 * 1024
 
 Closer = Callable[[], Awaitable[None]]
 # Callers reuse connections between requests; new ones cost both ends more.
@@ -33,21 +45,23 @@
     address: str,
     setting: str,
     requests: OpenRequests,
+    intake: Intake,
     cancel: bool = False,
 ) -> web.AppRunner:
     """Serve an application; with cancel, a handler is cancelled when its client disconnects.
 
-    Requests that are still open once the server has stopped listening are answered with 502.
+    Handlers get the body of a request from `take_body`. Requests that are still open once the
+    server has stopped listening are answered with 502.
     """
 
     @web.middleware
-    async def count(request: web.Request, handler: Handler) -> web.StreamResponse:
-        return await requests.answer(handler(request), _create_interrupted_response)
+    async def serve(request: web.Request, handler: Handler) -> web.StreamResponse:
+        return await requests.answer(_receive(request, handler), _create_interrupted_response)
 
     async def interrupt(app: web.Application) -> None:
         requests.interrupt()
 
-    app.middlewares.append(count)
+    app.middlewares.append(serve)
     app.on_shutdown.append(interrupt)
     runner = web.AppRunner(
         app,
@@ -55,12 +69,32 @@
         handler_cancellation=cancel,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
+        read_bufsize=READ_BUFFER_BYTES,
+        # The rest of a request that was refused is not waited for.
+        lingering_time=0.0,
+        logger=create_server_logger(intake.metrics),
     )
     await runner.setup()
-    await web.SockSite(runner, bind_address(address, setting)).start()
+    await GuardedSite(runner, bind_address(address, setting), intake).start()
     return runner
 
 
+async def _receive(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Receive a request, and answer it."""
+    connection = connection_of(request)
+    try:
+        await receive_body(request, request.client_max_size)
+    except ClientRefused as error:
+        return _create_refused_response(str(error))
+    except web.RequestPayloadError:
+        return _create_unreadable_response()
+    try:
+        return await handler(request)
+    finally:
+        if connection is not None:
+            connection.end_answer()
+
+
 async def close_all(*stages: list[Closer]) -> None:
     """Close servers and connections, those of a stage at once, within the time reserved for it."""
     loop = asyncio.get_running_loop()
@@ -98,16 +132,38 @@
     return stop
 
 
-class _InterruptedBody(msgspec.Struct):
-    code: str = "interrupted"
-    detail: str = "shutting down"
+class _ErrorBody(msgspec.Struct):
+    code: str
+    detail: str = ""
 
 
 def _create_interrupted_response() -> web.StreamResponse:
     """Return a response that does not say whether the request has had an effect."""
+    return _create_error_response(
+        502, _ErrorBody("interrupted", "shutting down"), INTERRUPTED_RETRY_S
+    )
+
+
+def _create_refused_response(reason: str) -> web.Response:
+    """Return the refusal of a request that was not received whole, so it has not run."""
+    response = _create_error_response(503, _ErrorBody("not_run", reason), REFUSED_RETRY_S)
+    response.force_close()
+    return response
+
+
+def _create_unreadable_response() -> web.Response:
+    response = _create_error_response(400, _ErrorBody("unreadable", "malformed body"))
+    response.force_close()
+    return response
+
+
+def _create_error_response(
+    status: int, body: _ErrorBody, retry_after_s: int | None = None
+) -> web.Response:
+    headers = {} if retry_after_s is None else {"Retry-After": str(retry_after_s)}
     return web.Response(
-        status=502,
-        body=msgspec.json.encode(_InterruptedBody()),
+        status=status,
+        body=msgspec.json.encode(body),
         content_type="application/json",
-        headers={"Retry-After": str(INTERRUPTED_RETRY_S)},
+        headers=headers,
     )
--- a/src/currantbarrow/platform/settings.py
+++ b/src/currantbarrow/platform/settings.py
@@ -19,6 +19,8 @@
 METRICS_PORT = 9464
 # The policy under which operators may evacuate data centres.
 EVACUATION_POLICY = "places"
+# Limits of a process whose settings name none.
+DEFAULT_MEMORY_MB = 128.0
 
 
 class _Listeners(msgspec.Struct):
@@ -35,6 +37,10 @@
     far_factor: float = 1.0
 
 
+class _Limits(msgspec.Struct):
+    memory_mb: float = 0.0
+
+
 class _Store(msgspec.Struct):
     address: str
 
@@ -47,6 +53,7 @@
     internal_port_range: tuple[int, int]
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     seeds: list[str] = []
     # Not set by the platform: the listening address if others connect through a forwarder.
     link_listener: str = ""
@@ -84,6 +91,8 @@
     evacuations: bool = False
     # How much longer a task takes on a worker that is far from its data.
     far_factor: float = 1.0
+    # The process is killed if it takes more memory.
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 def load_process_settings(path: str | None = None) -> ProcessSettings:
@@ -115,4 +124,5 @@
         file.bounds.grace_s * MS_PER_S,
         isinstance(file.policies, list | dict) and EVACUATION_POLICY in file.policies,
         max(1.0, file.bounds.far_factor),
+        file.limits.memory_mb or DEFAULT_MEMORY_MB,
     )
--- a/src/currantbarrow/platform/side_program.py
+++ b/src/currantbarrow/platform/side_program.py
@@ -5,6 +5,7 @@
 import random
 
 from currantbarrow.direct.side import DirectSide, DirectSideOptions
+from currantbarrow.intake import create_intake, create_internal_limits
 from currantbarrow.observe import HybridClock, create_clock, logger
 from currantbarrow.observe.exposition import PrometheusMetrics, create_metrics_app
 from currantbarrow.open_requests import OpenRequests
@@ -53,13 +54,17 @@
         announcements=TopicAnnouncementStore(settings.name, store, metrics),
     )
     requests = OpenRequests()
+    intake = create_intake(create_internal_limits(settings.memory_mb), metrics)
     runners = [
-        await serve_app(create_metrics_app(metrics), settings.metrics_address, "metrics", requests),
+        await serve_app(
+            create_metrics_app(metrics), settings.metrics_address, "metrics", requests, intake
+        ),
         await serve_app(
             create_announcements_app(side, metrics, settings.service),
             settings.announcement_address,
             "announcements",
             requests,
+            intake,
         ),
     ]
     await side.start()
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -16,6 +16,7 @@
 from currantbarrow.direct.model import JobSpec, WorkQueue
 from currantbarrow.direct.routing import Configuration
 from currantbarrow.direct.submissions import Caller
+from currantbarrow.intake import create_intake, create_limits
 from currantbarrow.observe import MetricsRegistry
 from currantbarrow.open_requests import OpenRequests
 from currantbarrow.platform.callers import create_callers_app
@@ -69,7 +70,10 @@
         async def scenario() -> None:
             entry = RecordingEntry()
             app = create_callers_app(cast(DirectEntry, entry), MetricsRegistry())
-            runner = await serve_app(app, "127.0.0.1:0", "frontend", OpenRequests(), cancel=True)
+            intake = create_intake(create_limits(100.0), MetricsRegistry())
+            runner = await serve_app(
+                app, "127.0.0.1:0", "frontend", OpenRequests(), intake, cancel=True
+            )
             # The event loop does not run until the call is sent and its connection has ended.
             client = socket.create_connection(runner.addresses[0][:2])
             client.sendall(CALL)
--- a/tests/test_platform_shutdown.py
+++ b/tests/test_platform_shutdown.py
@@ -9,6 +9,8 @@
 import pytest
 from aiohttp import web
 
+from currantbarrow.intake import create_intake, create_limits
+from currantbarrow.observe import MetricsRegistry
 from currantbarrow.open_requests import OpenRequests
 from currantbarrow.platform.serving import DRAIN_RESERVE_MS, Closer, close_all, serve_app
 from currantbarrow.standins.virtual import run_virtual
@@ -79,7 +81,8 @@
 
         app = web.Application()
         app.router.add_route("*", "/", wait)
-        return await serve_app(app, "127.0.0.1:0", "test", requests, cancel=True)
+        intake = create_intake(create_limits(100.0), MetricsRegistry())
+        return await serve_app(app, "127.0.0.1:0", "test", requests, intake, cancel=True)
 
     @pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
     def test_request_that_is_open_at_the_end_is_answered(self, method: str) -> None:
