Decode large and costly reads one after the other, a quarter of the time

Callers saw: no answer within 20 s while 100 clients sent bodies in chunks of one byte.

Cause: the library handles each chunk by itself, some 2 us for a byte of content, and an entry decoded what had arrived on all connections before it came to anything else.

Change: the pacer decodes one read of at most 16 KiB after the other, those of the connections that have taken least processor time first, and pauses after a costly one so that decoding takes a quarter of the time. Small reads of connections that have taken little are decoded at once, as before. A read counts up to 20 ms, since the process may be suspended in it.

The tests of the pacer run in virtual time.

--- a/src/currantbarrow/intake/__init__.py
+++ b/src/currantbarrow/intake/__init__.py
@@ -1,4 +1,4 @@
-"""Limit what the clients of a process's servers can take of its memory.
+"""Limit what the clients of a process's servers can take of its memory and processor time.
 
 The servers use HTTP libraries, whose own limits are for one connection each. Everything here is
 common to all connections of a process, and sits between them and the library's protocol.
--- a/src/currantbarrow/intake/connection.py
+++ b/src/currantbarrow/intake/connection.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import select
+import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, cast
 
@@ -15,6 +17,10 @@
 
 __all__ = ["GuardedConnection", "GuardedTransport", "is_peer_gone"]
 
+# Ordinary requests are smaller, and decoded at once.
+SMALL_READ_BYTES = 2048
+# Small reads of a connection that has taken more processor time wait for their turn as well.
+COSTLY_CONNECTION_S = 0.005
 GONE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -31,18 +37,51 @@
     return any(events & GONE_EVENTS for _, events in poll.poll(0))
 
 
+class _Pause(enum.Flag):
+    """Define who has paused reading."""
+
+    NONE = 0
+    PROTOCOL = enum.auto()
+    PACER = enum.auto()
+
+
 class GuardedTransport:
-    """Pass calls of the library's protocol on to the transport."""
+    """Pass calls of the library's protocol on to the transport.
 
-    __slots__ = ("_transport", "connection")
+    Reading goes on only once neither the protocol nor the connection pauses it.
+    """
+
+    __slots__ = ("_pause", "_transport", "connection")
 
     def __init__(self, transport: asyncio.Transport, connection: GuardedConnection) -> None:
         self._transport = transport
+        self._pause = _Pause.NONE
         self.connection = connection
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._transport, name)
 
+    def pause_reading(self) -> None:
+        """Pause reading for the protocol."""
+        self.pause(_Pause.PROTOCOL)
+
+    def resume_reading(self) -> None:
+        """End the protocol's pause."""
+        self.resume(_Pause.PROTOCOL)
+
+    def pause(self, reason: _Pause) -> None:
+        """Pause reading until the reason has ended."""
+        if not self._pause and not self._transport.is_closing():
+            self._transport.pause_reading()
+        self._pause |= reason
+
+    def resume(self, reason: _Pause) -> None:
+        """End one of the reasons for pausing."""
+        was_paused = bool(self._pause)
+        self._pause &= ~reason
+        if was_paused and not self._pause and not self._transport.is_closing():
+            self._transport.resume_reading()
+
 
 class GuardedConnection(asyncio.BufferedProtocol):
     """Receive into the buffer that all connections share, in parts of limited size.
@@ -58,6 +97,7 @@
         "_transport",
         "began_s",
         "body_bytes",
+        "cost_s",
         "held_bytes",
         "is_answering",
         "received_s",
@@ -72,6 +112,7 @@
         self._after_request_bytes = 0
         # Bytes of the body that is being received, as the application has read it.
         self.body_bytes = 0
+        self.cost_s = 0.0
         # What the policy goes by.
         self.held_bytes = 0
         self.received_s = intake.now_s()
@@ -108,6 +149,7 @@
         self.held_bytes = self._after_request_bytes
         self._after_request_bytes = 0
         self.began_s = self._intake.now_s() if self.held_bytes else None
+        self.cost_s = 0.0
 
     # What the intake decides.
 
@@ -120,6 +162,8 @@
         elif self._transport is not None:
             self._transport.abort()
 
+    # Calls of the pacer.
+
     def decode(self, data: bytes) -> None:
         """Pass a part of a request on."""
         if self._transport is None or self._transport.is_closing():
@@ -131,6 +175,11 @@
             logger.debug("request not decoded", exc_info=error)
             self._intake.refuse(self, Refusal.UNDECODABLE)
 
+    def end_read(self) -> None:
+        """Go on receiving."""
+        if self._transport is not None:
+            self._transport.resume(_Pause.PACER)
+
     # Calls of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -144,13 +193,21 @@
         return self._intake.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Take what was received, and decode it."""
+        """Take what was received, and decode it now or in its turn."""
+        transport = self._transport
+        assert transport is not None
         data = bytes(self._intake.buffer[:nbytes])
         self._hold(nbytes)
         if not self.is_answering and has_overhead(self.held_bytes, self.body_bytes):
             self._intake.refuse(self, Refusal.OVERHEAD)
             return
-        self.decode(data)
+        if nbytes <= SMALL_READ_BYTES and self.cost_s < COSTLY_CONNECTION_S:
+            began_s = time.perf_counter()
+            self.decode(data)
+            self.cost_s += time.perf_counter() - began_s
+        else:
+            transport.pause(_Pause.PACER)
+            self._intake.pacer.submit(self, data)
 
     def eof_received(self) -> bool | None:
         """Pass the end of what is received on."""
--- a/src/currantbarrow/intake/intake.py
+++ b/src/currantbarrow/intake/intake.py
@@ -7,6 +7,7 @@
 
 from currantbarrow.intake.connection import GuardedConnection
 from currantbarrow.intake.limits import IntakeLimits
+from currantbarrow.intake.pacer import Pacer
 from currantbarrow.intake.policy import (
     Refusal,
     choose_for_memory,
@@ -39,12 +40,14 @@
         "buffer",
         "limits",
         "metrics",
+        "pacer",
     )
 
     def __init__(self, limits: IntakeLimits, metrics: Metrics) -> None:
         self.limits = limits
         self.metrics = metrics
         self._loop = asyncio.get_running_loop()
+        self.pacer = Pacer(self._loop)
         # Connections read one after the other, and leave nothing in it.
         self.buffer = memoryview(bytearray(READ_BYTES))
         self._connections: set[GuardedConnection] = set()
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from currantbarrow.intake import pacer
+from currantbarrow.intake.pacer import MAX_READ_COST_S, PACED_SHARE, Pacer
 from currantbarrow.intake.policy import (
     MAX_HEAD_BYTES,
     ORDINARY_REQUEST_BYTES,
@@ -13,6 +17,7 @@
     find_overdue,
     has_overhead,
 )
+from currantbarrow.standins.virtual import run_virtual
 
 
 class FakeClient:
@@ -73,3 +78,89 @@
 
     def test_endless_head_has_overhead(self) -> None:
         assert has_overhead(MAX_HEAD_BYTES + 1, 0)
+
+
+class FakeReader:
+    """A connection whose reads take a known processor time."""
+
+    def __init__(self, read_s: float, decoded: list[FakeReader], clock: FakeTimer) -> None:
+        self.cost_s = 0.0
+        self._read_s = read_s
+        self._decoded = decoded
+        self._clock = clock
+
+    def decode(self, data: bytes) -> None:
+        self._decoded.append(self)
+        self._clock.now_s += self._read_s
+
+    def end_read(self) -> None:
+        pass
+
+
+class FakeTimer:
+    """The processor's clock, which only decoding advances."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def perf_counter(self) -> float:
+        return self.now_s
+
+
+class TestPacer:
+    """Chunks of one byte take the processor a thousand times as long as their bytes would."""
+
+    @staticmethod
+    def decode_all(monkeypatch: pytest.MonkeyPatch, costs_s: list[float], reads: int) -> float:
+        """Submit reads of some connections, and return how long it took to decode them."""
+        clock = FakeTimer()
+        monkeypatch.setattr(pacer, "time", clock)
+        decoded: list[FakeReader] = []
+        readers = [FakeReader(cost_s, decoded, clock) for cost_s in costs_s]
+
+        async def run() -> float:
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            paced = Pacer(loop)
+            for _ in range(reads):
+                for reader in readers:
+                    paced.submit(reader, b"")
+            while len(decoded) < reads * len(readers):
+                await asyncio.sleep(0.001)
+            return loop.time() - began_s
+
+        return run_virtual(run())
+
+    def test_costly_reads_leave_most_of_the_processor_to_others(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        took_s = self.decode_all(monkeypatch, [0.004] * 10, 5)
+        cost_s = 0.004 * 49
+        # The clock of the event loop stands still while a read is decoded.
+        assert cost_s / (cost_s + took_s) <= PACED_SHARE * 1.02
+
+    def test_cheap_connection_is_decoded_before_costly_ones(self) -> None:
+        decoded: list[FakeReader] = []
+        costly, cheap = (FakeReader(0.0, decoded, FakeTimer()) for _ in range(2))
+        costly.cost_s = 1.0
+
+        async def run() -> None:
+            paced = Pacer(asyncio.get_running_loop())
+            for reader in (costly, costly, costly, cheap):
+                paced.submit(reader, b"")
+            while len(decoded) < 4:
+                await asyncio.sleep(0)
+
+        asyncio.run(run())
+        # The first read is decoded at once.
+        assert decoded == [costly, cheap, costly, costly]
+
+    def test_cheap_reads_are_not_delayed(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        took_s = self.decode_all(monkeypatch, [0.00002] * 50, 10)
+        assert took_s <= 0.002
+
+    def test_suspension_during_a_read_counts_as_one_slow_read(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        took_s = self.decode_all(monkeypatch, [10.0], 2)
+        assert took_s <= MAX_READ_COST_S / PACED_SHARE
