Close connections whose clients have left or read nothing

Cause: the event loop learns of the end of a connection only while it reads. Reading was paused by the library, whose parser fails in a trailer without answering or closing, or by answers that nobody reads; and nothing limited the time of either.

Change: once a second the intake closes connections that are not read and whose clients have left, requests that the library does not read on between two checks, and connections whose clients have read nothing of their answers for 30 s.

--- a/src/currantbarrow/intake/connection.py
+++ b/src/currantbarrow/intake/connection.py
@@ -61,6 +61,16 @@
     def __getattr__(self, name: str) -> Any:
         return getattr(self._transport, name)
 
+    @property
+    def is_paused(self) -> bool:
+        """Return whether reading is paused."""
+        return bool(self._pause)
+
+    @property
+    def is_paused_by_protocol(self) -> bool:
+        """Return whether the protocol pauses reading."""
+        return _Pause.PROTOCOL in self._pause
+
     def pause_reading(self) -> None:
         """Pause reading for the protocol."""
         self.pause(_Pause.PROTOCOL)
@@ -94,6 +104,7 @@
         "_intake",
         "_protocol",
         "_refuse_body",
+        "_stuck_since_s",
         "_transport",
         "began_s",
         "body_bytes",
@@ -101,6 +112,7 @@
         "held_bytes",
         "is_answering",
         "received_s",
+        "write_blocked_s",
     )
 
     def __init__(self, protocol: asyncio.Protocol, intake: Intake) -> None:
@@ -110,6 +122,8 @@
         self._refuse_body: Callable[[Refusal], None] | None = None
         # Bytes that arrived after the request that is being answered.
         self._after_request_bytes = 0
+        # When the last bytes had arrived at a check that found the protocol not reading on.
+        self._stuck_since_s: float | None = None
         # Bytes of the body that is being received, as the application has read it.
         self.body_bytes = 0
         self.cost_s = 0.0
@@ -117,6 +131,7 @@
         self.held_bytes = 0
         self.received_s = intake.now_s()
         self.began_s: float | None = None
+        self.write_blocked_s: float | None = None
         self.is_answering = False
 
     @property
@@ -162,6 +177,26 @@
         elif self._transport is not None:
             self._transport.abort()
 
+    def is_stuck(self) -> bool:
+        """Return whether the protocol has not read on in a request since the last check.
+
+        Bodies are always read to their end, so the protocol has failed without closing.
+        """
+        transport = self._transport
+        pauses = transport is not None and transport.is_paused_by_protocol
+        if not pauses or self.is_answering:
+            self._stuck_since_s = None
+            return False
+        was_stuck = self._stuck_since_s == self.received_s
+        self._stuck_since_s = self.received_s
+        return was_stuck
+
+    def close_if_gone(self) -> None:
+        """Close a connection that is not read and whose client has left."""
+        transport = self._transport
+        if transport is not None and transport.is_paused and is_peer_gone(transport._transport):
+            transport.abort()
+
     # Calls of the pacer.
 
     def decode(self, data: bytes) -> None:
@@ -221,11 +256,13 @@
         self._transport = None
 
     def pause_writing(self) -> None:
-        """Pass on that the client does not read."""
+        """Record that the client does not read, and pass it on."""
+        self.write_blocked_s = self._intake.now_s()
         self._protocol.pause_writing()
 
     def resume_writing(self) -> None:
-        """Pass on that the client reads."""
+        """Record that the client reads, and pass it on."""
+        self.write_blocked_s = None
         self._protocol.resume_writing()
 
     def _hold(self, count: int) -> None:
--- a/src/currantbarrow/intake/intake.py
+++ b/src/currantbarrow/intake/intake.py
@@ -96,12 +96,18 @@
             self._checking.cancel()
 
     def _check(self) -> None:
-        """Refuse clients that take too long."""
+        """Close connections whose clients take too long or have left unnoticed."""
         now_s = self.now_s()
         for client in list(self._connections):
-            reason = find_overdue(client, now_s, self.limits.request_timeout_s)
+            reason = find_overdue(
+                client, now_s, self.limits.request_timeout_s, self.limits.write_timeout_s
+            )
             if reason is not None:
                 self.refuse(client, reason)
+            elif client.is_stuck():
+                self.refuse(client, Refusal.UNDECODABLE)
+            else:
+                client.close_if_gone()
         self.metrics.gauge("intake.connections", len(self._connections))
         self.metrics.gauge("intake.held_bytes", self._held_bytes)
         for refusal in list(self._unlogged):
--- a/src/currantbarrow/intake/limits.py
+++ b/src/currantbarrow/intake/limits.py
@@ -13,6 +13,7 @@
 INTERNAL_MEMORY_SHARE = 1 / 16
 # Callers wait for seconds, and broken connections recover or end within half a minute.
 REQUEST_TIMEOUT_S = 30.0
+WRITE_TIMEOUT_S = 30.0
 
 
 class IntakeLimits(msgspec.Struct, frozen=True):
@@ -22,6 +23,8 @@
     held_bytes: int
     # Time from the first byte of a request to its last.
     request_timeout_s: float = REQUEST_TIMEOUT_S
+    # Time in which a client reads nothing of what is sent to it.
+    write_timeout_s: float = WRITE_TIMEOUT_S
 
 
 def create_limits(memory_mb: float) -> IntakeLimits:
--- a/src/currantbarrow/intake/policy.py
+++ b/src/currantbarrow/intake/policy.py
@@ -36,6 +36,8 @@
     MEMORY = "memory"
     # A request takes too long to arrive.
     SLOW_REQUEST = "slow_request"
+    # Answers are not read.
+    SLOW_READER = "slow_reader"
     # Far more is received than the content of the request.
     OVERHEAD = "overhead"
     # The library fails on what was received.
@@ -51,6 +53,8 @@
     received_s: float
     # When the first byte of the request arrived that is being received; None if there is none.
     began_s: float | None
+    # Since when the client has read nothing of what waits for it; None if nothing waits.
+    write_blocked_s: float | None
     # Whether a request has arrived whole and is not answered.
     is_answering: bool
 
@@ -74,8 +78,12 @@
     )
 
 
-def find_overdue(client: Client, now_s: float, request_timeout_s: float) -> Refusal | None:
+def find_overdue(
+    client: Client, now_s: float, request_timeout_s: float, write_timeout_s: float
+) -> Refusal | None:
     """Return why a client has taken too long, or None if it has not."""
+    if client.write_blocked_s is not None and now_s - client.write_blocked_s >= write_timeout_s:
+        return Refusal.SLOW_READER
     if (
         client.began_s is not None
         and not client.is_answering
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any, cast
 
 import pytest
+import uvloop
 
-from currantbarrow.intake import pacer
+from currantbarrow.intake import IntakeLimits, create_intake, pacer
 from currantbarrow.intake.pacer import MAX_READ_COST_S, PACED_SHARE, Pacer
 from currantbarrow.intake.policy import (
     MAX_HEAD_BYTES,
@@ -17,6 +21,7 @@
     find_overdue,
     has_overhead,
 )
+from currantbarrow.observe import MetricsRegistry
 from currantbarrow.standins.virtual import run_virtual
 
 
@@ -29,14 +34,18 @@
         received_s: float = 100.0,
         began_s: float | None = 100.0,
         is_answering: bool = False,
+        write_blocked_s: float | None = None,
     ) -> None:
         self.held_bytes = held_bytes
         self.received_s = received_s
         self.began_s = began_s
         self.is_answering = is_answering
+        self.write_blocked_s = write_blocked_s
 
 
 NOW_S = 100.0
+# Longer than a request that is not read on is left open.
+LIMIT_S = 4.0
 
 
 class TestMemory:
@@ -57,18 +66,24 @@
 
 class TestTime:
     def test_request_that_does_not_end_is_refused(self) -> None:
-        assert find_overdue(FakeClient(began_s=70.0), NOW_S, 30.0) is Refusal.SLOW_REQUEST
+        assert find_overdue(FakeClient(began_s=70.0), NOW_S, 30.0, 30.0) is Refusal.SLOW_REQUEST
+
+    @pytest.mark.parametrize("is_answering", [False, True])
+    def test_client_that_reads_no_answers_is_refused(self, is_answering: bool) -> None:
+        client = FakeClient(is_answering=is_answering, write_blocked_s=70.0)
+        assert find_overdue(client, NOW_S, 30.0, 30.0) is Refusal.SLOW_READER
 
     @pytest.mark.parametrize(
         "client",
         [
             FakeClient(began_s=70.1),
             FakeClient(began_s=None),
+            FakeClient(write_blocked_s=70.1),
             FakeClient(began_s=0.0, is_answering=True),
         ],
     )
     def test_idle_and_waiting_clients_are_not_refused(self, client: FakeClient) -> None:
-        assert find_overdue(client, NOW_S, 30.0) is None
+        assert find_overdue(client, NOW_S, 30.0, 30.0) is None
 
 
 class TestOverhead:
@@ -164,3 +179,82 @@
     ) -> None:
         took_s = self.decode_all(monkeypatch, [10.0], 2)
         assert took_s <= MAX_READ_COST_S / PACED_SHARE
+
+
+class StoppingProtocol(asyncio.Protocol):
+    """A library's protocol that stops reading after the first bytes, and does nothing more."""
+
+    def __init__(self, answer: bytes = b"") -> None:
+        self.lost = asyncio.Event()
+        self._answer = answer
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        assert self._transport is not None
+        self._transport.pause_reading()
+        self._transport.write(self._answer)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.lost.set()
+
+
+class TestGoneClients:
+    """A connection that is not read does not tell the event loop that its client has left."""
+
+    @staticmethod
+    async def is_closed(
+        protocol: StoppingProtocol, limits: IntakeLimits, *, is_answering: bool, leaves: bool
+    ) -> bool:
+        """Return whether the connection of a client is closed that sends and may leave."""
+        intake = create_intake(limits, MetricsRegistry())
+        connection = intake.guard(protocol)
+        own, other = socket.socketpair()
+        own.setblocking(False)
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: connection, own)
+        other.send(b"request")
+        while not connection.held_bytes:
+            await asyncio.sleep(0)
+        if is_answering:
+            connection.end_request()
+        if leaves:
+            other.close()
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                await protocol.lost.wait()
+        except TimeoutError:
+            return False
+        finally:
+            other.close()
+            intake.stop()
+        return True
+
+    @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+    def test_connection_of_a_client_that_has_left_is_closed_while_nothing_is_read(
+        self, run: Callable[[Any], Any]
+    ) -> None:
+        limits = IntakeLimits(1 << 20)
+        assert run(self.is_closed(StoppingProtocol(), limits, is_answering=True, leaves=True))
+
+    @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+    def test_connection_whose_answer_waits_stays_open(self, run: Callable[[Any], Any]) -> None:
+        limits = IntakeLimits(1 << 20)
+        assert not run(self.is_closed(StoppingProtocol(), limits, is_answering=True, leaves=False))
+
+    @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+    def test_request_that_the_library_stops_reading_is_refused(
+        self, run: Callable[[Any], Any]
+    ) -> None:
+        """The parser fails in a trailer, and neither answers nor reads on."""
+        limits = IntakeLimits(1 << 20)
+        assert run(self.is_closed(StoppingProtocol(), limits, is_answering=False, leaves=False))
+
+    @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+    def test_connection_whose_answers_are_not_read_is_closed(
+        self, run: Callable[[Any], Any]
+    ) -> None:
+        limits = IntakeLimits(1 << 20, write_timeout_s=0.5)
+        protocol = StoppingProtocol(b"x" * (8 << 20))
+        assert run(self.is_closed(protocol, limits, is_answering=True, leaves=False))
