Keep descriptors from callers, and accept no more connections than there are for them

Operators saw: with 4,500 idle connections of callers all 4,100 descriptors of an entry were in use, no ordinary call was answered, and links and the store could not be dialled.

Cause: the event loop's server accepts whatever arrives.

At the limit the longest idle connection gives way, those without any request first; if all wait for answers, new ones wait in the system's queue.

Tests of the choice and of the acceptor under both event loops are in tests/test_intake.py.

--- a/src/currantbarrow/intake/connection.py
+++ b/src/currantbarrow/intake/connection.py
@@ -112,6 +112,7 @@
         "held_bytes",
         "is_answering",
         "received_s",
+        "requests",
         "write_blocked_s",
     )
 
@@ -133,6 +134,7 @@
         self.began_s: float | None = None
         self.write_blocked_s: float | None = None
         self.is_answering = False
+        self.requests = 0
 
     @property
     def peer(self) -> str:
@@ -156,6 +158,7 @@
         self._after_request_bytes = self.body_bytes = 0
         self.began_s = None
         self.is_answering = True
+        self.requests += 1
 
     def end_answer(self) -> None:
         """Record that the request is answered, and count what followed it as a new one."""
--- a/src/currantbarrow/intake/intake.py
+++ b/src/currantbarrow/intake/intake.py
@@ -10,6 +10,7 @@
 from currantbarrow.intake.pacer import Pacer
 from currantbarrow.intake.policy import (
     Refusal,
+    choose_for_connections,
     choose_for_memory,
     find_overdue,
 )
@@ -31,13 +32,13 @@
 
     __slots__ = (
         "_checking",
-        "_connections",
         "_discarded_bytes",
         "_held_bytes",
         "_logged_s",
         "_loop",
         "_unlogged",
         "buffer",
+        "connections",
         "limits",
         "metrics",
         "pacer",
@@ -50,7 +51,7 @@
         self.pacer = Pacer(self._loop)
         # Connections read one after the other, and leave nothing in it.
         self.buffer = memoryview(bytearray(READ_BYTES))
-        self._connections: set[GuardedConnection] = set()
+        self.connections: set[GuardedConnection] = set()
         self._held_bytes = 0
         # Bytes of refused requests since the last garbage collection.
         self._discarded_bytes = 0
@@ -69,19 +70,19 @@
 
     def register(self, connection: GuardedConnection) -> None:
         """Track a connection."""
-        self._connections.add(connection)
+        self.connections.add(connection)
         if self._checking is None:
             self._checking = self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
     def unregister(self, connection: GuardedConnection) -> None:
         """Forget a connection that has ended."""
-        self._connections.discard(connection)
+        self.connections.discard(connection)
 
     def hold(self, count: int) -> None:
         """Count received bytes, and refuse clients until all hold no more than they may."""
         self._held_bytes += count
         while self._held_bytes > self.limits.held_bytes:
-            client = choose_for_memory(self._connections, self.now_s())
+            client = choose_for_memory(self.connections, self.now_s())
             if client is None:
                 return
             self.refuse(client, Refusal.MEMORY)
@@ -90,6 +91,20 @@
         """Count bytes as answered or discarded."""
         self._held_bytes -= count
 
+    def make_room(self, accepted: int) -> bool:
+        """Return whether a connection can be accepted, if need be in place of another one.
+
+        Those that are accepted and not registered yet count as well.
+        """
+        if len(self.connections) + accepted < self.limits.connections:
+            return True
+        client = choose_for_connections(self.connections)
+        if client is not None:
+            # Its descriptor is free again in the next iteration of the event loop.
+            self.unregister(client)
+            self.refuse(client, Refusal.CONNECTIONS)
+        return client is not None
+
     def stop(self) -> None:
         """Stop checking the connections."""
         if self._checking is not None:
@@ -98,7 +113,7 @@
     def _check(self) -> None:
         """Close connections whose clients take too long or have left unnoticed."""
         now_s = self.now_s()
-        for client in list(self._connections):
+        for client in list(self.connections):
             reason = find_overdue(
                 client, now_s, self.limits.request_timeout_s, self.limits.write_timeout_s
             )
@@ -108,12 +123,12 @@
                 self.refuse(client, Refusal.UNDECODABLE)
             else:
                 client.close_if_gone()
-        self.metrics.gauge("intake.connections", len(self._connections))
+        self.metrics.gauge("intake.connections", len(self.connections))
         self.metrics.gauge("intake.held_bytes", self._held_bytes)
         for refusal in list(self._unlogged):
             self._log(refusal, "")
         self._checking = None
-        if self._connections or self._unlogged:
+        if self.connections or self._unlogged:
             self._checking = self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
     def refuse(self, client: GuardedConnection, reason: Refusal) -> None:
@@ -148,7 +163,7 @@
                 "reason": reason.value,
                 "clients": self._unlogged.pop(reason),
                 "last": peer,
-                "connections": len(self._connections),
+                "connections": len(self.connections),
                 "held_bytes": self._held_bytes,
             },
         )
--- a/src/currantbarrow/intake/policy.py
+++ b/src/currantbarrow/intake/policy.py
@@ -14,6 +14,7 @@
 __all__ = [
     "Client",
     "Refusal",
+    "choose_for_connections",
     "choose_for_memory",
     "find_overdue",
     "has_overhead",
@@ -34,6 +35,7 @@
 
     # All clients together hold too many bytes.
     MEMORY = "memory"
+    CONNECTIONS = "connections"
     # A request takes too long to arrive.
     SLOW_REQUEST = "slow_request"
     # Answers are not read.
@@ -57,6 +59,8 @@
     write_blocked_s: float | None
     # Whether a request has arrived whole and is not answered.
     is_answering: bool
+    # How many requests have arrived whole.
+    requests: int
 
 
 ClientT = TypeVar("ClientT", bound=Client)
@@ -78,6 +82,18 @@
     )
 
 
+def choose_for_connections(clients: Iterable[ClientT]) -> ClientT | None:
+    """Return the client that gives up its connection, or None if all wait for answers.
+
+    Idle ones come first, those without any request before the others, and the longest idle.
+    """
+    return min(
+        (each for each in clients if not each.is_answering),
+        key=lambda each: (each.began_s is not None, each.requests > 0, each.received_s),
+        default=None,
+    )
+
+
 def find_overdue(
     client: Client, now_s: float, request_timeout_s: float, write_timeout_s: float
 ) -> Refusal | None:
--- a/src/currantbarrow/intake/web.py
+++ b/src/currantbarrow/intake/web.py
@@ -7,10 +7,12 @@
 import socket
 import time
 from collections.abc import Callable
+from typing import cast
 
 from aiohttp import web
 
 from currantbarrow.exceptions import ClientRefused
+from currantbarrow.intake.acceptor import Acceptor
 from currantbarrow.intake.connection import GuardedConnection, GuardedTransport
 from currantbarrow.intake.intake import Intake
 from currantbarrow.intake.policy import Refusal
@@ -50,9 +52,9 @@
         await super().start()
         create_protocol = self._runner.server
         assert create_protocol is not None
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: self._intake.guard(create_protocol()), sock=self._listener
-        )
+        # The runner only closes it, and asks for its sockets.
+        acceptor = Acceptor(self._listener, create_protocol, self._intake)
+        self._server = cast(asyncio.AbstractServer, acceptor)
 
 
 def connection_of(request: web.Request) -> GuardedConnection | None:
--- a/src/currantbarrow/platform/entry_program.py
+++ b/src/currantbarrow/platform/entry_program.py
@@ -5,7 +5,7 @@
 import random
 
 from currantbarrow.direct.entry import DirectEntry, DirectEntryOptions
-from currantbarrow.intake import create_intake, create_limits
+from currantbarrow.intake import create_intake, create_internal_limits, create_limits
 from currantbarrow.observe import HybridClock, create_clock, logger
 from currantbarrow.observe.exposition import PrometheusMetrics, create_metrics_app
 from currantbarrow.platform.callers import create_callers_app, create_readiness_app
@@ -59,13 +59,15 @@
         parse=parse_configuration,
     )
     requests = entry.requests
-    intake = create_intake(create_limits(settings.memory_mb), metrics)
+    intake = create_intake(create_limits(settings.memory_mb, settings.descriptors), metrics)
+    # Callers must not be able to take the connections of operators and of the load balancer.
+    internal = create_intake(create_internal_limits(settings.memory_mb), metrics)
     runners = [
         await serve_app(
-            create_metrics_app(metrics), settings.metrics_address, "metrics", requests, intake
+            create_metrics_app(metrics), settings.metrics_address, "metrics", requests, internal
         ),
         await serve_app(
-            create_readiness_app(entry), settings.readiness_address, "readiness", requests, intake
+            create_readiness_app(entry), settings.readiness_address, "readiness", requests, internal
         ),
         await serve_app(
             create_callers_app(entry, metrics),
--- a/src/currantbarrow/platform/settings.py
+++ b/src/currantbarrow/platform/settings.py
@@ -21,6 +21,7 @@
 EVACUATION_POLICY = "places"
 # Limits of a process whose settings name none.
 DEFAULT_MEMORY_MB = 128.0
+DEFAULT_DESCRIPTORS = 1024
 
 
 class _Listeners(msgspec.Struct):
@@ -39,6 +40,7 @@
 
 class _Limits(msgspec.Struct):
     memory_mb: float = 0.0
+    max_fds: int = 0
 
 
 class _Store(msgspec.Struct):
@@ -93,6 +95,8 @@
     far_factor: float = 1.0
     # The process is killed if it takes more memory.
     memory_mb: float = DEFAULT_MEMORY_MB
+    # Open files and connections that the process may have.
+    descriptors: int = DEFAULT_DESCRIPTORS
 
 
 def load_process_settings(path: str | None = None) -> ProcessSettings:
@@ -125,4 +129,5 @@
         isinstance(file.policies, list | dict) and EVACUATION_POLICY in file.policies,
         max(1.0, file.bounds.far_factor),
         file.limits.memory_mb or DEFAULT_MEMORY_MB,
+        file.limits.max_fds or DEFAULT_DESCRIPTORS,
     )
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -10,17 +10,20 @@
 import pytest
 import uvloop
 
-from currantbarrow.intake import IntakeLimits, create_intake, pacer
+from currantbarrow.intake import Acceptor, IntakeLimits, create_intake, pacer
+from currantbarrow.intake.acceptor import ACCEPTED_AT_ONCE, RETRY_DELAY_S
 from currantbarrow.intake.pacer import MAX_READ_COST_S, PACED_SHARE, Pacer
 from currantbarrow.intake.policy import (
     MAX_HEAD_BYTES,
     ORDINARY_REQUEST_BYTES,
     STALL_S,
     Refusal,
+    choose_for_connections,
     choose_for_memory,
     find_overdue,
     has_overhead,
 )
+from currantbarrow.listening import bind_address
 from currantbarrow.observe import MetricsRegistry
 from currantbarrow.standins.virtual import run_virtual
 
@@ -35,12 +38,14 @@
         began_s: float | None = 100.0,
         is_answering: bool = False,
         write_blocked_s: float | None = None,
+        requests: int = 0,
     ) -> None:
         self.held_bytes = held_bytes
         self.received_s = received_s
         self.began_s = began_s
         self.is_answering = is_answering
         self.write_blocked_s = write_blocked_s
+        self.requests = requests
 
 
 NOW_S = 100.0
@@ -64,6 +69,22 @@
         assert choose_for_memory([FakeClient(is_answering=True)], NOW_S) is None
 
 
+class TestConnections:
+    def test_longest_idle_connection_is_closed(self) -> None:
+        clients = [
+            FakeClient(0, received_s=each_s, began_s=None, requests=1) for each_s in (90.0, 80.0)
+        ]
+        assert choose_for_connections([FakeClient(received_s=10.0), *clients]) is clients[1]
+
+    def test_connection_without_a_request_is_closed_first(self) -> None:
+        served = FakeClient(0, received_s=10.0, began_s=None, requests=1)
+        unused = FakeClient(0, received_s=90.0, began_s=None)
+        assert choose_for_connections([served, unused]) is unused
+
+    def test_connection_whose_client_waits_for_an_answer_stays_open(self) -> None:
+        assert choose_for_connections([FakeClient(is_answering=True)]) is None
+
+
 class TestTime:
     def test_request_that_does_not_end_is_refused(self) -> None:
         assert find_overdue(FakeClient(began_s=70.0), NOW_S, 30.0, 30.0) is Refusal.SLOW_REQUEST
@@ -235,12 +256,12 @@
     def test_connection_of_a_client_that_has_left_is_closed_while_nothing_is_read(
         self, run: Callable[[Any], Any]
     ) -> None:
-        limits = IntakeLimits(1 << 20)
+        limits = IntakeLimits(1 << 20, 8)
         assert run(self.is_closed(StoppingProtocol(), limits, is_answering=True, leaves=True))
 
     @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
     def test_connection_whose_answer_waits_stays_open(self, run: Callable[[Any], Any]) -> None:
-        limits = IntakeLimits(1 << 20)
+        limits = IntakeLimits(1 << 20, 8)
         assert not run(self.is_closed(StoppingProtocol(), limits, is_answering=True, leaves=False))
 
     @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
@@ -248,13 +269,75 @@
         self, run: Callable[[Any], Any]
     ) -> None:
         """The parser fails in a trailer, and neither answers nor reads on."""
-        limits = IntakeLimits(1 << 20)
+        limits = IntakeLimits(1 << 20, 8)
         assert run(self.is_closed(StoppingProtocol(), limits, is_answering=False, leaves=False))
 
     @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
     def test_connection_whose_answers_are_not_read_is_closed(
         self, run: Callable[[Any], Any]
     ) -> None:
-        limits = IntakeLimits(1 << 20, write_timeout_s=0.5)
+        limits = IntakeLimits(1 << 20, 8, write_timeout_s=0.5)
         protocol = StoppingProtocol(b"x" * (8 << 20))
         assert run(self.is_closed(protocol, limits, is_answering=True, leaves=False))
+
+
+class TestAcceptor:
+    """The event loop's own server accepts connections up to the last descriptor."""
+
+    @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+    def test_connections_beyond_the_limit_take_the_place_of_idle_ones(
+        self, run: Callable[[Any], Any]
+    ) -> None:
+        async def scenario() -> None:
+            intake = create_intake(IntakeLimits(1 << 20, 4), MetricsRegistry())
+            protocols: list[StoppingProtocol] = []
+
+            def create_protocol() -> StoppingProtocol:
+                protocols.append(StoppingProtocol(b"answer"))
+                return protocols[-1]
+
+            acceptor = Acceptor(bind_address("127.0.0.1:0", "test"), create_protocol, intake)
+            address = acceptor.sockets[0].getsockname()
+            idle = [socket.create_connection(address) for _ in range(40)]
+            async with asyncio.timeout(LIMIT_S):
+                while len(protocols) < len(idle):
+                    await asyncio.sleep(0)
+                    open_count = sum(not each.lost.is_set() for each in protocols)
+                    assert open_count <= 4 + ACCEPTED_AT_ONCE
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(b"request")
+                assert await reader.readexactly(6) == b"answer"
+            writer.close()
+            acceptor.close()
+            intake.stop()
+            for each in idle:
+                each.close()
+
+        run(scenario())
+
+    @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+    def test_connection_waits_while_all_others_wait_for_answers(
+        self, run: Callable[[Any], Any]
+    ) -> None:
+        async def scenario() -> None:
+            intake = create_intake(IntakeLimits(1 << 20, 1), MetricsRegistry())
+            acceptor = Acceptor(bind_address("127.0.0.1:0", "test"), StoppingProtocol, intake)
+            address = acceptor.sockets[0].getsockname()
+            clients = [socket.create_connection(address)]
+            clients[0].send(b"request")
+            async with asyncio.timeout(LIMIT_S):
+                while not any(each.held_bytes for each in intake.connections):
+                    await asyncio.sleep(0)
+                (first,) = intake.connections
+                first.end_request()
+                clients.append(socket.create_connection(address))
+                await asyncio.sleep(4 * RETRY_DELAY_S)
+                assert intake.connections == {first}
+                clients[0].close()
+                while not intake.connections or first in intake.connections:
+                    await asyncio.sleep(0)
+            acceptor.close()
+            intake.stop()
+            clients[1].close()
+
+        run(scenario())
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -70,7 +70,7 @@
         async def scenario() -> None:
             entry = RecordingEntry()
             app = create_callers_app(cast(DirectEntry, entry), MetricsRegistry())
-            intake = create_intake(create_limits(100.0), MetricsRegistry())
+            intake = create_intake(create_limits(100.0, 1000), MetricsRegistry())
             runner = await serve_app(
                 app, "127.0.0.1:0", "frontend", OpenRequests(), intake, cancel=True
             )
