Reject compressed bodies as they are

The HTTP library unpacks bodies with a Content-Encoding, so that 200 KB became 200 MB. Nobody who speaks the platform's protocol compresses; such a body is now taken as it is, and rejected with 400.

Evidence: test_compressed_body_is_rejected_as_it_is got another status before (the job was submitted) and passes now.

--- a/src/currantbarrow/platform/serving.py
+++ b/src/currantbarrow/platform/serving.py
@@ -70,6 +70,8 @@
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
         read_bufsize=READ_BUFFER_BYTES,
+        # Bodies are not compressed, and may become any size if they are.
+        auto_decompress=False,
         # The rest of a request that was refused is not waited for.
         lingering_time=0.0,
         logger=create_server_logger(intake.metrics),
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+import zlib
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -59,6 +60,31 @@
     pass
 
 
+class TestBodies:
+    def test_compressed_body_is_rejected_as_it_is(self) -> None:
+        """A body of the largest size could become a thousand times as large."""
+
+        async def scenario() -> bytes:
+            entry = RecordingEntry()
+            app = create_callers_app(cast(DirectEntry, entry), MetricsRegistry())
+            intake = create_intake(create_limits(100.0, 1000), MetricsRegistry())
+            runner = await serve_app(
+                app, "127.0.0.1:0", "frontend", OpenRequests(), intake, cancel=True
+            )
+            reader, writer = await asyncio.open_connection(*runner.addresses[0][:2])
+            body = zlib.compress(BODY)
+            head = CALL.partition(b"Content-Length")[0] + b"Content-Encoding: deflate\r\n"
+            writer.write(head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            async with asyncio.timeout(LIMIT_S):
+                status = await reader.readline()
+            writer.close()
+            await runner.cleanup()
+            assert not entry.left
+            return status
+
+        assert b" 400 " in asyncio.run(scenario())
+
+
 class TestCallsReadLate:
     @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
     @pytest.mark.parametrize(
