Count a request as open once it has arrived whole

Operators saw: an entry that is stopped waits for a request whose body never ends, up to the limit of its drain, and then counts it among the requests that the shutdown interrupted.

Cause: requests counted from their head on. What must be answered is a request that was read whole.

Change: the body is received before the request counts. A body that has not arrived at the end of the drain is cut off, and its job has not run.

--- a/src/currantbarrow/platform/serving.py
+++ b/src/currantbarrow/platform/serving.py
@@ -50,13 +50,24 @@
 ) -> web.AppRunner:
     """Serve an application; with cancel, a handler is cancelled when its client disconnects.
 
-    Handlers get the body of a request from `take_body`. Requests that are still open once the
-    server has stopped listening are answered with 502.
+    Handlers get the body of a request from `take_body`. Requests that have arrived whole and are
+    still open once the server has stopped listening are answered with 502.
     """
 
     @web.middleware
     async def serve(request: web.Request, handler: Handler) -> web.StreamResponse:
-        return await requests.answer(_receive(request, handler), _create_interrupted_response)
+        connection = connection_of(request)
+        try:
+            await receive_body(request, request.client_max_size)
+        except ClientRefused as error:
+            return _create_refused_response(str(error))
+        except web.RequestPayloadError:
+            return _create_unreadable_response()
+        try:
+            return await requests.answer(handler(request), _create_interrupted_response)
+        finally:
+            if connection is not None:
+                connection.end_answer()
 
     async def interrupt(app: web.Application) -> None:
         requests.interrupt()
@@ -81,22 +92,6 @@
     return runner
 
 
-async def _receive(request: web.Request, handler: Handler) -> web.StreamResponse:
-    """Receive a request, and answer it."""
-    connection = connection_of(request)
-    try:
-        await receive_body(request, request.client_max_size)
-    except ClientRefused as error:
-        return _create_refused_response(str(error))
-    except web.RequestPayloadError:
-        return _create_unreadable_response()
-    try:
-        return await handler(request)
-    finally:
-        if connection is not None:
-            connection.end_answer()
-
-
 async def close_all(*stages: list[Closer]) -> None:
     """Close servers and connections, those of a stage at once, within the time reserved for it."""
     loop = asyncio.get_running_loop()
