Serve the product's own API within the limits on clients

Operators saw: 150 bodies of 3.9 MB that stop short of their end took an entry from 49 to 619 MB; with 100 clients that send chunks of one byte it answered nothing, and it could use up all descriptors.

Cause: the same as on the platform's port, in another HTTP library. It hands on each chunk by itself, and a list of parts of one byte takes eight times their size.

Change: its protocol is put behind the same intake. Parts of a body are joined up to 4 KiB, for both libraries in one place. The body is received before the request counts as open. The limits follow from two new settings, memory_mb and descriptors. Its event loop's server accepts by itself, so the limit on connections is kept when they are registered.

The tests write the two settings, which the code before did not know.

--- a/src/currantbarrow/bench/slopes_callers.py
+++ b/src/currantbarrow/bench/slopes_callers.py
@@ -15,6 +15,7 @@
 from currantbarrow.bench.slopes_links import LOADED_SIDES, create_testbed
 from currantbarrow.entry.api import create_api
 from currantbarrow.entry.http_server import serve_app
+from currantbarrow.intake import create_intake, create_limits
 from currantbarrow.listening import bind_address, bound_address
 
 __all__ = ["measure_callers"]
@@ -25,6 +26,7 @@
 TASK_RUN_MS = 50.0
 MAX_TASKS = 220
 MAX_BODY_BYTES = 4_000_000
+MEMORY_MB, DESCRIPTORS = 300, 4096
 RESIDENT_MEMORY_CODE = "from pathlib import Path; import resource, {module}; print("
 RESIDENT_MEMORY_CODE += (
     "int(Path('/proc/self/statm').read_text().split()[1]) * resource.getpagesize() // 1024)"
@@ -73,7 +75,8 @@
     await testbed.start_entries(1, LOADED_SIDES)
     listener = bind_address("127.0.0.1:0", "callers")
     api = create_api(testbed.entries[0], MAX_TASKS, MAX_BODY_BYTES, "slopes")
-    server = await serve_app(api, listener)
+    intake = create_intake(create_limits(MEMORY_MB, DESCRIPTORS), testbed.entries[0].metrics)
+    server = await serve_app(api, listener, intake)
     points = [(n, await _measure_jobs(f"http://{bound_address(listener)}", n)) for n in TASK_COUNTS]
     await server.stop()
     await testbed.stop()
--- a/src/currantbarrow/entry/http_server.py
+++ b/src/currantbarrow/entry/http_server.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import socket
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 from sanic import Request, Sanic
+from sanic.exceptions import SanicException
 from sanic.response import BaseHTTPResponse, HTTPResponse
+from sanic.server.protocols.http_protocol import HttpProtocol
 
 from currantbarrow.exceptions import DrainCutShort
+from currantbarrow.intake import BodyParts, GuardedConnection, Intake, connection_of
 from currantbarrow.open_requests import OpenRequests, raise_interrupted
 
 __all__ = ["HttpServer", "create_app", "json_response", "serve_app"]
@@ -31,12 +34,21 @@
         return await super().dispatch(event, **options)
 
     async def handle_request(self, request: Request) -> None:
-        """Handle a request, and answer it with an error if it is interrupted."""
+        """Receive and handle a request, and answer it with an error if it is interrupted."""
         requests: OpenRequests = self.ctx.requests
+        connection = connection_of(request.transport)
+        try:
+            await _receive_body(request, connection)
+        except SanicException as error:
+            await self.handle_exception(request, error)
+            return
         try:
             await requests.answer(super().handle_request(request), raise_interrupted)
         except DrainCutShort as error:
             await self.handle_exception(request, error)
+        finally:
+            if connection is not None:
+                connection.end_answer()
 
 
 class HttpServer:
@@ -83,10 +95,17 @@
     return app
 
 
-async def serve_app(app: Sanic[Any, Any], listener: socket.socket) -> HttpServer:
-    """Serve an application on a bound socket."""
+async def serve_app(app: Sanic[Any, Any], listener: socket.socket, intake: Intake) -> HttpServer:
+    """Serve an application on a bound socket, within the limits on clients."""
+
+    def create_protocol(**options: Any) -> GuardedConnection:
+        return intake.guard(HttpProtocol(**options))
+
     server: Any = await app.create_server(
-        sock=listener, return_asyncio_server=True, access_log=False
+        sock=listener,
+        return_asyncio_server=True,
+        access_log=False,
+        protocol=cast(type[asyncio.Protocol], create_protocol),
     )
     if server is None:
         raise RuntimeError("the HTTP server did not start")
@@ -95,6 +114,23 @@
     return HttpServer(server, app.ctx.requests)
 
 
+async def _receive_body(request: Request, connection: GuardedConnection | None) -> None:
+    """Receive the body of a request; raise SanicException if it is malformed or too large."""
+    parts = BodyParts()
+    stream: Any = request.stream
+    try:
+        async for part in stream:
+            parts.append(part)
+            if connection is not None:
+                connection.count_body(len(part))
+        request.body = parts.join()
+    finally:
+        # The traceback of an error would keep the body until the next garbage collection.
+        parts.clear()
+    if connection is not None:
+        connection.end_request()
+
+
 def json_response(
     body: Any,
     status: int = 200,
--- a/src/currantbarrow/entry/main.py
+++ b/src/currantbarrow/entry/main.py
@@ -11,6 +11,7 @@
 from currantbarrow.entry.http_server import HttpServer, serve_app
 from currantbarrow.entry.node import EntryNode, EntryOptions
 from currantbarrow.entry.operator_api import create_operator_api
+from currantbarrow.intake import create_intake, create_internal_limits, create_limits
 from currantbarrow.listening import bind_address, bound_address
 from currantbarrow.logservice.client import HttpLogService, create_log_service
 from currantbarrow.observe import (
@@ -68,8 +69,14 @@
             self.node, settings.max_tasks, settings.max_body_bytes, f"callers-{app_name}"
         )
         operators = create_operator_api(self.node, self.metrics, f"operators-{app_name}")
-        for app, listener in zip((callers, operators), self._listeners, strict=True):
-            self._servers.append(await serve_app(app, listener))
+        intakes = (
+            create_intake(create_limits(settings.memory_mb, settings.descriptors), self.metrics),
+            create_intake(create_internal_limits(settings.memory_mb), self.metrics),
+        )
+        for app, listener, intake in zip(
+            (callers, operators), self._listeners, intakes, strict=True
+        ):
+            self._servers.append(await serve_app(app, listener, intake))
         if settings.statsd_address:
             statsd_flush = flush_to_statsd(
                 self.metrics, settings.statsd_address, settings.name, create_clock()
--- a/src/currantbarrow/intake/connection.py
+++ b/src/currantbarrow/intake/connection.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from currantbarrow.intake.intake import Intake
 
-__all__ = ["GuardedConnection", "GuardedTransport", "is_peer_gone"]
+__all__ = ["GuardedConnection", "GuardedTransport", "connection_of", "is_peer_gone"]
 
 # Ordinary requests are smaller, and decoded at once.
 SMALL_READ_BYTES = 2048
@@ -280,3 +280,8 @@
     def _forget_held(self) -> None:
         self._intake.release(self.held_bytes)
         self.held_bytes = self._after_request_bytes = 0
+
+
+def connection_of(transport: asyncio.BaseTransport | None) -> GuardedConnection | None:
+    """Return the connection of a protocol's transport, or None if it is not a guarded one."""
+    return transport.connection if isinstance(transport, GuardedTransport) else None
--- a/src/currantbarrow/intake/intake.py
+++ b/src/currantbarrow/intake/intake.py
@@ -69,7 +69,12 @@
         return GuardedConnection(protocol, self)
 
     def register(self, connection: GuardedConnection) -> None:
-        """Track a connection."""
+        """Track a connection, in place of another one if there are too many.
+
+        Only servers that accept connections by themselves exceed the limit.
+        """
+        if not self.make_room(0):
+            self.refuse(connection, Refusal.CONNECTIONS)
         self.connections.add(connection)
         if self._checking is None:
             self._checking = self._loop.call_later(CHECK_INTERVAL_S, self._check)
--- a/src/currantbarrow/intake/web.py
+++ b/src/currantbarrow/intake/web.py
@@ -13,14 +13,14 @@
 
 from currantbarrow.exceptions import ClientRefused
 from currantbarrow.intake.acceptor import Acceptor
-from currantbarrow.intake.connection import GuardedConnection, GuardedTransport
+from currantbarrow.intake.body import BodyParts
+from currantbarrow.intake.connection import connection_of
 from currantbarrow.intake.intake import Intake
 from currantbarrow.intake.policy import Refusal
 from currantbarrow.types import Metrics
 
 __all__ = [
     "GuardedSite",
-    "connection_of",
     "create_server_logger",
     "receive_body",
     "take_body",
@@ -57,30 +57,23 @@
         self._server = cast(asyncio.AbstractServer, acceptor)
 
 
-def connection_of(request: web.Request) -> GuardedConnection | None:
-    """Return the connection of a request, or None if it has ended."""
-    transport = request.transport
-    return transport.connection if isinstance(transport, GuardedTransport) else None
-
-
 async def receive_body(request: web.Request, max_bytes: int) -> None:
     """Receive the body of a request; raise ClientRefused, or an HTTP error if it is too large."""
-    connection = connection_of(request)
-    # One array that grows would leave holes in the heap that no later body fits into.
-    parts: list[bytes] = []
-    size_bytes = 0
+    connection = connection_of(request.transport)
+    parts = BodyParts()
     try:
         if request.body_exists:
             if connection is not None:
                 connection.begin_body(_refuse_body_of(request))
             async for part in request.content.iter_any():
                 parts.append(part)
-                size_bytes += len(part)
                 if connection is not None:
                     connection.count_body(len(part))
-                if size_bytes > max_bytes:
-                    raise web.HTTPRequestEntityTooLarge(max_size=max_bytes, actual_size=size_bytes)
-        request[BODY] = b"".join(parts)
+                if parts.size_bytes > max_bytes:
+                    raise web.HTTPRequestEntityTooLarge(
+                        max_size=max_bytes, actual_size=parts.size_bytes
+                    )
+        request[BODY] = parts.join()
     finally:
         # The traceback of an error would keep the body until the next garbage collection.
         parts.clear()
--- a/src/currantbarrow/platform/serving.py
+++ b/src/currantbarrow/platform/serving.py
@@ -11,10 +11,9 @@
 from aiohttp.typedefs import Handler
 
 from currantbarrow.exceptions import ClientRefused
-from currantbarrow.intake import Intake
+from currantbarrow.intake import Intake, connection_of
 from currantbarrow.intake.web import (
     GuardedSite,
-    connection_of,
     create_server_logger,
     receive_body,
 )
@@ -56,7 +55,7 @@
 
     @web.middleware
     async def serve(request: web.Request, handler: Handler) -> web.StreamResponse:
-        connection = connection_of(request)
+        connection = connection_of(request.transport)
         try:
             await receive_body(request, request.client_max_size)
         except ClientRefused as error:
--- a/src/currantbarrow/settings/schema.py
+++ b/src/currantbarrow/settings/schema.py
@@ -46,6 +46,9 @@
     log_retention_ms: Milliseconds = 86_400_000.0
     max_body_bytes: Count = 4_000_000
     max_tasks: Count = 220
+    # What all callers together may take follows from these.
+    memory_mb: Count = 300
+    descriptors: Count = 4096
 
 
 class SideSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -304,6 +304,9 @@
             for path in processes.folder.glob("*.yaml"):
                 if path.stem not in ("log", "entry-0", "side-00", "worker-00", "operator"):
                     path.unlink()
+            settings = processes.folder / "entry-0.yaml"
+            limits = f"memory_mb: {cls.MEMORY_MB}\ndescriptors: {cls.DESCRIPTORS}\n"
+            settings.write_text(settings.read_text() + limits)
             try:
                 await processes.start_all()
                 await cls.face(processes, Crowd("127.0.0.1", 0, client, count))
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -12,7 +12,9 @@
 from currantbarrow.entry.http_server import create_app, json_response, serve_app
 from currantbarrow.entry.problems import error_response
 from currantbarrow.exceptions import DrainCutShort
+from currantbarrow.intake import create_intake, create_limits
 from currantbarrow.listening import bind_address, bound_address
+from currantbarrow.observe import MetricsRegistry
 from currantbarrow.open_requests import OpenRequests, raise_interrupted
 from currantbarrow.standins.fleet import Fleet
 from helpers import FleetTest
@@ -36,7 +38,8 @@
             return error_response(error)
 
         listener = bind_address("127.0.0.1:0", "callers")
-        server = await serve_app(app, listener)
+        intake = create_intake(create_limits(100.0, 1000), MetricsRegistry())
+        server = await serve_app(app, listener, intake)
         url = f"http://{bound_address(listener)}/"
         async with aiohttp.ClientSession() as session, asyncio.timeout(5):
             sending = asyncio.create_task(session.request(method, url))
