Bound the time of reads that do not wait, and name the ports in metrics of the intake

Found by reading the change: bodies with a spec of 4,000 bytes did not count as small, so that ordinary requests would have waited for their turn, and the processor time of the requests themselves counted as that of their last read; the gauges of an entry's two intakes wrote over each other; and the first reads of a thousand connections could still hold everything up together.

Change: reads up to 8 KiB do not wait, as long as all such reads take no more than 10 ms between two looks at other events. The last read of a request counts only its decoding. Metrics and log lines have the port.

--- a/src/currantbarrow/bench/slopes_callers.py
+++ b/src/currantbarrow/bench/slopes_callers.py
@@ -75,7 +75,8 @@
     await testbed.start_entries(1, LOADED_SIDES)
     listener = bind_address("127.0.0.1:0", "callers")
     api = create_api(testbed.entries[0], MAX_TASKS, MAX_BODY_BYTES, "slopes")
-    intake = create_intake(create_limits(MEMORY_MB, DESCRIPTORS), testbed.entries[0].metrics)
+    limits = create_limits(MEMORY_MB, DESCRIPTORS)
+    intake = create_intake("callers", limits, testbed.entries[0].metrics)
     server = await serve_app(api, listener, intake)
     points = [(n, await _measure_jobs(f"http://{bound_address(listener)}", n)) for n in TASK_COUNTS]
     await server.stop()
--- a/src/currantbarrow/entry/main.py
+++ b/src/currantbarrow/entry/main.py
@@ -69,9 +69,10 @@
             self.node, settings.max_tasks, settings.max_body_bytes, f"callers-{app_name}"
         )
         operators = create_operator_api(self.node, self.metrics, f"operators-{app_name}")
+        limits = create_limits(settings.memory_mb, settings.descriptors)
         intakes = (
-            create_intake(create_limits(settings.memory_mb, settings.descriptors), self.metrics),
-            create_intake(create_internal_limits(settings.memory_mb), self.metrics),
+            create_intake("callers", limits, self.metrics),
+            create_intake("internal", create_internal_limits(settings.memory_mb), self.metrics),
         )
         for app, listener, intake in zip(
             (callers, operators), self._listeners, intakes, strict=True
--- a/src/currantbarrow/intake/connection.py
+++ b/src/currantbarrow/intake/connection.py
@@ -5,7 +5,6 @@
 import asyncio
 import enum
 import select
-import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, cast
 
@@ -18,7 +17,7 @@
 __all__ = ["GuardedConnection", "GuardedTransport", "connection_of", "is_peer_gone"]
 
 # Ordinary requests are smaller, and decoded at once.
-SMALL_READ_BYTES = 2048
+SMALL_READ_BYTES = 8 * 1024
 # Small reads of a connection that has taken more processor time wait for their turn as well.
 COSTLY_CONNECTION_S = 0.005
 GONE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
@@ -239,13 +238,11 @@
         if not self.is_answering and has_overhead(self.held_bytes, self.body_bytes):
             self._intake.refuse(self, Refusal.OVERHEAD)
             return
-        if nbytes <= SMALL_READ_BYTES and self.cost_s < COSTLY_CONNECTION_S:
-            began_s = time.perf_counter()
-            self.decode(data)
-            self.cost_s += time.perf_counter() - began_s
-        else:
-            transport.pause(_Pause.PACER)
-            self._intake.pacer.submit(self, data)
+        is_ordinary = nbytes <= SMALL_READ_BYTES and self.cost_s < COSTLY_CONNECTION_S
+        if is_ordinary and self._intake.pacer.try_now(self, data):
+            return
+        transport.pause(_Pause.PACER)
+        self._intake.pacer.submit(self, data)
 
     def eof_received(self) -> bool | None:
         """Pass the end of what is received on."""
--- a/src/currantbarrow/intake/intake.py
+++ b/src/currantbarrow/intake/intake.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import math
 
 from currantbarrow.intake.connection import GuardedConnection
 from currantbarrow.intake.limits import IntakeLimits
@@ -34,17 +35,19 @@
         "_checking",
         "_discarded_bytes",
         "_held_bytes",
-        "_logged_s",
         "_loop",
-        "_unlogged",
+        "_refused",
         "buffer",
         "connections",
         "limits",
         "metrics",
         "pacer",
+        "port",
     )
 
-    def __init__(self, limits: IntakeLimits, metrics: Metrics) -> None:
+    def __init__(self, port: str, limits: IntakeLimits, metrics: Metrics) -> None:
+        # What the connections are for, in metrics and log lines.
+        self.port = port
         self.limits = limits
         self.metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -55,9 +58,7 @@
         self._held_bytes = 0
         # Bytes of refused requests since the last garbage collection.
         self._discarded_bytes = 0
-        # Refusals that are not logged yet, and when the last ones were, by reason.
-        self._unlogged: dict[Refusal, int] = {}
-        self._logged_s: dict[Refusal, float] = {}
+        self._refused = {reason: _RefusedClients() for reason in Refusal}
         self._checking: asyncio.TimerHandle | None = None
 
     def now_s(self) -> float:
@@ -110,11 +111,6 @@
             self.refuse(client, Refusal.CONNECTIONS)
         return client is not None
 
-    def stop(self) -> None:
-        """Stop checking the connections."""
-        if self._checking is not None:
-            self._checking.cancel()
-
     def _check(self) -> None:
         """Close connections whose clients take too long or have left unnoticed."""
         now_s = self.now_s()
@@ -128,22 +124,23 @@
                 self.refuse(client, Refusal.UNDECODABLE)
             else:
                 client.close_if_gone()
-        self.metrics.gauge("intake.connections", len(self.connections))
-        self.metrics.gauge("intake.held_bytes", self._held_bytes)
-        for refusal in list(self._unlogged):
-            self._log(refusal, "")
+        self.metrics.gauge(f"intake.{self.port}.connections", len(self.connections))
+        self.metrics.gauge(f"intake.{self.port}.held_bytes", self._held_bytes)
+        for reason in Refusal:
+            self._log(reason)
         self._checking = None
-        if self.connections or self._unlogged:
+        if self.connections or any(each.count for each in self._refused.values()):
             self._checking = self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
     def refuse(self, client: GuardedConnection, reason: Refusal) -> None:
         """Refuse a client, and count and log it."""
-        peer = client.peer
+        refused = self._refused[reason]
+        refused.count += 1
+        refused.last_peer = client.peer
+        self.metrics.incr(f"intake.{self.port}.refused.{reason.value}")
         self._discard(client.held_bytes)
         client.refuse(reason)
-        self.metrics.incr(f"intake.refused.{reason.value}")
-        self._unlogged[reason] = self._unlogged.get(reason, 0) + 1
-        self._log(reason, peer)
+        self._log(reason)
 
     def _discard(self, count: int) -> None:
         """Count bytes of a refused request, and collect garbage once there is much of it.
@@ -157,23 +154,37 @@
             # After the end of the connections.
             self._loop.call_later(COLLECT_DELAY_S, gc.collect)
 
-    def _log(self, reason: Refusal, peer: str) -> None:
-        now_s = self.now_s()
-        if now_s - self._logged_s.get(reason, now_s - LOG_INTERVAL_S) < LOG_INTERVAL_S:
+    def _log(self, reason: Refusal) -> None:
+        """Log the clients refused for a reason, unless there are none or some were lately."""
+        refused, now_s = self._refused[reason], self.now_s()
+        if not refused.count or now_s - refused.logged_s < LOG_INTERVAL_S:
             return
-        self._logged_s[reason] = now_s
         logger.warning(
             "clients refused",
             extra={
+                "port": self.port,
                 "reason": reason.value,
-                "clients": self._unlogged.pop(reason),
-                "last": peer,
+                "clients": refused.count,
+                "last": refused.last_peer,
                 "connections": len(self.connections),
                 "held_bytes": self._held_bytes,
             },
         )
+        refused.count = 0
+        refused.logged_s = now_s
+
+
+class _RefusedClients:
+    """Count the clients refused for one reason since the last log line."""
+
+    __slots__ = ("count", "last_peer", "logged_s")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.last_peer = ""
+        self.logged_s = -math.inf
 
 
-def create_intake(limits: IntakeLimits, metrics: Metrics) -> Intake:
-    """Create the intake of a process in the running event loop."""
-    return Intake(limits, metrics)
+def create_intake(port: str, limits: IntakeLimits, metrics: Metrics) -> Intake:
+    """Create the intake of the connections to a port, or to several, in the running event loop."""
+    return Intake(port, limits, metrics)
--- a/src/currantbarrow/platform/entry_program.py
+++ b/src/currantbarrow/platform/entry_program.py
@@ -59,9 +59,10 @@
         parse=parse_configuration,
     )
     requests = entry.requests
-    intake = create_intake(create_limits(settings.memory_mb, settings.descriptors), metrics)
+    limits = create_limits(settings.memory_mb, settings.descriptors)
+    intake = create_intake("callers", limits, metrics)
     # Callers must not be able to take the connections of operators and of the load balancer.
-    internal = create_intake(create_internal_limits(settings.memory_mb), metrics)
+    internal = create_intake("internal", create_internal_limits(settings.memory_mb), metrics)
     runners = [
         await serve_app(
             create_metrics_app(metrics), settings.metrics_address, "metrics", requests, internal
--- a/src/currantbarrow/platform/side_program.py
+++ b/src/currantbarrow/platform/side_program.py
@@ -54,7 +54,7 @@
         announcements=TopicAnnouncementStore(settings.name, store, metrics),
     )
     requests = OpenRequests()
-    intake = create_intake(create_internal_limits(settings.memory_mb), metrics)
+    intake = create_intake("internal", create_internal_limits(settings.memory_mb), metrics)
     runners = [
         await serve_app(
             create_metrics_app(metrics), settings.metrics_address, "metrics", requests, intake
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -38,7 +38,7 @@
             return error_response(error)
 
         listener = bind_address("127.0.0.1:0", "callers")
-        intake = create_intake(create_limits(100.0, 1000), MetricsRegistry())
+        intake = create_intake("test", create_limits(100.0, 1000), MetricsRegistry())
         server = await serve_app(app, listener, intake)
         url = f"http://{bound_address(listener)}/"
         async with aiohttp.ClientSession() as session, asyncio.timeout(5):
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -12,7 +12,7 @@
 
 from currantbarrow.intake import Acceptor, IntakeLimits, create_intake, pacer
 from currantbarrow.intake.acceptor import ACCEPTED_AT_ONCE, RETRY_DELAY_S
-from currantbarrow.intake.pacer import MAX_READ_COST_S, PACED_SHARE, Pacer
+from currantbarrow.intake.pacer import DIRECT_S, MAX_READ_COST_S, PACED_SHARE, Pacer
 from currantbarrow.intake.policy import (
     MAX_HEAD_BYTES,
     ORDINARY_REQUEST_BYTES,
@@ -121,6 +121,7 @@
 
     def __init__(self, read_s: float, decoded: list[FakeReader], clock: FakeTimer) -> None:
         self.cost_s = 0.0
+        self.is_answering = False
         self._read_s = read_s
         self._decoded = decoded
         self._clock = clock
@@ -195,6 +196,24 @@
         took_s = self.decode_all(monkeypatch, [0.00002] * 50, 10)
         assert took_s <= 0.002
 
+    def test_direct_reads_take_a_limited_time_between_other_events(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The first reads of a thousand connections may arrive at once."""
+        clock = FakeTimer()
+        monkeypatch.setattr(pacer, "time", clock)
+        decoded: list[FakeReader] = []
+
+        async def run() -> None:
+            paced = Pacer(asyncio.get_running_loop())
+            for _ in range(1000):
+                paced.try_now(FakeReader(0.003, decoded, clock), b"")
+            assert clock.now_s <= DIRECT_S + 0.003
+            await asyncio.sleep(0)
+            assert paced.try_now(FakeReader(0.003, decoded, clock), b"")
+
+        asyncio.run(run())
+
     def test_suspension_during_a_read_counts_as_one_slow_read(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
@@ -230,7 +249,7 @@
         protocol: StoppingProtocol, limits: IntakeLimits, *, is_answering: bool, leaves: bool
     ) -> bool:
         """Return whether the connection of a client is closed that sends and may leave."""
-        intake = create_intake(limits, MetricsRegistry())
+        intake = create_intake("test", limits, MetricsRegistry())
         connection = intake.guard(protocol)
         own, other = socket.socketpair()
         own.setblocking(False)
@@ -249,7 +268,6 @@
             return False
         finally:
             other.close()
-            intake.stop()
         return True
 
     @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
@@ -289,7 +307,7 @@
         self, run: Callable[[Any], Any]
     ) -> None:
         async def scenario() -> None:
-            intake = create_intake(IntakeLimits(1 << 20, 4), MetricsRegistry())
+            intake = create_intake("test", IntakeLimits(1 << 20, 4), MetricsRegistry())
             protocols: list[StoppingProtocol] = []
 
             def create_protocol() -> StoppingProtocol:
@@ -309,7 +327,6 @@
                 assert await reader.readexactly(6) == b"answer"
             writer.close()
             acceptor.close()
-            intake.stop()
             for each in idle:
                 each.close()
 
@@ -320,7 +337,7 @@
         self, run: Callable[[Any], Any]
     ) -> None:
         async def scenario() -> None:
-            intake = create_intake(IntakeLimits(1 << 20, 1), MetricsRegistry())
+            intake = create_intake("test", IntakeLimits(1 << 20, 1), MetricsRegistry())
             acceptor = Acceptor(bind_address("127.0.0.1:0", "test"), StoppingProtocol, intake)
             address = acceptor.sockets[0].getsockname()
             clients = [socket.create_connection(address)]
@@ -337,7 +354,6 @@
                 while not intake.connections or first in intake.connections:
                     await asyncio.sleep(0)
             acceptor.close()
-            intake.stop()
             clients[1].close()
 
         run(scenario())
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -67,7 +67,7 @@
         async def scenario() -> bytes:
             entry = RecordingEntry()
             app = create_callers_app(cast(DirectEntry, entry), MetricsRegistry())
-            intake = create_intake(create_limits(100.0, 1000), MetricsRegistry())
+            intake = create_intake("test", create_limits(100.0, 1000), MetricsRegistry())
             runner = await serve_app(
                 app, "127.0.0.1:0", "frontend", OpenRequests(), intake, cancel=True
             )
@@ -96,7 +96,7 @@
         async def scenario() -> None:
             entry = RecordingEntry()
             app = create_callers_app(cast(DirectEntry, entry), MetricsRegistry())
-            intake = create_intake(create_limits(100.0, 1000), MetricsRegistry())
+            intake = create_intake("test", create_limits(100.0, 1000), MetricsRegistry())
             runner = await serve_app(
                 app, "127.0.0.1:0", "frontend", OpenRequests(), intake, cancel=True
             )
--- a/tests/test_platform_shutdown.py
+++ b/tests/test_platform_shutdown.py
@@ -81,7 +81,7 @@
 
         app = web.Application()
         app.router.add_route("*", "/", wait)
-        intake = create_intake(create_limits(100.0, 1000), MetricsRegistry())
+        intake = create_intake("test", create_limits(100.0, 1000), MetricsRegistry())
         return await serve_app(app, "127.0.0.1:0", "test", requests, intake, cancel=True)
 
     @pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
