--- a/src/currantbarrow/intake/pacer.py
+++ b/src/currantbarrow/intake/pacer.py
@@ -81,11 +81,11 @@
         ended_s = decoded_s if reader.is_answering else time.perf_counter()
         cost_s = min(ended_s - began_s, MAX_READ_COST_S)
         reader.cost_s += cost_s
-        reader.end_read()
         if cost_s < COSTLY_READ_S:
             self._go_on()
         else:
             self._loop.call_later(cost_s * (1 / PACED_SHARE - 1), self._go_on)
+        reader.end_read()
 
     def _reset_direct(self) -> None:
         self._direct_s = 0.0
