Refuse a body that is not received with 502 if the job may have run before

Found by reading the change: a caller that submits its job again, and whose body is refused for what all clients hold, was told that the job has not run, although its first submission had been accepted.

Cause: the refusal of the HTTP server knows nothing of jobs.

Change: the application of callers gives the refusal. The entry says that a job may have run if it has it open, has its outcome, or knows an earlier acceptance, here or at a peer.

Evidence: test_body_beyond_what_all_clients_may_hold_is_refused_with_the_truth fails for 502 on the code before; it and the test over three entries in virtual time pass now.

--- a/src/currantbarrow/direct/entry.py
+++ b/src/currantbarrow/direct/entry.py
@@ -70,6 +70,8 @@
 # Time to leave the directory and to answer after a drain that took all the time it may take.
 WITHDRAW_MIN_MS = 50.0
 DRAIN_POLL_INTERVAL_MS = 50.0
+# Retry-After of a submission that is not received whole: other clients are refused meanwhile.
+UNRECEIVED_RETRY_S = 1
 ANSWER_POLL_INTERVAL_MS = 5.0
 
 Parser = Callable[[bytes], Configuration]
@@ -296,6 +298,13 @@
             return self._refuse_earlier(job_id, "isolated")
         return None
 
+    def refuse_unreceived(self, job_id: str, reason: str) -> Refusal:
+        """Return the refusal of a submission that is not received whole."""
+        refusal = self._complete_refusal(job_id, Refusal(reason, UNRECEIVED_RETRY_S, 0.0))
+        if job_id in self.dispatcher.jobs or self.history.final_standing(job_id) in FINAL_STANDINGS:
+            return msgspec.structs.replace(refusal, may_have_run=True)
+        return refusal
+
     async def cancel(self, job_id: str) -> CancelOutcome:
         """Cancel a job here and at the other processes, and return what is known of it."""
         # A submission that arrives after this, here or elsewhere, must not run, known or not.
--- a/src/currantbarrow/platform/callers.py
+++ b/src/currantbarrow/platform/callers.py
@@ -18,6 +18,7 @@
 from currantbarrow.observe import logger
 from currantbarrow.platform.connections import CallConnection
 from currantbarrow.platform.jobs import is_job_id, parse_job
+from currantbarrow.platform.serving import REFUSE_UNRECEIVED
 from currantbarrow.protocol.direct import Standing
 from currantbarrow.types import Metrics
 
@@ -66,6 +67,16 @@
             response.force_close()
         return response
 
+    def refuse_unreceived(self, request: web.Request, reason: str) -> web.Response:
+        """Refuse a request that is not received whole, since clients take too much together."""
+        job_id = request.path.rpartition("/")[2]
+        refusal = self._entry.refuse_unreceived(job_id, reason)
+        logger.info(
+            "job refused",
+            extra={"job": job_id, "reason": reason, "may_have_run": refusal.may_have_run},
+        )
+        return _answer_refusal(refusal)
+
     async def _answer(self, request: web.Request) -> web.Response:
         configured = self._entry.current_configuration
         if configured is None:
@@ -107,8 +118,7 @@
             spec, queue, _read_timeout_ms(request), CallConnection(request)
         )
         if isinstance(outcome, Refusal):
-            refuse = _refuse_interrupted if outcome.may_have_run else _refuse
-            return refuse(outcome.reason, outcome.retry_after_s)
+            return _answer_refusal(outcome)
         if isinstance(outcome, OpenJob):
             return await self._wait_for_end(outcome)
         return _reply(200, _StateBody(STATE_BY_STANDING[outcome]))
@@ -152,7 +162,9 @@
 def create_callers_app(entry: DirectEntry, metrics: Metrics) -> web.Application:
     """Return the application that serves callers."""
     app = web.Application(client_max_size=1024 * 1024)
-    app.router.add_route("*", "/{path:.*}", CallersApi(entry, metrics).handle)
+    api = CallersApi(entry, metrics)
+    app[REFUSE_UNRECEIVED] = api.refuse_unreceived
+    app.router.add_route("*", "/{path:.*}", api.handle)
     return app
 
 
@@ -193,6 +205,11 @@
             return response
 
 
+def _answer_refusal(refusal: Refusal) -> web.Response:
+    refuse = _refuse_interrupted if refusal.may_have_run else _refuse
+    return refuse(refusal.reason, refusal.retry_after_s)
+
+
 def _refuse(reason: str, retry_after_s: int) -> web.Response:
     response = _reply(503, _ErrorBody("not_run", reason))
     response.headers["Retry-After"] = str(retry_after_s)
--- a/src/currantbarrow/platform/serving.py
+++ b/src/currantbarrow/platform/serving.py
@@ -21,7 +21,14 @@
 from currantbarrow.observe import logger
 from currantbarrow.open_requests import OpenRequests
 
-__all__ = ["DRAIN_RESERVE_MS", "Closer", "close_all", "create_stop_event", "serve_app"]
+__all__ = [
+    "DRAIN_RESERVE_MS",
+    "REFUSE_UNRECEIVED",
+    "Closer",
+    "close_all",
+    "create_stop_event",
+    "serve_app",
+]
 
 # Part of the grace period that is reserved for sending the last responses and closing connections.
 DRAIN_RESERVE_MS = 500.0
@@ -29,12 +36,14 @@
 EXIT_RESERVE_MS = 150.0
 SHUTDOWN_TIMEOUT_S = 0.1
 INTERRUPTED_RETRY_S = 1
-# Retry-After of a request that was not received whole, as the clients hold too much together.
-REFUSED_RETRY_S = 1
 # What the library decodes before a handler has read it, in bytes.
 READ_BUFFER_BYTES = 16 * 1024
 
 Closer = Callable[[], Awaitable[None]]
+# Returns the answer to a request that is not received whole, given the reason.
+Refuse = Callable[[web.Request, str], web.Response]
+# Set by applications that know more of their requests than that they were not received.
+REFUSE_UNRECEIVED: web.AppKey[Refuse] = web.AppKey("refuse_unreceived")
 # Callers reuse connections between requests; new ones cost both ends more.
 KEEP_ALIVE_TIMEOUT_S = 75.0
 
@@ -53,13 +62,17 @@
     still open once the server has stopped listening are answered with 502.
     """
 
+    refuse = app.get(REFUSE_UNRECEIVED, _refuse_unreceived)
+
     @web.middleware
     async def serve(request: web.Request, handler: Handler) -> web.StreamResponse:
         connection = connection_of(request.transport)
         try:
             await receive_body(request, request.client_max_size)
         except ClientRefused as error:
-            return _create_refused_response(str(error))
+            refused = refuse(request, str(error))
+            refused.force_close()
+            return refused
         except web.RequestPayloadError:
             return _create_unreadable_response()
         try:
@@ -140,11 +153,8 @@
     )
 
 
-def _create_refused_response(reason: str) -> web.Response:
-    """Return the refusal of a request that was not received whole, so it has not run."""
-    response = _create_error_response(503, _ErrorBody("not_run", reason), REFUSED_RETRY_S)
-    response.force_close()
-    return response
+def _refuse_unreceived(request: web.Request, reason: str) -> web.Response:
+    return _create_error_response(503, _ErrorBody("not_received", reason), INTERRUPTED_RETRY_S)
 
 
 def _create_unreadable_response() -> web.Response:
--- a/tests/test_direct_resubmission.py
+++ b/tests/test_direct_resubmission.py
@@ -346,3 +346,20 @@
             assert acceptance.address == "later"
 
         run_virtual(scenario())
+
+
+class TestSubmissionThatIsNotReceived:
+    """A repeated submission was refused as not run, although the first one had been accepted."""
+
+    def test_refusal_says_that_the_job_may_have_run_if_it_was_accepted_before(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            job = asyncio.create_task(fleet.submit("entry-0", fleet.build_job("a", 2, 1000.0)))
+            # Longer than the interval at which entries report accepted jobs.
+            await asyncio.sleep(0.5)
+            entries = fleet.entries.values()
+            assert all(each.refuse_unreceived("a", "memory").may_have_run for each in entries)
+            assert await job is JobState.COMPLETED
+            assert all(each.refuse_unreceived("a", "memory").may_have_run for each in entries)
+            assert not any(each.refuse_unreceived("b", "memory").may_have_run for each in entries)
+
+        run_fleet(scenario)
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -17,7 +17,7 @@
 from currantbarrow.direct.model import JobSpec, WorkQueue
 from currantbarrow.direct.routing import Configuration
 from currantbarrow.direct.submissions import Caller
-from currantbarrow.intake import create_intake, create_limits
+from currantbarrow.intake import IntakeLimits, create_intake, create_limits
 from currantbarrow.observe import MetricsRegistry
 from currantbarrow.open_requests import OpenRequests
 from currantbarrow.platform.callers import create_callers_app
@@ -31,6 +31,8 @@
 ).encode() + BODY
 QUEUE = WorkQueue("queue", "host", "/p/", "service", 0, 60.0, 1.6, 4, 0.0)
 LIMIT_S = 5.0
+# Iterations of the event loop until a handler has begun.
+HANDLER_ITERATIONS = 10
 
 
 class RecordingEntry:
@@ -43,6 +45,11 @@
         self.left: list[bool] = []
         self.submitted = asyncio.Event()
 
+        self.may_have_run = False
+
+    def refuse_unreceived(self, job_id: str, reason: str) -> Refusal:
+        return Refusal(reason, 1, 0.0, may_have_run=self.may_have_run)
+
     async def submit(
         self, spec: JobSpec, queue: WorkQueue, caller_timeout_ms: float, caller: Caller
     ) -> Refusal:
@@ -61,6 +68,38 @@
 
 
 class TestBodies:
+    @pytest.mark.parametrize(("may_have_run", "status"), [(False, b" 503 "), (True, b" 502 ")])
+    def test_body_beyond_what_all_clients_may_hold_is_refused_with_the_truth(
+        self, may_have_run: bool, status: bytes
+    ) -> None:
+        async def scenario() -> bytes:
+            entry = RecordingEntry()
+            entry.may_have_run = may_have_run
+            app = create_callers_app(cast(DirectEntry, entry), MetricsRegistry())
+            intake = create_intake("test", IntakeLimits(8000, 10), MetricsRegistry())
+            runner = await serve_app(
+                app, "127.0.0.1:0", "frontend", OpenRequests(), intake, cancel=True
+            )
+            reader, writer = await asyncio.open_connection(*runner.addresses[0][:2])
+            head = CALL.partition(b"Content-Length")[0] + b"Content-Length: 20000\r\n\r\n"
+            writer.write(head)
+            await writer.drain()
+            async with asyncio.timeout(LIMIT_S):
+                while not any(each.held_bytes for each in intake.connections):
+                    await asyncio.sleep(0)
+                # The head is decoded, and a handler waits for the body.
+                for _ in range(HANDLER_ITERATIONS):
+                    await asyncio.sleep(0)
+                writer.write(b" " * 10_000)
+                answer = await reader.read()
+            await runner.cleanup()
+            assert not entry.left
+            return answer
+
+        answer = asyncio.run(scenario())
+        assert status in answer.partition(b"\r\n")[0]
+        assert b"Retry-After" in answer
+
     def test_compressed_body_is_rejected_as_it_is(self) -> None:
         """A body of the largest size could become a thousand times as large."""
 
