Submit a new job after each crowd of clients

The check that an ordinary job is completed afterwards submitted the id of the one before the crowd again, which an entry answers from its record of outcomes. Each submission has an id of its own now, so that the job has to run.

--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import resource
 import zlib
@@ -99,6 +100,8 @@
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.entry, self.side = fleet.entries[0], fleet.sides[0]
+        # Each job is a new one, since the outcome of an earlier one is answered from memory.
+        self._job_numbers = itertools.count(1)
 
     def use(self, host: Host) -> ProcessUse:
         """Return what a process uses, and check that it lives and keeps its limits."""
@@ -112,10 +115,10 @@
         descriptors = self.fleet.limits(host)[1]
         resource.prlimit(host.process.pid, resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
-    async def submit(self, number: int) -> bool:
+    async def submit(self) -> bool:
         """Submit an ordinary job, and return whether it was completed."""
         timeout = aiohttp.ClientTimeout(total=5.0)
-        url = f"{self.entry.direct_url}/quick/{number:016x}"
+        url = f"{self.entry.direct_url}/quick/{next(self._job_numbers):016x}"
         try:
             async with (
                 aiohttp.ClientSession(timeout=timeout) as session,
@@ -128,9 +131,7 @@
     async def check_served(self) -> None:
         """Check that an ordinary job is completed, if need be after some tries."""
         async with asyncio.timeout(TIMEOUT_S):
-            number = 1
-            while not await self.submit(number):
-                number += 1
+            while not await self.submit():
                 await asyncio.sleep(POLL_S)
 
 
