--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -17,7 +17,6 @@
 import signal
 import socket
 import struct
-import sys
 import tempfile
 import time
 import tomllib
@@ -73,14 +72,17 @@
         self.topics: dict[str, list[bytes]] = {}
 
     def append(self, topic: str, record: bytes) -> int:
+        """Append a record, and return its offset."""
         records = self.topics.setdefault(topic, [])
         records.append(record)
         return len(records) - 1
 
     def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append the newest record of a key."""
         self.append(topic, bytes([len(key)]) + key.encode() + value)
 
     async def handle(self, request: web.Request) -> web.Response:
+        """Answer a call."""
         topic = request.query.get("topic", "")
         await asyncio.sleep(0.004)
         match request.path:
@@ -166,6 +168,7 @@
         return 1000 + (time.monotonic() - self._began_s) * 1000
 
     async def start(self) -> None:
+        """Listen for calls, and send heartbeats."""
         app = web.Application()
         app.router.add_post("/currantbarrow/run-start", self._serve(self._start))
         app.router.add_post("/currantbarrow/run-stop", self._serve(self._stop))
@@ -308,16 +311,20 @@
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> None:
+        """Listen."""
         ip, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._accept, ip, int(port))
 
     def begin(self) -> None:
+        """Hold all bytes from now on, and let no new connection through."""
         self._open.clear()
 
     def end(self) -> None:
+        """Pass on what was held, and all that follows."""
         self._open.set()
 
     def close(self) -> None:
+        """Stop listening, and close all connections."""
         if self._server is not None:
             self._server.close()
         for task in self._tasks:
@@ -368,6 +375,7 @@
         self._settings = system.folder / f"{self.name}.json"
 
     async def start(self) -> None:
+        """Start the process by the command of the deploy file."""
         self._settings.write_text(json.dumps(self._system.settings(self)))
         with (self._system.folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -495,6 +503,16 @@
                 await asyncio.sleep(0.05)
         raise CaseNotRun(f"{entry.name} is not ready")
 
+    async def wait_listening(self, entry: Program, limit_s: float = 25.0) -> None:
+        """Wait until an entry accepts connections of clients."""
+        until_s = time.monotonic() + limit_s
+        while time.monotonic() < until_s:
+            with contextlib.suppress(OSError):
+                socket.create_connection((entry.ip, CALLERS_PORT), 0.5).close()
+                return
+            await asyncio.sleep(0.01)
+        raise CaseNotRun(f"{entry.name} does not listen")
+
     async def stop(self) -> None:
         """End all processes and servers that were started."""
         for program in [*self.entries, *self.sides]:
@@ -525,6 +543,7 @@
         )
 
     async def close(self) -> None:
+        """Close all connections."""
         await self._session.close()
 
     async def send(
@@ -576,7 +595,7 @@
 
     try:
         asyncio.run(limited())
-    except Exception as error:  # noqa: BLE001
+    except Exception as error:
         # Whatever went wrong in the script itself says nothing about the rule.
         record.write(f"the case could not run: {error!r}")
         return NOT_RUN
@@ -597,7 +616,3 @@
             continue
         return network
     raise CaseNotRun("no free loopback network")
-
-
-if sys.version_info < (3, 11):
-    sys.exit(NOT_RUN)
