--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
 """A worker comes back as one of another kind during a short cut, and an order of before arrives."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -73,4 +74,5 @@
         await system.stop()
 
 
-sys.exit(run_case(case, Path(__file__).parent))
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+sys.exit(run_case(case, Path(__file__).with_name("record.txt"), trouble=TROUBLE))
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -32,7 +32,7 @@
 CALLERS_PORT, CONTROL_PORT, READY_PORT, METRICS_PORT = 8161, 8166, 8167, 9464
 LINK_PORT, STORE_PORT, WORKER_PORT = 7720, 7000, 8080
 HOST = "jobs.example"
-PREFIX = "/work/"
+PREFIX = "/jobs/"
 SERVICE = "engine"
 # Bounds of the users' pages.
 CANCEL_MS, DRAIN_MS, MAX_HOLD_MS, STOP_MS, GRACE_S = 3000, 2000, 1000, 20, 6
@@ -583,10 +583,11 @@
     return {"spec": str(run_ms), "best_effort": True, "phases": [phase]}
 
 
-def run_case(case: Callable[[Record, bool], Awaitable[None]], folder: Path) -> int:
+def run_case(
+    case: Callable[[Record, bool], Awaitable[None]], record_path: Path, *, trouble: bool
+) -> int:
     """Run a case, and return the exit status of its script."""
-    record = Record(folder / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(record_path)
     record.write(f"begins, {'with' if trouble else 'without'} the disruption")
 
     async def limited() -> None:
