Return an order whose worker was replaced or has changed since it was placed

Cause: an order named neither the instance that the entry had chosen nor what the step requires, so the side process started it on whatever worker was there when it arrived. An order may be held up for as long as its lease allows. `heard_ms` cannot tell: the entry adds the time since the newest report to its stamp, so it lies after the change. Its comment now says so.

Change: side processes number the descriptions of their worker (instance, service, labels) and report the number; orders carry it back. An order with another number is returned as not started, on arrival or when its turn to start comes, and the task is placed again at once. A change of labels or of the service is reported without delay, and logged. Processes of the former version send 0, which is not compared.

--- a/src/currantbarrow/direct/commands.py
+++ b/src/currantbarrow/direct/commands.py
@@ -149,6 +149,7 @@
         is_obsolete = run.stopping or run.reported or instance.ended or instance.superseded
         return (
             not is_obsolete
+            and instance.is_as_ordered(run)
             and run.session.lease.is_valid(now_ms)
             and instance.may_renew_lease(now_ms)
         )
--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Callable
 
 import msgspec
@@ -15,6 +16,7 @@
 from currantbarrow.direct.instance import LATE_COMMAND_LIMIT_MS, NO_WORKER, WorkerInstance
 from currantbarrow.direct.runs import Run, RunPhase
 from currantbarrow.direct.worker import (
+    NOT_ANNOUNCED,
     Announcement,
     PollResult,
     RunName,
@@ -92,6 +94,7 @@
         self._background = BackgroundTasks(metrics)
         self._work_available = asyncio.Event()
         self._history = InstanceHistory()
+        self._revisions = itertools.count(1)
         # The worker and the birth that are being taken over.
         self._taking_over: tuple[str, int] | None = None
         # The newest announcement of an instance that is not taken over yet.
@@ -192,7 +195,9 @@
         now_ms = self._clock.monotonic_ms()
         is_full = False
         for run in instance.waiting_runs():
-            if not self._may_start(instance, run, now_ms):
+            if not instance.is_as_ordered(run):
+                self._return_outdated(instance, run)
+            elif not self._may_start(instance, run, now_ms):
                 self._finish(instance, run, RunEnd.NOT_STARTED)
             elif (
                 not is_full
@@ -210,6 +215,23 @@
                 if now_ms >= run.wait_deadline_ms:
                     self._finish(instance, run, RunEnd.NOT_STARTED)
 
+    def _return_outdated(self, instance: WorkerInstance, run: Run) -> None:
+        """Return a run that was ordered from a former instance, or before the worker changed."""
+        self._metrics.incr("side.outdated_order")
+        logger.info(
+            "order rejected",
+            extra={
+                "job": run.name.job,
+                "task": run.name.index,
+                "reason": "worker changed",
+                "worker": str(instance.name),
+                "labels": " ".join(sorted(instance.announcement.labels)),
+                "revision": instance.revision,
+                "ordered_revision": run.revision,
+            },
+        )
+        self._finish(instance, run, RunEnd.NOT_STARTED)
+
     def tick(self) -> None:
         """Check for overdue runs and expired leases."""
         instance = self.instance
@@ -335,15 +357,21 @@
             # It counts once the runs of the instance have ended.
             self._keep_pending(announcement)
             announcement = msgspec.structs.replace(announcement, leaving=True)
-        was_announced = instance.announced
-        began_leaving = announcement.leaving and not instance.announcement.leaving
-        instance.announcement = announcement
+        former, instance.announcement = instance.announcement, announcement
         instance.reservations.capacity = announcement.capacity
-        if not was_announced:
+        if former.sequence == NOT_ANNOUNCED:
+            instance.revision = next(self._revisions)
             self._log_ready(instance)
             self._on_change()
-        elif began_leaving:
+            return True
+        began_leaving = announcement.leaving and not former.leaving
+        changed = (announcement.service, announcement.labels) != (former.service, former.labels)
+        if changed:
+            instance.revision = next(self._revisions)
+            self._log_changed(instance)
+        if began_leaving:
             logger.info("worker is leaving", extra={"worker": instance.worker})
+        if changed or began_leaving:
             self.start_waiting_runs()
             self._on_change()
         return True
@@ -485,6 +513,7 @@
             else:
                 self._end_instance(self.instance, "worker replaced")
         instance.ready = True
+        instance.revision = next(self._revisions)
         self.instance = instance
         self.has_taken_over = True
         self._work_available.set()
@@ -510,6 +539,19 @@
                 "worker": instance.worker,
                 "born_ms": instance.born_ms,
                 "cpu_millis": instance.announcement.capacity.cpu_millis,
+                "labels": " ".join(sorted(instance.announcement.labels)),
+                "revision": instance.revision,
+            },
+        )
+
+    def _log_changed(self, instance: WorkerInstance) -> None:
+        logger.info(
+            "worker has changed",
+            extra={
+                "worker": str(instance.name),
+                "service": instance.announcement.service,
+                "labels": " ".join(sorted(instance.announcement.labels)),
+                "revision": instance.revision,
             },
         )
 
--- a/src/currantbarrow/direct/fleet.py
+++ b/src/currantbarrow/direct/fleet.py
@@ -224,6 +224,7 @@
             job.spec.payload,
             orders,
             job.queue.name,
+            self.report.state.revision if self.report is not None else 0,
         )
         self.link.post(message)
         self.liveness.record_order(now_ms)
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -58,6 +58,7 @@
         "lease",
         "ready",
         "reservations",
+        "revision",
         "run_numbers",
         "runs",
         "silent",
@@ -67,6 +68,8 @@
 
     def __init__(self, announcement: Announcement, token: int, lease_ms: float) -> None:
         self.announcement = announcement
+        # Differs from those of former instances, and from those with another service or labels.
+        self.revision = 0
         self.token = token
         self.lease = WorkerLease(lease_ms)
         self.reservations = ResourceReservations(announcement.capacity)
@@ -163,6 +166,11 @@
         """Return whether commands were lost recently."""
         return now_ms - self._last_unanswered_ms < LOSSY_PERIOD_MS
 
+    def is_as_ordered(self, run: Run) -> bool:
+        """Return whether this is the instance that a run was ordered from, as it was then."""
+        # Entries of earlier versions send no revision.
+        return run.revision in (0, self.revision)
+
     def has_overdue_runs(self, now_ms: float) -> bool:
         """Return whether a run is left that should have ended.
 
@@ -228,6 +236,7 @@
             self.health.on_probation,
             sorted(self.announcement.labels),
             self.born_ms,
+            revision=self.revision,
         )
 
     def is_isolating(self, now_ms: float) -> bool:
--- a/src/currantbarrow/direct/reporting.py
+++ b/src/currantbarrow/direct/reporting.py
@@ -37,9 +37,18 @@
 
 
 def _changes_eligibility(reported: WorkerState, state: WorkerState) -> bool:
-    before = (reported.worker, reported.born_ms, reported.accepting, reported.on_trial)
-    after = (state.worker, state.born_ms, state.accepting, state.on_trial)
-    return (*before, reported.evacuated) != (*after, state.evacuated)
+    return _eligibility(reported) != _eligibility(state)
+
+
+def _eligibility(state: WorkerState) -> tuple[str, int, int, bool, bool, bool]:
+    return (
+        state.worker,
+        state.born_ms,
+        state.revision,
+        state.accepting,
+        state.on_trial,
+        state.evacuated,
+    )
 
 
 def _is_scarce(state: WorkerState) -> bool:
--- a/src/currantbarrow/direct/runs.py
+++ b/src/currantbarrow/direct/runs.py
@@ -41,6 +41,7 @@
         "queue",
         "reported",
         "resources",
+        "revision",
         "sent_in_contact",
         "sent_ms",
         "session",
@@ -62,9 +63,12 @@
         order: TaskOrder,
         now_ms: float,
         queue: str = "",
+        revision: int = 0,
     ) -> None:
         self.session = session
         self.queue = queue
+        # The revision of the worker's state that the entry placed the task by; 0 if unknown.
+        self.revision = revision
         self.payload = payload
         self.attempt = order.attempt
         self.name = RunName(job, order.step, order.index, order.attempt)
--- a/src/currantbarrow/direct/side.py
+++ b/src/currantbarrow/direct/side.py
@@ -427,7 +427,15 @@
         elif not session.lease.is_valid(now_ms):
             rejection = RunEnd.NOT_STARTED
         for order in orders.tasks:
-            run = Run(session, orders.job, orders.payload, order, now_ms, orders.queue)
+            run = Run(
+                session,
+                orders.job,
+                orders.payload,
+                order,
+                now_ms,
+                orders.queue,
+                orders.revision,
+            )
             if rejection is None:
                 if self.driver.evacuated:
                     self._metrics.incr("side.order_evacuated")
--- a/src/currantbarrow/protocol/direct.py
+++ b/src/currantbarrow/protocol/direct.py
@@ -113,7 +113,8 @@
 class RunTasks(Message, frozen=True):
     """Order runs of tasks of a job."""
 
-    # As in SessionPing.
+    # A time on the side process's clock that has passed: the stamp of the newest report that the
+    # entry has received, and the time since then. It does not tell the age of that report.
     heard_ms: float
     sequence: int
     job: str
@@ -121,6 +122,8 @@
     tasks: list[TaskOrder]
     # The queue of the job; empty if the sender does not say.
     queue: str = ""
+    # WorkerState.revision when the tasks were placed; 0 if the sender does not say.
+    revision: int = 0
 
 
 class DropTasks(Message, frozen=True):
@@ -178,6 +181,9 @@
     born_ms: Integer = 0
     # Whether no run is started because the data centre is evacuated.
     evacuated: bool = False
+    # Increases whenever the instance, its service or its labels change, on one link; 0 if the side
+    # process does not say.
+    revision: Integer = 0
 
 
 class SuspectRow(msgspec.Struct, array_like=True, frozen=True):
--- a/src/currantbarrow/standins/direct_fleet.py
+++ b/src/currantbarrow/standins/direct_fleet.py
@@ -311,12 +311,16 @@
         affinity: str = "",
         max_per_worker: int = 0,
         same_rack: bool = False,
+        required_label: str = "",
     ) -> JobSpec:
         """Return a job of one step with identical tasks."""
+        if required_label:
+            self.runs.required_labels[key] = required_label
         step = StepSpec(
             tasks,
             Resources(cpu_millis, 64, 0),
             run_ms,
+            required_label,
             affinity=affinity,
             max_per_worker=max_per_worker,
             same_rack=same_rack,
--- a/src/currantbarrow/standins/direct_worker.py
+++ b/src/currantbarrow/standins/direct_worker.py
@@ -34,6 +34,7 @@
 STARTS_AFTER_CRASHES = 3
 # A capacity that has shrunk binds the starts after this time.
 SHRINK_NOTICE_MS = 3500.0
+SERVICE = "work"
 
 
 class RunRecorder:
@@ -56,6 +57,10 @@
         self.over_crash_budget: list[Task] = []
         # How often workers crashed while each task ran, whatever the cause.
         self.crash_ends: collections.Counter[Task] = collections.Counter()
+        # The label that each job requires of its workers, and starts on workers without it or of
+        # another service.
+        self.required_labels: dict[str, str] = {}
+        self.misplaced: list[tuple[Task, str]] = []
 
     def record_crash(self, task: Task, worker: str) -> None:
         """Record that a task has crashed its worker."""
@@ -78,6 +83,13 @@
             if self._starts_after_crashes[task] == STARTS_AFTER_CRASHES:
                 self.over_crash_budget.append(task)
 
+    def check_placement(
+        self, task: Task, worker: str, service: str, labels: frozenset[str]
+    ) -> None:
+        """Record a start on a worker that may not run the task."""
+        if service != SERVICE or not {self.required_labels.get(task[0], "")} <= labels | {""}:
+            self.misplaced.append((task, worker))
+
     def record_end(self, task: Task, worker: str, end: RunEnd = RunEnd.LOST) -> None:
         """Record the end of a run, and how it ended."""
         if end is RunEnd.DONE:
@@ -151,6 +163,7 @@
         # The former capacity, which still counts for a time after the worker has shrunk.
         self._former_capacity = capacity
         self._shrunk_ms = -SHRINK_NOTICE_MS
+        self.service = SERVICE
         self.labels = frozenset({"a"})
         self.faults = WorkerFaults()
         self.leaving = False
@@ -204,7 +217,7 @@
         self._sequence += 1
         return Announcement(
             self.worker,
-            "work",
+            self.service,
             self.capacity,
             self.labels | ({self.rack} - {""}),
             self.leaving,
@@ -344,6 +357,7 @@
         ends_ms = self._now_ms() + run_ms * self.faults.slowness
         self._runs[run.name.task] = _ActiveRun(run.name, Resources(int(cpu_millis)), ends_ms)
         self._recorder.record_start(run.name.task, self.worker)
+        self._recorder.check_placement(run.name.task, self.worker, self.service, self.labels)
         used = sum(each.resources.cpu_millis for each in self._runs.values())
         if used > self._binding_cpu_millis():
             self._recorder.over_capacity.append(self.worker)
--- a/tests/direct_scenarios.py
+++ b/tests/direct_scenarios.py
@@ -18,7 +18,8 @@
 def run_fleet(scenario: Scenario, plan: DirectPlan | None = None) -> DirectFleet:
     """Run a scenario, and check that no task ran twice at once and no worker was overcommitted.
 
-    No task is started on and on after it has crashed several workers.
+    No task ran on a worker without the label that it requires, or of another service. None is
+    started on and on after it has crashed several workers.
     """
 
     async def run() -> DirectFleet:
@@ -29,6 +30,7 @@
         await fleet.stop()
         assert fleet.runs.double_runs == []
         assert fleet.runs.over_capacity == []
+        assert fleet.runs.misplaced == []
         assert fleet.runs.over_crash_budget == []
         return fleet
 
