Poll an idle worker that may have restarted under its id before a start

What callers saw: nothing yet.

Cause: a start names the id of the worker and not its birth, and an idle worker is not polled, so the side process does not know of the restart.

Change: nothing is started on a worker with a birth whose last answer is older than 300 ms, or whose last command was not answered, until it has answered a poll. Workers without births are not concerned.

The random troubles get jobs that require labels and workers that return with other labels behind a cut.

--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -194,11 +194,16 @@
             return
         now_ms = self._clock.monotonic_ms()
         is_full = False
+        may_have_restarted = instance.may_have_restarted(now_ms)
         for run in instance.waiting_runs():
             if not instance.is_as_ordered(run):
                 self._return_outdated(instance, run)
             elif not self._may_start(instance, run, now_ms):
                 self._finish(instance, run, RunEnd.NOT_STARTED)
+            elif may_have_restarted:
+                # The worker would carry out the start, although its labels may be others now. The
+                # answer to a poll tells, and starts the run.
+                self._work_available.set()
             elif (
                 not is_full
                 and instance.allows_beside_others(run, now_ms)
@@ -287,8 +292,10 @@
             # A lease based on an old reading is short, and the start may come before a new one.
             is_old = instance.lease.reading_age_ms(self._clock.steady_ms()) > READING_MAX_AGE_MS
             has_only_ends = not instance.runs and self._has_unacknowledged_ends(instance)
-            at_once = has_unconfirmed or is_old or has_only_ends
             polled_ms = self._clock.monotonic_ms()
+            at_once = (
+                has_unconfirmed or is_old or has_only_ends or instance.may_have_restarted(polled_ms)
+            )
             if await self._poll(instance, at_once=at_once):
                 interval_ms = UNANSWERED_POLL_INTERVAL_MIN_MS
                 if has_unconfirmed:
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -28,6 +28,9 @@
 # A worker that has answered a command within this time is taken to be up.
 CONTACT_MS = 100.0
 
+# While polls go on, the answers of a worker arrive at shorter intervals.
+ANSWER_INTERVAL_LIMIT_MS = 300.0
+
 # How long nothing else is started beside a run that may crash the worker.
 ISOLATION_MS = 250.0
 
@@ -158,6 +161,13 @@
         """Return whether the worker has just answered a command."""
         return not self._unanswered_calls and now_ms - self._last_answer_ms <= CONTACT_MS
 
+    def may_have_restarted(self, now_ms: float) -> bool:
+        """Return whether a restart under the same id may not have been noticed yet."""
+        answer_age_ms = now_ms - self._last_answer_ms
+        # A restart breaks the connection of a pending poll.
+        in_doubt = self._unanswered_calls > 0 or answer_age_ms > ANSWER_INTERVAL_LIMIT_MS
+        return self.born_ms > 0 and in_doubt
+
     def timeout_ms(self, base_ms: float) -> float:
         """Return the timeout of a call, doubled for each unanswered call after the first."""
         return min(base_ms * 2.0 ** max(0, self._unanswered_calls - 1), TIMEOUT_LIMIT_MS)
--- a/src/currantbarrow/standins/direct_worker.py
+++ b/src/currantbarrow/standins/direct_worker.py
@@ -243,7 +243,12 @@
 
     def crash_for(self, away_ms: float) -> None:
         """Crash, and begin a new instance after a time in which no process listens."""
-        self.crash()
+        self.end_for(away_ms)
+        self._instance_number += 1
+
+    def end_for(self, away_ms: float) -> None:
+        """End all runs, and let no process listen for a time, after which the worker restarts."""
+        self._reset()
         self._away_until_s = asyncio.get_running_loop().time() + away_ms / 1000
 
     def _crash_by_task(self, task: Task, worker: str) -> None:
--- a/tests/test_direct_random.py
+++ b/tests/test_direct_random.py
@@ -17,6 +17,7 @@
 SEEDS = (*range(8), 125, 195)
 SAME_ID_SEEDS = range(8)
 CRASHING_SEEDS = range(8)
+CHANGING_SEEDS = (*range(6), 12, 34, 38)
 ENTRIES = ("entry-0", "entry-1", "entry-2")
 TROUBLE_S = 15.0
 CALM_S = 8.0
@@ -26,6 +27,13 @@
 TWO_STEPS_SHARE = 0.3
 SILENT_RESTARTS_SHARE = 0.5
 CRASHING_SHARE = 0.1
+LABELS = ("a", "b")
+LABELLED_SHARE = 0.6
+# Times between submissions; at the longer ones, some workers are idle.
+PAUSES_S = (0.05, 0.25)
+LONG_PAUSES_S = (0.1, 0.9)
+# From the end of a worker to its start as one with another label.
+AWAY_S = (0.4, 3.0)
 # From the start of a task to the crash of its worker.
 CRASH_MS = (0.0, 8.0, 8.0, 200.0, 900.0)
 CPU_MILLIS = (4_000, 8_000, 16_000)
@@ -38,9 +46,17 @@
 class Callers:
     """Submit jobs, and submit them elsewhere when their entry is gone."""
 
-    def __init__(self, fleet: DirectFleet, rng: random.Random, crashing_share: float = 0.0) -> None:
+    def __init__(
+        self,
+        fleet: DirectFleet,
+        rng: random.Random,
+        crashing_share: float = 0.0,
+        labelled_share: float = 0.0,
+    ) -> None:
         self._fleet = fleet
         self._rng = rng
+        # The share of jobs that require a label.
+        self._labelled_share = labelled_share
         # The share of jobs with a task that crashes each worker that starts it.
         self._crashing_share = crashing_share
         self._calls: dict[asyncio.Task[object], tuple[str, str]] = {}
@@ -49,20 +65,24 @@
     async def run(self, until_s: float) -> None:
         """Submit jobs until a time of the event loop."""
         number = 0
+        pauses_s = LONG_PAUSES_S if self._labelled_share else PAUSES_S
         while asyncio.get_running_loop().time() < until_s:
             number += 1
             count, run_ms = self._rng.randint(1, 6), self._rng.choice(RUN_TIMES_MS)
-            spec = self._fleet.build_job(f"{number:016x}", count, run_ms)
+            label = ""
+            if self._labelled_share and self._rng.random() < self._labelled_share:
+                label = self._rng.choice(LABELS)
+            spec = self._fleet.build_job(f"{number:016x}", count, run_ms, required_label=label)
             if self._rng.random() < TWO_STEPS_SHARE:
                 (first,) = spec.steps
-                second = StepSpec(count, first.resources, run_ms, after=(0,))
+                second = StepSpec(count, first.resources, run_ms, label, after=(0,))
                 spec = JobSpec(spec.job_id, spec.payload, (first, second))
             if self._crashing_share and self._rng.random() < self._crashing_share:
                 step = self._rng.randrange(len(spec.steps))
                 crash_ms = self._rng.choice(CRASH_MS)
                 self._fleet.runs.crashing_ms[spec.job_id, step, 0] = crash_ms
             self._tasks.add(asyncio.create_task(self._submit(spec)))
-            await asyncio.sleep(self._rng.uniform(0.05, 0.25))
+            await asyncio.sleep(self._rng.uniform(*pauses_s))
 
     def disconnect(self, entry: str, *, noticed: bool = True) -> list[str]:
         """Break the calls at an entry, which cancels their jobs unless it does not notice.
@@ -114,8 +134,11 @@
         *,
         same_ids: bool,
         resizes: bool = False,
+        changes_labels: bool = False,
     ) -> None:
         self._fleet = fleet
+        # Whether workers return with other labels after a crash or a restart, and during cuts.
+        self._changes_labels = changes_labels
         # Whether capacities shrink and grow, and workers are away after a crash.
         self._resizes = resizes
         self._callers = callers
@@ -152,6 +175,8 @@
             kinds += [self._restart_worker] * 6 + [self._report_departure_late] * 2
         if self._resizes:
             kinds += [self._resize_worker] * 4 + [self._lose_worker_for_a_time] * 2
+        if self._changes_labels:
+            kinds += [self._replace_behind_cut] * 12
         running = []
         while asyncio.get_running_loop().time() < until_s:
             await asyncio.sleep(self._rng.uniform(0.1, 0.9))
@@ -237,11 +262,44 @@
             await self._fleet.start_side(name)
             self._restarting.discard(name)
 
-    async def _crash_worker(self) -> None:
-        name = self._draw_side()
+    async def _crash_worker(self, name: str = "") -> None:
+        name = name or self._draw_side()
         self._former[name].append(self._fleet.workers[name].announcement())
+        await self._draw_label(name)
         self._fleet.workers[name].crash()
 
+    async def _draw_label(self, name: str) -> None:
+        """End a worker for a time, after which it starts with another label or the same."""
+        if self._changes_labels:
+            away_s = self._rng.uniform(*AWAY_S)
+            self._fleet.workers[name].end_for(away_s * 1000)
+            await asyncio.sleep(away_s)
+            self._fleet.workers[name].labels = frozenset({self._rng.choice(LABELS)})
+
+    async def _replace_behind_cut(self) -> None:
+        """Replace a worker, and cut its side process off for the moment of its return."""
+        name = self._draw_side()
+        if name not in self._fleet.sides or name in self._restarting:
+            return
+        self._restarting.add(name)
+        worker, away_s = self._fleet.workers[name], self._rng.uniform(*AWAY_S)
+        worker.end_for(away_s * 1000)
+        before_s = self._rng.uniform(0.02, AWAY_S[0])
+        await asyncio.sleep(away_s - before_s)
+        for entry in ENTRIES:
+            self._fleet.fabric.cut(entry, name)
+        await asyncio.sleep(before_s)
+        worker.labels = frozenset({self._rng.choice(LABELS)})
+        if self._same_ids:
+            await self._fleet.restart_worker(name, self._rng.choice(ANNOUNCED_AFTER_MS))
+        else:
+            worker.crash()
+            await self._fleet.sides[name].handle_announcement(worker.announcement())
+        await asyncio.sleep(self._rng.uniform(0.05, 0.4))
+        for entry in ENTRIES:
+            self._fleet.fabric.restore(entry, name)
+        self._restarting.discard(name)
+
     async def _lose_worker_for_a_time(self) -> None:
         name = self._draw_side()
         self._former[name].append(self._fleet.workers[name].announcement())
@@ -251,9 +309,9 @@
         cpu_millis = self._rng.choice(CPU_MILLIS)
         self._fleet.workers[self._draw_side()].resize(Resources(cpu_millis, 64_000, 0))
 
-    async def _restart_worker(self) -> None:
+    async def _restart_worker(self, name: str = "") -> None:
         """Restart a worker under its id, once or twice, after it has been silent or not."""
-        name = self._draw_side()
+        name = name or self._draw_side()
         worker = self._fleet.workers[name]
         for _ in range(self._rng.choice((1, 1, 2))):
             self._former[name].append(worker.announcement())
@@ -261,6 +319,7 @@
                 worker.faults.silent = True
                 await asyncio.sleep(self._rng.uniform(0.1, 2.0))
                 worker.faults.silent = False
+            await self._draw_label(name)
             await self._fleet.restart_worker(name, self._rng.choice(ANNOUNCED_AFTER_MS))
             await asyncio.sleep(self._rng.choice((0.0, 0.002, 0.3)))
 
@@ -321,15 +380,29 @@
         stored.down = False
 
 
-def run_troubles(seed: int, *, same_ids: bool, crashes: bool = False) -> None:
+def run_troubles(
+    seed: int, *, same_ids: bool, crashes: bool = False, changes_labels: bool = False
+) -> None:
     rng = random.Random(seed)
 
     async def scenario(fleet: DirectFleet) -> None:
         for worker in fleet.workers.values():
             worker.faults.lost_share = rng.choice((0.0, 0.05))
         until_s = asyncio.get_running_loop().time() + TROUBLE_S
-        callers = Callers(fleet, rng, CRASHING_SHARE if crashes else 0.0)
-        troubles = Troubles(fleet, callers, rng, same_ids=same_ids, resizes=crashes)
+        callers = Callers(
+            fleet,
+            rng,
+            CRASHING_SHARE if crashes else 0.0,
+            LABELLED_SHARE if changes_labels else 0.0,
+        )
+        troubles = Troubles(
+            fleet,
+            callers,
+            rng,
+            same_ids=same_ids,
+            resizes=crashes,
+            changes_labels=changes_labels,
+        )
         await asyncio.gather(callers.run(until_s), troubles.run(until_s))
         await asyncio.sleep(CALM_S)
         callers.stop()
@@ -353,3 +426,7 @@
     @pytest.mark.parametrize("seed", CRASHING_SEEDS)
     def test_rules_hold_while_tasks_crash_workers_and_capacities_shrink(self, seed: int) -> None:
         run_troubles(seed, same_ids=seed % 2 == 1, crashes=True)
+
+    @pytest.mark.parametrize("seed", CHANGING_SEEDS)
+    def test_tasks_run_on_workers_with_their_label_while_labels_change(self, seed: int) -> None:
+        run_troubles(seed, same_ids=seed % 2 == 1, changes_labels=True)
--- a/tests/test_direct_replaced_workers.py
+++ b/tests/test_direct_replaced_workers.py
@@ -43,6 +43,14 @@
     await fleet.restart_worker(name)
 
 
+async def restart_unannounced(fleet: DirectFleet, name: str, label: str) -> None:
+    """Restart an idle worker under its id; its side process has not heard of it yet."""
+    fleet.stop_announcing(name)
+    worker = fleet.workers[name]
+    worker.labels = frozenset({label})
+    worker.restart()
+
+
 async def relabel(fleet: DirectFleet, name: str, label: str) -> None:
     """Change the labels of a worker that goes on."""
     fleet.workers[name].labels = frozenset({label})
@@ -61,6 +69,7 @@
     (PLAN, reassign),
     (PLAN_WITH_BIRTHS, replace),
     (PLAN_WITH_BIRTHS, restart),
+    (PLAN_WITH_BIRTHS, restart_unannounced),
 ]
 
 
@@ -110,7 +119,7 @@
 
         run_fleet(scenario, plan)
 
-    @pytest.mark.parametrize(("plan", "change"), CHANGES[:2] + CHANGES[3:])
+    @pytest.mark.parametrize(("plan", "change"), CHANGES[:2] + CHANGES[3:5])
     def test_task_runs_at_once_on_another_worker_that_has_become_fit(
         self, plan: DirectPlan, change: Change
     ) -> None:
@@ -208,3 +217,47 @@
         assert msgspec.convert(msgspec.to_builtins(orders)[:-1], RunTasks).revision == 0
         state = WorkerState("w", "work", True, 1, 1, 1, 1, 1, 1, 0, 0, 1.0, False, [], revision=7)
         assert msgspec.convert(msgspec.to_builtins(state)[:-1], WorkerState).revision == 0
+
+
+class TestStartOnAnIdleWorker:
+    """A worker that may restart under its id is polled before a start, if it was idle."""
+
+    def test_start_is_delayed_by_one_poll(self) -> None:
+        async def scenario(fleet: DirectFleet) -> None:
+            await asyncio.sleep(2.0)
+            start_s = asyncio.get_running_loop().time()
+            spec = fleet.build_job(JOB, 4, RUN_MS, required_label="a")
+            assert await fleet.submit("entry-0", spec, 1500.0) is JobState.COMPLETED
+            assert asyncio.get_running_loop().time() - start_s < (RUN_MS + 15.0) / 1000
+
+        run_fleet(scenario, PLAN_WITH_BIRTHS)
+
+    def test_lost_poll_is_repeated(self) -> None:
+        """Guards against an order that waits for an answer which was lost."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            await asyncio.sleep(2.0)
+            for worker in fleet.workers.values():
+                worker.faults.silent = True
+            spec = fleet.build_job(JOB, 1, RUN_MS, required_label="a")
+            job = asyncio.create_task(fleet.submit("entry-0", spec, 1500.0))
+            await asyncio.sleep(0.05)
+            for worker in fleet.workers.values():
+                worker.faults.silent = False
+            assert await job is JobState.COMPLETED
+            assert fleet.metrics.counters["entry.run_undone.not_started"] == 0
+
+        run_fleet(scenario, PLAN_WITH_BIRTHS)
+
+    def test_order_is_returned_if_the_worker_stays_silent(self) -> None:
+        """Guards against an order that waits at a silent worker while others are free."""
+
+        async def scenario(fleet: DirectFleet) -> None:
+            await asyncio.sleep(2.0)
+            fleet.workers["side-0"].faults.silent = True
+            spec = fleet.build_job(JOB, 2, RUN_MS, 9000)
+            # One of the tasks is ordered from each worker, as there is no room for both on one.
+            assert await fleet.submit("entry-0", spec, 1500.0) is JobState.COMPLETED
+            assert {worker for _, worker in fleet.runs.started} == {"worker-1.1"}
+
+        run_fleet(scenario, PLAN_WITH_BIRTHS)
