Poll a worker that may have restarted apart from its regular polls

The check now has a poll of its own, which is answered at once, one at a time for each instance.

The lines "worker ready" and "worker has changed" are written in one place and have the same fields.

--- a/src/currantbarrow/direct/driver.py
+++ b/src/currantbarrow/direct/driver.py
@@ -52,7 +52,7 @@
 READING_MAX_AGE_MS = 5000.0
 # Interval of checks whether the runs on a worker that shuts down have ended.
 DEPARTURE_CHECK_INTERVAL_MS = 10.0
-# Polls that ask a worker for the birth that it has announced, until the next announcement.
+# Polls that ask a worker for its birth, until the next announcement or the next check.
 BIRTH_POLL_ATTEMPTS = 5
 BIRTH_POLL_INTERVAL_MS = 20.0
 
@@ -95,6 +95,8 @@
         self._work_available = asyncio.Event()
         self._history = InstanceHistory()
         self._revisions = itertools.count(1)
+        # The instance that is polled because it may have restarted.
+        self._checking: WorkerInstance | None = None
         # The worker and the birth that are being taken over.
         self._taking_over: tuple[str, int] | None = None
         # The newest announcement of an instance that is not taken over yet.
@@ -201,9 +203,8 @@
             elif not self._may_start(instance, run, now_ms):
                 self._finish(instance, run, RunEnd.NOT_STARTED)
             elif may_have_restarted:
-                # The worker would carry out the start, although its labels may be others now. The
-                # answer to a poll tells, and starts the run.
-                self._work_available.set()
+                # It would carry out the start, although its labels may be others now.
+                self._check_restart(instance)
             elif (
                 not is_full
                 and instance.allows_beside_others(run, now_ms)
@@ -292,10 +293,8 @@
             # A lease based on an old reading is short, and the start may come before a new one.
             is_old = instance.lease.reading_age_ms(self._clock.steady_ms()) > READING_MAX_AGE_MS
             has_only_ends = not instance.runs and self._has_unacknowledged_ends(instance)
+            at_once = has_unconfirmed or is_old or has_only_ends
             polled_ms = self._clock.monotonic_ms()
-            at_once = (
-                has_unconfirmed or is_old or has_only_ends or instance.may_have_restarted(polled_ms)
-            )
             if await self._poll(instance, at_once=at_once):
                 interval_ms = UNANSWERED_POLL_INTERVAL_MIN_MS
                 if has_unconfirmed:
@@ -368,14 +367,14 @@
         instance.reservations.capacity = announcement.capacity
         if former.sequence == NOT_ANNOUNCED:
             instance.revision = next(self._revisions)
-            self._log_ready(instance)
+            self._log_description("worker ready", instance)
             self._on_change()
             return True
         began_leaving = announcement.leaving and not former.leaving
         changed = (announcement.service, announcement.labels) != (former.service, former.labels)
         if changed:
             instance.revision = next(self._revisions)
-            self._log_changed(instance)
+            self._log_description("worker has changed", instance)
         if began_leaving:
             logger.info("worker is leaving", extra={"worker": instance.worker})
         if changed or began_leaving:
@@ -447,10 +446,7 @@
         Only the worker itself proves its restart, since others can send announcements.
         """
         try:
-            for _ in range(BIRTH_POLL_ATTEMPTS):
-                if await self._poll(instance, at_once=True) or instance.ended:
-                    break
-                await self._clock.sleep_ms(BIRTH_POLL_INTERVAL_MS)
+            await self._poll_birth(instance)
         finally:
             if self._taking_over == (announcement.worker, announcement.born_ms):
                 self._taking_over = None
@@ -461,6 +457,26 @@
                 extra={"worker": instance.worker, "born_ms": announcement.born_ms},
             )
 
+    def _check_restart(self, instance: WorkerInstance) -> None:
+        """Poll a worker that may have restarted; its answer lets the waiting runs start."""
+        if self._checking is not instance:
+            self._checking = instance
+            self._background.spawn(self._finish_check(instance))
+
+    async def _finish_check(self, instance: WorkerInstance) -> None:
+        try:
+            await self._poll_birth(instance)
+        finally:
+            if self._checking is instance:
+                self._checking = None
+
+    async def _poll_birth(self, instance: WorkerInstance) -> None:
+        """Poll a worker until it answers, which shows whether it has restarted under its id."""
+        for _ in range(BIRTH_POLL_ATTEMPTS):
+            if await self._poll(instance, at_once=True) or instance.ended:
+                break
+            await self._clock.sleep_ms(BIRTH_POLL_INTERVAL_MS)
+
     def _handle_restart(self, former: WorkerInstance, born_ms: int) -> None:
         """Replace an instance by a later one that has answered under its id."""
         if former.ended or former.superseded:
@@ -525,7 +541,7 @@
         self.has_taken_over = True
         self._work_available.set()
         if instance.announced:
-            self._log_ready(instance)
+            self._log_description("worker ready", instance)
         pending = self._pending
         if pending is not None and pending.worker == worker:
             # Another worker's announcement waits for its own takeover.
@@ -539,24 +555,15 @@
         key = (announcement.worker, announcement.born_ms)
         return key == (instance.worker, instance.born_ms)
 
-    def _log_ready(self, instance: WorkerInstance) -> None:
+    @staticmethod
+    def _log_description(message: str, instance: WorkerInstance) -> None:
         logger.info(
-            "worker ready",
+            message,
             extra={
                 "worker": instance.worker,
                 "born_ms": instance.born_ms,
-                "cpu_millis": instance.announcement.capacity.cpu_millis,
-                "labels": " ".join(sorted(instance.announcement.labels)),
-                "revision": instance.revision,
-            },
-        )
-
-    def _log_changed(self, instance: WorkerInstance) -> None:
-        logger.info(
-            "worker has changed",
-            extra={
-                "worker": str(instance.name),
                 "service": instance.announcement.service,
+                "cpu_millis": instance.announcement.capacity.cpu_millis,
                 "labels": " ".join(sorted(instance.announcement.labels)),
                 "revision": instance.revision,
             },
--- a/src/currantbarrow/direct/instance.py
+++ b/src/currantbarrow/direct/instance.py
@@ -71,7 +71,7 @@
 
     def __init__(self, announcement: Announcement, token: int, lease_ms: float) -> None:
         self.announcement = announcement
-        # Differs from those of former instances, and from those with another service or labels.
+        # Numbers the descriptions of the worker that entries place tasks by; 0 until it is ready.
         self.revision = 0
         self.token = token
         self.lease = WorkerLease(lease_ms)
--- a/src/currantbarrow/standins/direct_worker.py
+++ b/src/currantbarrow/standins/direct_worker.py
@@ -87,7 +87,8 @@
         self, task: Task, worker: str, service: str, labels: frozenset[str]
     ) -> None:
         """Record a start on a worker that may not run the task."""
-        if service != SERVICE or not {self.required_labels.get(task[0], "")} <= labels | {""}:
+        label = self.required_labels.get(task[0])
+        if service != SERVICE or (label is not None and label not in labels):
             self.misplaced.append((task, worker))
 
     def record_end(self, task: Task, worker: str, end: RunEnd = RunEnd.LOST) -> None:
