--- a/tests/test_direct_random.py
+++ b/tests/test_direct_random.py
@@ -262,14 +262,14 @@
             await self._fleet.start_side(name)
             self._restarting.discard(name)
 
-    async def _crash_worker(self, name: str = "") -> None:
-        name = name or self._draw_side()
+    async def _crash_worker(self) -> None:
+        name = self._draw_side()
         self._former[name].append(self._fleet.workers[name].announcement())
-        await self._draw_label(name)
+        await self._change_label(name)
         self._fleet.workers[name].crash()
 
-    async def _draw_label(self, name: str) -> None:
-        """End a worker for a time, after which it starts with another label or the same."""
+    async def _change_label(self, name: str) -> None:
+        """End a worker for a time, after which it has another label or the same."""
         if self._changes_labels:
             away_s = self._rng.uniform(*AWAY_S)
             self._fleet.workers[name].end_for(away_s * 1000)
@@ -309,9 +309,9 @@
         cpu_millis = self._rng.choice(CPU_MILLIS)
         self._fleet.workers[self._draw_side()].resize(Resources(cpu_millis, 64_000, 0))
 
-    async def _restart_worker(self, name: str = "") -> None:
+    async def _restart_worker(self) -> None:
         """Restart a worker under its id, once or twice, after it has been silent or not."""
-        name = name or self._draw_side()
+        name = self._draw_side()
         worker = self._fleet.workers[name]
         for _ in range(self._rng.choice((1, 1, 2))):
             self._former[name].append(worker.announcement())
@@ -319,7 +319,7 @@
                 worker.faults.silent = True
                 await asyncio.sleep(self._rng.uniform(0.1, 2.0))
                 worker.faults.silent = False
-            await self._draw_label(name)
+            await self._change_label(name)
             await self._fleet.restart_worker(name, self._rng.choice(ANNOUNCED_AFTER_MS))
             await asyncio.sleep(self._rng.choice((0.0, 0.002, 0.3)))
 
