--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -14,7 +14,7 @@
 import tomllib
 from pathlib import Path
 
-from standins import Connection, HttpServer, Store, Worker, request
+from standins import HttpServer, Store, Worker, request
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 ZONES = ("hall-a", "hall-b", "hall-c")
@@ -212,13 +212,7 @@
     # Callers.
 
     async def submit(
-        self,
-        node: Node,
-        job: str,
-        body: dict[str, object],
-        deadline_ms: int,
-        attempt: str,
-        connection: Connection | None = None,
+        self, node: Node, job: str, body: dict[str, object], deadline_ms: int, attempt: str
     ) -> tuple[int, str] | None:
         """Submit a job, and return status and state of the answer, or None without one."""
         self.record.note("post", job=job, node=node.name, attempt=attempt)
@@ -227,32 +221,18 @@
             "Content-Type": "application/json",
             "X-Deadline-Ms": str(deadline_ms),
         }
-        used = connection or Connection(node.frontend)
         content = json.dumps(body).encode()
-        answer = await used.request("POST", PREFIX + job, content, headers, deadline_ms / 1000)
-        if connection is None:
-            used.close()
+        path, timeout_s = PREFIX + job, deadline_ms / 1000
+        answer = await request(node.frontend, "POST", path, content, headers, timeout_s)
         return self._note_answer("answer", job, node, attempt, answer)
 
-    async def cancel(
-        self, node: Node, job: str, connection: Connection | None = None
-    ) -> tuple[int, str] | None:
+    async def cancel(self, node: Node, job: str) -> tuple[int, str] | None:
         """Cancel a job, and return status and state of the answer, or None without one."""
         self.record.note("delete", job=job, node=node.name)
-        used = connection or Connection(node.frontend)
-        timeout_s = BOUNDS["ack_timeout_ms"] / 1000
-        answer = await used.request("DELETE", PREFIX + job, b"", {"Host": HOST}, timeout_s)
-        if connection is None:
-            used.close()
+        path, timeout_s = PREFIX + job, BOUNDS["ack_timeout_ms"] / 1000
+        answer = await request(node.frontend, "DELETE", path, b"", {"Host": HOST}, timeout_s)
         return self._note_answer("delete answer", job, node, "", answer)
 
-    async def open_connection(self, node: Node) -> Connection:
-        """Open a connection of a client that asks how many jobs are pending."""
-        connection = Connection(node.frontend)
-        answer = await connection.request("GET", PREFIX, b"", {"Host": HOST})
-        self.record.note("get answer", node=node.name, status=answer[0] if answer else None)
-        return connection
-
     def _note_answer(
         self, event: str, job: str, node: Node, attempt: str, answer: tuple[int, bytes] | None
     ) -> tuple[int, str] | None:
