--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -344,14 +344,9 @@
     return [row for row in record.find("start", job) if float(str(row["at_s"])) > limit_s]
 
 
-def is_troubled() -> bool:
-    """Return whether the disruption takes place."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
-def run_case(case: object, folder: Path, limit_s: float = 115.0) -> None:
-    """Run a case, write its record, and exit with its result."""
-    record = Record(folder / "record.txt")
+def run_case(case: object, path: Path, limit_s: float = 115.0) -> None:
+    """Run a case, write its record to a file, and exit with its result."""
+    record = Record(path)
     code, verdict = asyncio.run(_run(case, record, limit_s))
     record.write(verdict)
     print(verdict)
